jujubedocument: add the environment document with located errors

Cause: operators need to see every mistake of a document, with its line and column, before it is published.

A number for shares was ruled out as well, because 0.5 can be read as half or as half a percent: shares are written with the sign.

Before: no document could be read.

--- /dev/null
+++ b/core/services/jujubedocument/document.go
@@ -0,0 +1,172 @@
+// Package jujubedocument reads the environment document: which trainers, models, services and callers an environment
+// has, and their limits. Addresses and secrets have no place in it, so that the same bytes work in a trial environment
+// and in production.
+package jujubedocument
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+// MaxBytes bounds a document. A checkpoint carries the whole document in one log record.
+const MaxBytes = 256 << 10
+
+// Document is a checked environment document.
+type Document struct {
+	Trainers map[model.TrainerID]Trainer   `validate:"dive,keys,name,endkeys"`
+	Models   map[model.ModelName]Model     `key:"required" validate:"min=1,dive,keys,name,endkeys"`
+	Services map[model.ServiceName]Service `validate:"dive,keys,name,endkeys"`
+	// Callers without an entry are unlimited.
+	Callers map[model.CallerID]Caller `validate:"dive,keys,name,endkeys"`
+}
+
+// Trainer is a trainer and its limits.
+type Trainer struct {
+	Model model.ModelName `key:"required"`
+	// Share is the trainer's part of the model's engines while several trainers wait; the shares of a model's trainers
+	// add up to 100% at most.
+	Share Percent `key:"required" validate:"gt=0,max=100"`
+	// StalenessBound is the highest age of a delivered sample, in weight versions; 0 accepts only the trainer's own.
+	StalenessBound model.WeightVersion `key:"required" validate:"min=0,max=1000"`
+	MaxInFlight    int                 `key:"required" validate:"min=1,max=1000000"`
+	// Scorer names one of Services; without it samples are delivered unscored.
+	Scorer       model.ServiceName
+	StepDeadline time.Duration `key:"required" validate:"min=1s,max=24h"`
+}
+
+// Model is a model whose engines the trainers and apps share.
+type Model struct {
+	// Engines is the number of engines that the environment plans for; it is used only to check the other limits.
+	Engines                int           `key:"required" validate:"min=1,max=100000"`
+	MaxInFlightPerEndpoint int           `key:"required" validate:"min=1,max=100000"`
+	MaxSwapping            int           `key:"required" validate:"min=1,max=100000"`
+	MinServing             int           `key:"required" validate:"min=1,max=100000"`
+	SwapTimeout            time.Duration `key:"required" validate:"min=1s,max=1h"`
+}
+
+// Service is a plain service or a scorer.
+type Service struct {
+	MaxInFlightPerEndpoint int           `key:"required" validate:"min=1,max=100000"`
+	Timeout                time.Duration `key:"required" validate:"min=1ms,max=1h"`
+	// NonIdempotentMethods are POST and PATCH when the key is absent; an empty list says that all calls may be repeated.
+	NonIdempotentMethods []string `validate:"unique,dive,oneof=GET HEAD OPTIONS POST PUT PATCH DELETE"`
+}
+
+// Caller is a caller with limits.
+type Caller struct {
+	RequestsPerSecond float64 `key:"required" validate:"gt=0,max=1000000"`
+	MaxInFlight       int     `key:"required" validate:"min=1,max=1000000"`
+}
+
+// Percent is a number of hundredths, written with the sign: "12.5%".
+type Percent float64
+
+// UnmarshalText reads a percentage; a number without the sign is refused because 0.5 could mean either half or 0.5%.
+func (p *Percent) UnmarshalText(text []byte) error {
+	number, ok := strings.CutSuffix(string(text), "%")
+	if !ok {
+		return errors.New("must be a percentage, such as 25%")
+	}
+	value, err := strconv.ParseFloat(number, 64)
+	if err != nil || value != value {
+		return errors.New("must be a percentage, such as 25%")
+	}
+	*p = Percent(value)
+	return nil
+}
+
+// String writes the percentage with its sign.
+func (p Percent) String() string { return strconv.FormatFloat(float64(p), 'f', -1, 64) + "%" }
+
+// ErrDocument is one problem of a document.
+type ErrDocument struct {
+	File   string
+	Line   int
+	Column int
+	// Key is the path of the value; empty for the whole document.
+	Key    string
+	Reason string
+}
+
+// Error gives the place in the form that editors follow.
+func (e ErrDocument) Error() string {
+	place := fmt.Sprintf("%s:%d:%d: ", e.File, e.Line, e.Column)
+	if e.Key != "" {
+		place += e.Key + ": "
+	}
+	return place + e.Reason
+}
+
+// ErrDocuments holds all problems of a document in the order of their places.
+type ErrDocuments []ErrDocument
+
+// Error lists the problems, one a line.
+func (e ErrDocuments) Error() string {
+	lines := make([]string, len(e))
+	for i, problem := range e {
+		lines[i] = problem.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap lets errors.As find an ErrDocument.
+func (e ErrDocuments) Unwrap() []error {
+	list := make([]error, len(e))
+	for i, problem := range e {
+		list[i] = problem
+	}
+	return list
+}
+
+// IsErrDocument returns all problems in an error's chain.
+func IsErrDocument(err error) ([]ErrDocument, bool) {
+	var problems ErrDocuments
+	ok := errors.As(err, &problems)
+	return problems, ok
+}
+
+// Digest identifies a document byte for byte.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Limits returns what the decision packages need. The caller sets Revision.
+func (d *Document) Limits() model.Limits {
+	limits := model.Limits{
+		Trainers: make(map[model.TrainerID]model.TrainerLimits, len(d.Trainers)),
+		Models:   make(map[model.ModelName]model.ModelLimits, len(d.Models)),
+		Services: make(map[model.ServiceName]model.ServiceLimits, len(d.Services)),
+		Callers:  make(map[model.CallerID]model.CallerLimits, len(d.Callers)),
+	}
+	for id, t := range d.Trainers {
+		limits.Trainers[id] = model.TrainerLimits{
+			Model: t.Model, StalenessBound: t.StalenessBound, Share: float64(t.Share) / 100,
+			MaxInFlight: t.MaxInFlight, Scorer: t.Scorer, StepDeadline: t.StepDeadline,
+		}
+	}
+	for name, m := range d.Models {
+		limits.Models[name] = model.ModelLimits{
+			MaxInFlightPerEndpoint: m.MaxInFlightPerEndpoint, MaxSwapping: m.MaxSwapping,
+			MinServing: m.MinServing, SwapTimeout: m.SwapTimeout,
+		}
+	}
+	for name, s := range d.Services {
+		limits.Services[name] = model.ServiceLimits{
+			MaxInFlightPerEndpoint: s.MaxInFlightPerEndpoint, Timeout: s.Timeout,
+			NonIdempotentMethods: append([]string(nil), s.NonIdempotentMethods...),
+		}
+	}
+	for id, c := range d.Callers {
+		limits.Callers[id] = model.CallerLimits{RequestsPerSecond: c.RequestsPerSecond, MaxInFlight: c.MaxInFlight}
+	}
+	return limits
+}
