jujubesetting: add the settings loader

Cause: each program needs its addresses and data centre from a file, the environment or flags, and a misspelled key must not pass unnoticed.

Ruled out: reading flags inside Load, because the programs' commands own their arguments; Flags generates them from the struct and LoadCommand applies those that were given. Environment variables with the prefix that no key corresponds to are refused like unknown keys in the file.

Before: no loader. After: defaults, file, environment and flags, in this order, with all problems reported by source, line and key.

--- /dev/null
+++ b/core/modules/jujubesetting/load.go
@@ -0,0 +1,209 @@
+// Package jujubesetting loads a program's settings into a struct. A later source overrides an earlier one: the values
+// that the caller has set and the `default` tags, the YAML file, environment variables, command-line flags.
+package jujubesetting
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"jujubepier.example/core/modules/jujubeyaml"
+)
+
+// MaxFileBytes bounds a settings file.
+const MaxFileBytes = 1 << 20
+
+// FlagFile is the flag that names the settings file.
+const FlagFile = "settings"
+
+// ErrSetting is one problem of the settings.
+type ErrSetting struct {
+	// Source is the file, the environment variable or the flag that gave the value; "default" when none did.
+	Source string
+	// Line and Column are zero for other sources than a file.
+	Line   int
+	Column int
+	Key    string
+	Reason string
+}
+
+// Error gives the source, the place and the key.
+func (e ErrSetting) Error() string {
+	place := e.Source
+	if e.Line > 0 {
+		place += fmt.Sprintf(":%d:%d", e.Line, e.Column)
+	}
+	if e.Key != "" {
+		place += ": " + e.Key
+	}
+	return place + ": " + e.Reason
+}
+
+// ErrSettings holds all problems of the settings.
+type ErrSettings []ErrSetting
+
+// Error lists the problems, one a line.
+func (e ErrSettings) Error() string {
+	lines := make([]string, len(e))
+	for i, problem := range e {
+		lines[i] = problem.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap lets errors.As find an ErrSetting.
+func (e ErrSettings) Unwrap() []error {
+	list := make([]error, len(e))
+	for i, problem := range e {
+		list[i] = problem
+	}
+	return list
+}
+
+// IsErrSetting returns all problems in an error's chain.
+func IsErrSetting(err error) ([]ErrSetting, bool) {
+	var problems ErrSettings
+	ok := errors.As(err, &problems)
+	return problems, ok
+}
+
+// Load reads the file, which may be "" for none, and the environment variables that begin with environPrefix and an
+// underscore. A variable with the prefix that no key corresponds to is refused as a misspelling.
+func Load[T any](file string, environPrefix string, settings *T) error {
+	return load(file, environPrefix, nil, settings)
+}
+
+// LoadCommand is Load with the file and the flags of a command that was made with Flags.
+func LoadCommand[T any](command *cli.Command, environPrefix string, settings *T) error {
+	flags := map[string]string{}
+	for _, leaf := range listLeaves(settings) {
+		if command.IsSet(leaf.flag()) {
+			flags[leaf.path] = command.String(leaf.flag())
+		}
+	}
+	return load(command.String(FlagFile), environPrefix, flags, settings)
+}
+
+// Flags returns the flag that names the settings file and one flag for each key of T. The values are text; they are
+// checked when they are loaded.
+func Flags[T any]() []cli.Flag {
+	flags := []cli.Flag{&cli.StringFlag{Name: FlagFile, Usage: "YAML file with settings"}}
+	for _, leaf := range listLeaves(new(T)) {
+		usage := leaf.field.Tag.Get("usage")
+		if value := leaf.field.Tag.Get("default"); value != "" {
+			usage = strings.TrimSpace(usage + " (default " + value + ")")
+		}
+		flags = append(flags, &cli.StringFlag{Name: leaf.flag(), Usage: usage, HideDefault: true})
+	}
+	return flags
+}
+
+// loader collects the problems and remembers which source set a key, so that a broken rule names that source.
+type loader struct {
+	problems ErrSettings
+	sources  map[string]string
+}
+
+func load(file, environPrefix string, flags map[string]string, settings any) error {
+	l := &loader{sources: map[string]string{}}
+	leaves := listLeaves(settings)
+	for _, leaf := range leaves {
+		if text := leaf.field.Tag.Get("default"); text != "" && leaf.value.IsZero() {
+			l.set(leaf, "default", text)
+		}
+	}
+	positions := jujubeyaml.Positions{}
+	if file != "" {
+		data, err := readFile(file)
+		if err != nil {
+			return err
+		}
+		var problems []jujubeyaml.Problem
+		positions, problems = jujubeyaml.Decode(data, settings)
+		for path := range positions {
+			l.sources[path] = file
+		}
+		for _, p := range problems {
+			l.problems = append(l.problems, ErrSetting{Source: file, Line: p.Line, Column: p.Column, Key: p.Key, Reason: p.Reason})
+		}
+	}
+	l.applyEnviron(leaves, environPrefix)
+	for _, leaf := range leaves {
+		if text, ok := flags[leaf.path]; ok {
+			l.set(leaf, "--"+leaf.flag(), text)
+		}
+	}
+	violations, err := jujubeyaml.Check(settings, positions, nil)
+	if err != nil {
+		return errors.Wrap(err, "check settings")
+	}
+	for _, violation := range violations {
+		l.reportViolation(violation, file)
+	}
+	if len(l.problems) > 0 {
+		return l.problems
+	}
+	return nil
+}
+
+// readFile refuses a file above MaxFileBytes, such as one that was named by mistake.
+func readFile(file string) ([]byte, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, ErrSettings{{Source: file, Reason: err.Error()}}
+	}
+	if info.Size() > MaxFileBytes || !info.Mode().IsRegular() {
+		return nil, ErrSettings{{Source: file, Reason: fmt.Sprintf("must be a regular file of at most %d bytes", MaxFileBytes)}}
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, ErrSettings{{Source: file, Reason: err.Error()}}
+	}
+	return data, nil
+}
+
+func (l *loader) set(leaf leaf, source, text string) {
+	l.sources[leaf.path] = source
+	if err := leaf.set(text); err != nil {
+		l.problems = append(l.problems, ErrSetting{Source: source, Key: leaf.path, Reason: err.Error()})
+	}
+}
+
+func (l *loader) applyEnviron(leaves []leaf, prefix string) {
+	if prefix == "" {
+		return
+	}
+	environ := os.Environ()
+	slices.Sort(environ)
+	for _, entry := range environ {
+		name, text, _ := strings.Cut(entry, "=")
+		if !strings.HasPrefix(name, prefix+"_") {
+			continue
+		}
+		at := slices.IndexFunc(leaves, func(leaf leaf) bool { return leaf.variable(prefix) == name })
+		if at < 0 {
+			l.problems = append(l.problems, ErrSetting{Source: name, Reason: "no key corresponds to this environment variable"})
+			continue
+		}
+		l.set(leaves[at], name, text)
+	}
+}
+
+// reportViolation leaves out keys with a decoding problem, whose zero value breaks the rule as a consequence.
+func (l *loader) reportViolation(violation jujubeyaml.Problem, file string) {
+	if slices.ContainsFunc(l.problems, func(known ErrSetting) bool { return known.Key == violation.Key }) {
+		return
+	}
+	problem := ErrSetting{Source: l.sources[violation.Key], Key: violation.Key, Reason: violation.Reason}
+	switch problem.Source {
+	case "":
+		problem.Source = "default"
+	case file:
+		problem.Line, problem.Column = violation.Line, violation.Column
+	}
+	l.problems = append(l.problems, problem)
+}
