--- a/core/modules/jujubesetting/leaf.go
+++ b/core/modules/jujubesetting/leaf.go
@@ -44,8 +44,7 @@
 
 // set reads the value from text; the elements of a list are separated by commas.
 func (l leaf) set(text string) error {
-	_, isText := l.value.Addr().Interface().(encoding.TextUnmarshaler)
-	if isText || l.value.Kind() != reflect.Slice {
+	if !l.isList() {
 		return jujubeyaml.SetText(l.value, text)
 	}
 	rows := reflect.MakeSlice(l.value.Type(), 0, 0)
@@ -63,6 +62,11 @@
 	return nil
 }
 
+func (l leaf) isList() bool {
+	_, isText := l.value.Addr().Interface().(encoding.TextUnmarshaler)
+	return !isText && l.value.Kind() == reflect.Slice
+}
+
 // flag is the path in lower case with hyphens: log-level for Log.Level.
 func (l leaf) flag() string { return strings.ToLower(l.join("-")) }
 
--- a/core/modules/jujubesetting/load.go
+++ b/core/modules/jujubesetting/load.go
@@ -83,13 +83,16 @@
 	for _, leaf := range listLeaves(settings) {
 		if command.IsSet(leaf.flag()) {
 			flags[leaf.path] = command.String(leaf.flag())
+			if leaf.isList() {
+				flags[leaf.path] = strings.Join(command.StringSlice(leaf.flag()), ",")
+			}
 		}
 	}
 	return load(command.String(FlagFile), environPrefix, flags, settings)
 }
 
-// Flags returns the flag that names the settings file and one flag for each key of T. The values are text; they are
-// checked when they are loaded.
+// Flags returns the flag that names the settings file and one flag for each key of T; the flag of a list may be
+// repeated. The values are text; they are checked when they are loaded.
 func Flags[T any]() []cli.Flag {
 	flags := []cli.Flag{&cli.StringFlag{Name: FlagFile, Usage: "YAML file with settings"}}
 	for _, leaf := range listLeaves(new(T)) {
@@ -97,6 +100,10 @@
 		if value := leaf.field.Tag.Get("default"); value != "" {
 			usage = strings.TrimSpace(usage + " (default " + value + ")")
 		}
+		if leaf.isList() {
+			flags = append(flags, &cli.StringSliceFlag{Name: leaf.flag(), Usage: usage, HideDefault: true})
+			continue
+		}
 		flags = append(flags, &cli.StringFlag{Name: leaf.flag(), Usage: usage, HideDefault: true})
 	}
 	return flags
