jujuberouter: add endpoint choice, queue and limits

Cause: requests need an endpoint, a place in a bounded queue or an immediate refusal, decided alone by each instance from lagging reports.

Ruled out: newest-first under overload, because it starves the oldest samples of a step; admission up to the deadline itself, because the queue then settles where each request starts just before its deadline and is cut off.

--- /dev/null
+++ b/core/services/jujuberouter/router_test.go
@@ -0,0 +1,176 @@
+package jujuberouter_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubepier.example/core/modules/jujubeerror"
+	router "jujubepier.example/core/services/jujuberouter"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+var start = time.Unix(1000, 0)
+
+func newRouter(endpoints, limit int) *router.Router[router.LeastExpectedWait] {
+	r := router.New(router.LeastExpectedWait{}, router.Settings{Instance: "i"}, rand.New(rand.NewSource(1)))
+	r.SetLimits(model.Limits{
+		Trainers: map[model.TrainerID]model.TrainerLimits{"a": {Share: 1}, "b": {Share: 3}},
+		Models:   map[model.ModelName]model.ModelLimits{"m": {MaxInFlightPerEndpoint: limit}},
+	})
+	for i := range endpoints {
+		id := model.EndpointID(fmt.Sprintf("e%03d", i))
+		r.PutEndpoint(start, model.Endpoint{ID: id, Kind: model.KindEngine, Model: "m", Incarnation: 1})
+		r.ReportLoad(start, model.LoadReport{Endpoint: id, Incarnation: 1, At: start, Slots: 16, TokensPerSecond: 50})
+	}
+	return r
+}
+
+func ask(id int, priority model.Priority, trainer model.TrainerID) router.Request {
+	return router.Request{
+		ID: model.RequestID(fmt.Sprint(id)), Kind: model.KindEngine, Model: "m", Priority: priority, Trainer: trainer,
+		Deadline: start.Add(time.Hour),
+	}
+}
+
+// Guards against starvation of lower classes, and against trainers that don't get their shares.
+func TestQueueOrder(t *testing.T) {
+	r := newRouter(1, 1)
+	served := map[string]int{}
+	name := func(id int) model.RequestID { return model.RequestID(fmt.Sprint(id)) }
+	assert.Equal(t, r.Route(start, ask(0, model.PriorityInteractive, "")).Kind, router.Dispatch)
+	kinds := map[model.RequestID]string{}
+	for i := 1; i <= 900; i += 3 {
+		assert.Equal(t, r.Route(start, ask(i, model.PriorityInteractive, "")).Kind, router.Wait)
+		assert.Equal(t, r.Route(start, ask(i+1, model.PriorityTrainer, "a")).Kind, router.Wait)
+		assert.Equal(t, r.Route(start, ask(i+2, model.PriorityTrainer, "b")).Kind, router.Wait)
+		kinds[name(i)], kinds[name(i+1)], kinds[name(i+2)] = "interactive", "a", "b"
+	}
+	current := name(0)
+	for range 320 {
+		decisions := r.Finish(start, current, router.Outcome{})
+		assert.Equal(t, len(decisions), 1)
+		current = decisions[0].Request
+		served[kinds[current]]++
+	}
+	assert.DeepEqual(t, served, map[string]int{"interactive": 280, "a": 10, "b": 30})
+}
+
+// Guards against failing endpoints that keep receiving requests, and against putting aside all of them.
+func TestPutAside(t *testing.T) {
+	r := newRouter(2, 100)
+	now, id := start, 0
+	route := func() model.EndpointID {
+		id++
+		decision := r.Route(now, ask(id, model.PriorityInteractive, ""))
+		assert.Equal(t, decision.Kind, router.Dispatch)
+		return decision.Endpoint
+	}
+	finish := func(number int, refused bool) {
+		r.Finish(now, model.RequestID(fmt.Sprint(number)), router.Outcome{OK: !refused, ConnectionRefused: refused})
+	}
+	bad := route()
+	finish(id, true)
+	for range 20 {
+		assert.Assert(t, route() != bad)
+	}
+	now = now.Add(600 * time.Millisecond)
+	trials := 0
+	for range 40 {
+		if route() == bad {
+			trials++
+		}
+	}
+	assert.Equal(t, trials, 1)
+	for number := range id + 1 {
+		finish(number, true)
+	}
+	route() // both endpoints fail now
+}
+
+// Guards against answers that come late, or that promise what the instance can't do.
+func TestRefusals(t *testing.T) {
+	full := func() *router.Router[router.LeastExpectedWait] {
+		r := newRouter(1, 1)
+		r.Route(start, ask(0, model.PriorityInteractive, ""))
+		return r
+	}
+	cases := map[string]struct {
+		router    *router.Router[router.LeastExpectedWait]
+		change    func(*router.Request)
+		code      string
+		elsewhere bool
+	}{
+		"no endpoint":   {newRouter(0, 1), func(*router.Request) {}, jujubeerror.CodeNoEndpoint, false},
+		"excluded":      {newRouter(1, 1), func(q *router.Request) { q.Exclude = []model.EndpointID{"e000"} }, jujubeerror.CodeNoEndpoint, false},
+		"same id":       {full(), func(q *router.Request) { q.ID = "0" }, jujubeerror.CodeConflict, false},
+		"too late":      {full(), func(q *router.Request) { q.Deadline = start.Add(time.Second) }, jujubeerror.CodeOverloaded, false},
+		"zero share":    {newRouter(1, 1), func(*router.Request) {}, jujubeerror.CodeOverloaded, true},
+		"retries spent": {newRouter(1, 1), func(q *router.Request) { q.Retry = true }, jujubeerror.CodeRetryExhausted, false},
+	}
+	for rank := range 2 { // one of two ranks has no share of a limit of 1
+		cases["zero share"].router.SetMembers(2, rank)
+		if cases["zero share"].router.Endpoints(start)[0].Share == 0 {
+			break
+		}
+	}
+	for i := range 10 {
+		r := cases["retries spent"].router
+		request := ask(i, model.PriorityInteractive, "")
+		request.Retry = true
+		assert.Equal(t, r.Route(start, request).Kind, router.Dispatch)
+		r.Finish(start, request.ID, router.Outcome{})
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			request := ask(99, model.PriorityInteractive, "")
+			test.change(&request)
+			decision := test.router.Route(start, request)
+			assert.Equal(t, decision.Kind, router.Refuse)
+			assert.Equal(t, decision.Code, test.code)
+			assert.Equal(t, decision.HeldElsewhere, test.elsewhere)
+			assert.Equal(t, decision.RetryAfter > 0, test.code != jujubeerror.CodeConflict)
+		})
+	}
+}
+
+// Guards against trust in prefixes that an engine may have evicted in a gap of its events.
+func TestCacheGap(t *testing.T) {
+	r := newRouter(1, 0)
+	cached := func(now time.Time, id int) bool {
+		request := ask(id, model.PriorityInteractive, "")
+		request.Prefix = 7
+		return r.Route(now, request).CachedPrefix
+	}
+	r.ReportCache(start, "e000", []model.CacheEvent{{Seq: 1, Prefix: 7, Stored: true}})
+	assert.Assert(t, cached(start, 1))
+	later := start.Add(10 * time.Second)
+	r.ReportCache(later, "e000", []model.CacheEvent{{Seq: 3, Prefix: 8, Stored: true}})
+	assert.Assert(t, !cached(later, 2))
+	assert.Assert(t, cached(later, 3), "own dispatches are remembered")
+	r.ReportCache(later, "e000", []model.CacheEvent{{Seq: 4, Prefix: 7}})
+	assert.Assert(t, !cached(later, 4))
+}
+
+func BenchmarkRouteFinish(b *testing.B) {
+	for _, endpoints := range []int{10, 100, 600} {
+		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
+			r := newRouter(endpoints, 100)
+			request := ask(1, model.PriorityInteractive, "")
+			b.ReportAllocs()
+			for i := range b.N {
+				request.Prefix = uint64(i%1000 + 1)
+				now := start.Add(time.Duration(i) * time.Microsecond)
+				request.Deadline = now.Add(time.Minute)
+				if r.Route(now, request).Kind != router.Dispatch {
+					b.Fatal("not dispatched")
+				}
+				r.Finish(now, request.ID, router.Outcome{OK: true, Tokens: 100})
+			}
+		})
+	}
+}
