--- /dev/null
+++ b/core/services/jujubestep/bench_test.go
@@ -0,0 +1,45 @@
+package jujubestep_test
+
+import (
+	"fmt"
+	"testing"
+
+	"jujubepier.example/core/services/jujubestep"
+)
+
+// BenchmarkSteps measures a tick with half of the samples finished and the others running, a tick with all samples but
+// one waiting for a free start, and one chunk of a running stream.
+func BenchmarkSteps(b *testing.B) {
+	for _, size := range []int{256, 1024, 4096} {
+		b.Run(fmt.Sprint("Tick/samples=", size), func(b *testing.B) {
+			steps := newSteps(b, newPart(1, size/8, 8))
+			for i, s := range begin(b, steps) {
+				if i%2 == 0 {
+					finish(steps, start.Add(tick), s.Stream, 5)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				steps.Tick(start.Add(2 * tick))
+			}
+		})
+		b.Run(fmt.Sprint("TickPending/samples=", size), func(b *testing.B) {
+			steps := jujubestep.New(jujubestep.Settings{MaxStarting: 1})
+			steps.SetLimits(limits(""))
+			_, _ = steps.Submit(start, newPart(1, size/8, 8))
+			b.ReportAllocs()
+			for b.Loop() {
+				steps.Tick(start)
+			}
+		})
+		b.Run(fmt.Sprint("Progress/samples=", size), func(b *testing.B) {
+			steps := newSteps(b, newPart(1, size/8, 8))
+			starts := begin(b, steps)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				at := i / len(starts)
+				steps.Progress(start, starts[i%len(starts)].Stream, at, at+1, 5)
+			}
+		})
+	}
+}
