standin: add the weight store, the scorer and the plain service

Cause: swaps fetch from a rate-limited store, samples are scored, and the at-most-once requirement needs a service that counts what really ran. Ruled out: counts that a crash resets (they stand for records in a database, and a repeat after a crash must show). Before: nothing. After: three emulators with faults at /faults; the service counts runs by key and by record, before the answer can be lost.

--- /dev/null
+++ b/standin/services/jujubescorer/scorer.go
@@ -0,0 +1,124 @@
+// Package jujubescorer emulates a service that scores samples.
+package jujubescorer
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"goji.io"
+	"goji.io/pat"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/standin/modules/jujubefault"
+	"jujubepier.example/standin/modules/jujubehost"
+)
+
+// Settings of a scorer.
+type Settings struct {
+	Listen     string
+	ID         model.EndpointID
+	DataCentre model.DataCentre
+	Service    model.ServiceName
+	// Latency is the time of one score.
+	Latency time.Duration
+	// ListURL is the instance list to register at (http://host:port); empty for none.
+	ListURL   string
+	Heartbeat time.Duration
+}
+
+// DefaultSettings returns the settings of a scorer that isn't registered.
+func DefaultSettings() Settings {
+	return Settings{
+		Listen: "127.0.0.1:0", ID: "scorer-1", DataCentre: "dc-a", Service: "scorer", Latency: 20 * time.Millisecond,
+		Heartbeat: time.Second,
+	}
+}
+
+// Faults of a scorer (PUT /faults).
+type Faults struct {
+	Outage jujubefault.Outage
+	// Slow delays each call.
+	Slow model.Duration
+	// FailNext is the number of next scores that are answered with 500.
+	FailNext int
+}
+
+// Server is a running scorer.
+type Server struct {
+	settings    Settings
+	faults      *jujubefault.Box[Faults]
+	host        *jujubehost.Host
+	incarnation model.Incarnation
+	running     atomic.Int64
+}
+
+// Start runs a scorer until the clean-up function is called or ctx ends.
+func Start(ctx context.Context, settings Settings) (*Server, func(), error) {
+	if settings.ID == "" || settings.Heartbeat <= 0 {
+		return nil, nil, errors.New("scorer: ID and Heartbeat must be set")
+	}
+	s := &Server{
+		settings: settings, faults: jujubefault.New[Faults](),
+		incarnation: model.Incarnation(time.Now().UnixMilli()),
+	}
+	mux := goji.NewMux()
+	mux.Use(s.faults.Guard(func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() }))
+	s.faults.Handle(mux)
+	mux.HandleFunc(pat.Post("/v1/score"), s.score)
+	mux.HandleFunc(pat.Get("/v1/load"), s.load)
+	host, err := jujubehost.Listen(ctx, settings.Listen, mux)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "scorer")
+	}
+	s.host = host
+	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint)
+	return s, host.Close, nil
+}
+
+// Address returns host:port.
+func (s *Server) Address() string { return s.host.Address() }
+
+// SetFaults replaces the faults, as PUT /faults does.
+func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
+
+// Endpoint returns the scorer's row in the instance list.
+func (s *Server) Endpoint() model.Endpoint {
+	return model.Endpoint{
+		ID: s.settings.ID, Kind: model.KindScorer, DataCentre: s.settings.DataCentre, Address: s.host.Address(),
+		Incarnation: s.incarnation, Service: s.settings.Service,
+	}
+}
+
+// Score returns the score of a text in [0, 1). It doesn't depend on the sample's id, so a repeat scores the same.
+func Score(prompt, text string) float64 {
+	const steps = 10000
+	return float64(model.NewFingerprint(prompt, text)%steps) / steps
+}
+
+func (s *Server) score(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	var request model.ScoreRequest
+	if !jujubehost.ReadJSON(w, r, &request) {
+		return
+	}
+	if s.faults.Take(func(f *Faults) *int { return &f.FailNext }) {
+		jujubehost.WriteError(w, http.StatusInternalServerError,
+			model.EngineError{Code: jujubehost.CodeUnavailable, Message: "score fails by a fault"})
+		return
+	}
+	if !jujubehost.Sleep(r.Context(), s.settings.Latency) {
+		jujubehost.Abort()
+	}
+	jujubehost.WriteJSON(w, http.StatusOK,
+		model.ScoreResult{Sample: request.Sample, Score: Score(request.Prompt, request.Text)})
+}
+
+func (s *Server) load(w http.ResponseWriter, _ *http.Request) {
+	jujubehost.WriteJSON(w, http.StatusOK, model.LoadReport{
+		Endpoint: s.settings.ID, Incarnation: s.incarnation, At: time.Now().UTC(), Running: int(s.running.Load()),
+	})
+}
--- /dev/null
+++ b/standin/services/jujubeservice/service_test.go
@@ -0,0 +1,67 @@
+package jujubeservice_test
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"gotest.tools/v3/poll"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/standin/services/jujubeservice"
+)
+
+// Guards against counts that miss a run whose answer was lost, or that include a call that never ran.
+func TestRunsAreCounted(t *testing.T) {
+	for _, row := range []struct {
+		name         string
+		faults       jujubeservice.Faults
+		status, runs int
+		crashes      bool
+	}{
+		{"answered", jujubeservice.Faults{}, 200, 1, false},
+		{"answer lost", jujubeservice.Faults{LoseAnswers: 1}, 0, 1, false},
+		{"closed before", jujubeservice.Faults{CloseBefore: 1}, 0, 0, false},
+		{"error", jujubeservice.Faults{Fail: 1}, 500, 0, false},
+		{"crash", jujubeservice.Faults{CrashMarker: "belt-7"}, 0, 1, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			settings := jujubeservice.DefaultSettings()
+			settings.CrashDowntime = 20 * time.Millisecond
+			server, stop, err := jujubeservice.Start(t.Context(), settings)
+			assert.NilError(t, err)
+			t.Cleanup(stop)
+			before := server.Endpoint().Incarnation
+			server.SetFaults(row.faults)
+			assert.Equal(t, post(t, server), row.status)
+			assert.Equal(t, server.Calls().ByKey["key-1"], row.runs)
+			assert.Equal(t, server.Calls().ByRecord["belt-7"], row.runs)
+			server.SetFaults(jujubeservice.Faults{})
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				return poll.Compare(cmp.Equal(post(t, server), http.StatusOK))
+			}, poll.WithDelay(5*time.Millisecond))
+			assert.Equal(t, server.Calls().ByKey["key-1"], row.runs+1)
+			assert.Equal(t, server.Endpoint().Incarnation > before, row.crashes)
+		})
+	}
+}
+
+// post returns the status, or zero when there was no answer. It has no GetBody and a fresh connection: net/http repeats a
+// POST with an Idempotency-Key by itself when a reused connection breaks.
+func post(t *testing.T, server *jujubeservice.Server) int {
+	t.Helper()
+	body := bytes.NewBufferString(`{"Record":"belt-7"}`)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.Address()+"/records", body)
+	assert.NilError(t, err)
+	request.GetBody, request.Close = nil, true
+	request.Header.Set(model.HeaderIdempotencyKey, "key-1")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode
+}
