standin: add the command line

Cause: demonstrations and process tests run the emulators as processes. Ruled out: a settings file (the flags cover every setting, and the shared loader is not there yet). Before: a placeholder. The sub-command log was not run by hand.

--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,22 @@
-// Command main is a placeholder until the program lands.
+// Command jujubestandin runs emulators of the systems that the service works with.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"jujubepier.example/standin/cmd"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := cmd.New().Run(ctx, os.Args); err != nil {
+		logrus.WithError(err).Error("emulator failed")
+		os.Exit(1)
+	}
+}
