standin: keep frozen and closed emulators silent

Cause: a frozen engine went on sending heartbeats and finishing swaps, which a stopped process doesn't, and a crash asked for after the clean-up would have started a goroutine on a dead tomb, which panics. Ruled out: a recover around the tomb. Before: the instance list never expired a frozen engine. After: a freeze stops generation, swaps and heartbeats; a closing host starts no goroutine; orders that name no version are refused.

--- a/standin/modules/jujubehost/host.go
+++ b/standin/modules/jujubehost/host.go
@@ -55,8 +55,14 @@
 // Address returns the host and port that clients connect to.
 func (h *Host) Address() string { return h.address }
 
-// Go runs a goroutine whose context ends with the host; Close waits for it.
+// Go runs a goroutine whose context ends with the host; Close waits for it. It does nothing once the host is closing,
+// because a tomb whose goroutines have ended accepts no more.
 func (h *Host) Go(run func(ctx context.Context)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
 	h.tomb.Go(func() error {
 		run(h.ctx)
 		return nil
--- a/standin/modules/jujubehost/register.go
+++ b/standin/modules/jujubehost/register.go
@@ -17,8 +17,9 @@
 // registerTimeout bounds one call to the instance list.
 const registerTimeout = 2 * time.Second
 
-// Register repeats the row in the instance list until the host ends, and removes it then. A crashed host sends nothing.
-func (h *Host) Register(listURL string, interval time.Duration, row func() model.Endpoint) {
+// Register repeats the row in the instance list until the host ends, and removes it then. Nothing is sent while the host
+// is down after a crash or silent reports true; silent may be nil.
+func (h *Host) Register(listURL string, interval time.Duration, row func() model.Endpoint, silent func() bool) {
 	if listURL == "" {
 		return
 	}
@@ -27,7 +28,7 @@
 		client := &http.Client{Timeout: registerTimeout, Transport: &http.Transport{}}
 		defer client.CloseIdleConnections()
 		for {
-			if h.Up() {
+			if h.Up() && (silent == nil || !silent()) {
 				if err := send(ctx, client, http.MethodPut, target, row()); err != nil && ctx.Err() == nil {
 					logrus.WithError(err).WithField("Endpoint", row().ID).Warn("cannot register in the instance list")
 				}
--- a/standin/services/jujubeengine/engine.go
+++ b/standin/services/jujubeengine/engine.go
@@ -93,7 +93,7 @@
 		return nil, nil, errors.Wrap(err, "engine")
 	}
 	host.Go(s.run)
-	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint)
+	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, func() bool { return s.faults.Get().Freeze })
 	return s, func() {
 		host.Close()
 		s.client.CloseIdleConnections()
--- a/standin/services/jujubeengine/settings.go
+++ b/standin/services/jujubeengine/settings.go
@@ -106,7 +106,7 @@
 	// CutConnections is the number of next generate connections that are closed once CutAfterTokens were sent on them.
 	CutConnections int
 	CutAfterTokens int
-	// Freeze stops generation and holds all calls while it is set.
+	// Freeze stops generation, swaps and heartbeats and holds all calls while it is set.
 	Freeze bool
 	// SlowFactor divides the token rates; below 1 has no effect.
 	SlowFactor float64
--- a/standin/services/jujubeengine/swap.go
+++ b/standin/services/jujubeengine/swap.go
@@ -42,9 +42,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if order.Model != s.settings.Model || order.Endpoint != s.settings.ID {
+	if order.Model != s.settings.Model || order.Endpoint != s.settings.ID || order.Version <= 0 {
 		return http.StatusBadRequest, &model.EngineError{
-			Code: model.EngineCodeBadRequest, Message: "the order is for another endpoint or model",
+			Code: model.EngineCodeBadRequest, Message: "the order is for another endpoint or model, or names no version",
 		}, model.LoadReport{}
 	}
 	if s.settings.CheckFence {
@@ -98,7 +98,7 @@
 		}
 	}
 	jujubehost.Sleep(ctx, s.settings.scaled(s.settings.SwapTime))
-	for s.faults.Get().HangSwaps && ctx.Err() == nil {
+	for faults := s.faults.Get(); (faults.HangSwaps || faults.Freeze) && ctx.Err() == nil; faults = s.faults.Get() {
 		jujubehost.Sleep(ctx, hangCheck)
 	}
 	if ctx.Err() != nil {
--- a/standin/services/jujubescorer/scorer.go
+++ b/standin/services/jujubescorer/scorer.go
@@ -74,7 +74,7 @@
 		return nil, nil, errors.Wrap(err, "scorer")
 	}
 	s.host = host
-	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint)
+	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, nil)
 	return s, host.Close, nil
 }
 
--- a/standin/services/jujubeservice/service.go
+++ b/standin/services/jujubeservice/service.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "service")
 	}
-	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint)
+	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, nil)
 	return s, host.Close, nil
 }
 
