--- a/standin/services/jujubeengine/engine.go
+++ b/standin/services/jujubeengine/engine.go
@@ -42,6 +42,8 @@
 	// running has at most Slots streams.
 	running  []*stream
 	arrivals int64
+	// expired is the time of the last walk over all streams for deadlines and held times.
+	expired time.Time
 	// connections numbers the generate connections.
 	connections int64
 	version     model.WeightVersion
@@ -91,7 +93,7 @@
 		return nil, nil, errors.Wrap(err, "engine")
 	}
 	host.Go(s.run)
-	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint)
+	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, func() bool { return s.faults.Get().Freeze })
 	return s, func() {
 		host.Close()
 		s.client.CloseIdleConnections()
