jujubecore, entry: follow the interfaces of the decision packages

Also found while joining them: an engine that restarted between two load reports was never counted as crashed, because the probe saw only the new incarnation; the core now blames the requests of the old incarnation when a report names a newer one. Ruled out: a fencing number equal to the claim's offset, because the first claim has offset 0 and engines take 0 as none; the number is offset plus one. A log that limits the rate no longer counts as unavailable.

--- a/core/modules/jujubeclient/log.go
+++ b/core/modules/jujubeclient/log.go
@@ -19,7 +19,9 @@
 	Stream    string
 	// MayHaveTakenEffect is false only when the append certainly wasn't made. It is always false for reads.
 	MayHaveTakenEffect bool
-	Cause              error
+	// RateLimited is true when the log answers but takes no more requests now.
+	RateLimited bool
+	Cause       error
 }
 
 // Error names the operation and whether it may have taken effect.
@@ -99,7 +101,10 @@
 	case status.status >= 500 || status.status == http.StatusTooManyRequests || status.status == http.StatusRequestTimeout:
 		// A server error can come from a part of the log that doesn't know whether another part made the append.
 		unknown := sent && status.refusal.Ran != model.RanNo && status.status != http.StatusTooManyRequests
-		return ErrLogUnavailable{Operation: operation, Stream: stream, MayHaveTakenEffect: unknown, Cause: err}
+		return ErrLogUnavailable{
+			Operation: operation, Stream: stream, MayHaveTakenEffect: unknown, Cause: err,
+			RateLimited: status.status == http.StatusTooManyRequests,
+		}
 	}
 	return ErrLogRefused{Operation: operation, Stream: stream, Status: status.status, Code: status.refusal.Code, Message: status.refusal.Message}
 }
--- a/core/services/jujubecore/action.go
+++ b/core/services/jujubecore/action.go
@@ -65,6 +65,8 @@
 	Stream  model.StreamID
 	Address string
 	Cause   string
+	// Detach leaves the stream running on the engine.
+	Detach bool
 }
 
 // ScoreSample has the text of a finished stream scored.
@@ -133,6 +135,8 @@
 	action
 	Revision int64
 	Digest   string
+	// Err is set when the accepted document can't be used; the revision in force stays.
+	Err error
 }
 
 // SendPeer sends a message to another entry instance.
--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -4,7 +4,8 @@
 package jujubecore
 
 import (
-	"math/rand/v2"
+	"math/rand"
+	randv2 "math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,14 +41,14 @@
 	Finish(now time.Time, id model.RequestID, outcome jujuberouter.Outcome) []jujuberouter.Decision
 	Cancel(now time.Time, id model.RequestID) []jujuberouter.Decision
 	Tick(now time.Time) []jujuberouter.Decision
-	Endpoints() []jujuberouter.EndpointView
+	Endpoints(now time.Time) []jujuberouter.EndpointRow
 }
 
 // Options configures a Core.
 type Options struct {
 	Self model.Member
 	// Seed makes random choices repeatable.
-	Seed uint64
+	Seed int64
 	// Policy names the endpoint choice: LeastExpectedWait (default), LeastInFlight, RoundRobin or Random.
 	Policy     string
 	Router     jujuberouter.Settings
@@ -59,13 +60,12 @@
 	Weight     jujubeweight.Settings
 }
 
-// DefaultOptions returns the defaults of every decision package.
+// DefaultOptions returns options with which each decision package uses its defaults.
 func DefaultOptions(self model.Member) Options {
 	return Options{
 		Self: self, Policy: jujuberouter.LeastExpectedWait{}.Name(),
-		Router: jujuberouter.DefaultSettings(self.ID), Quarantine: jujubequarantine.DefaultSettings(),
-		Claim: jujubeclaim.DefaultSettings(), Member: jujubemember.DefaultSettings(),
-		Lease: jujubelease.DefaultSettings(), Step: jujubestep.DefaultSettings(), Weight: jujubeweight.DefaultSettings(),
+		Router: jujuberouter.Settings{Instance: self.ID},
+		Step:   jujubestep.Settings{Owner: string(self.ID) + "." + self.Incarnation.String()},
 	}
 }
 
@@ -93,30 +93,30 @@
 	// appliedAt is when it was put in force.
 	appliedAt time.Time
 	// wanted is the highest revision that a rumour named.
-	wanted      int64
-	nextFetch   time.Time
-	logAway     bool
-	leading     bool
-	fence       int64
-	listed      int
-	leaving     bool
-	nextRefresh time.Time
-	random      *rand.Rand
+	wanted    int64
+	nextFetch time.Time
+	logAway   bool
+	leading   bool
+	fence     int64
+	listed    int
+	leaving   bool
+	random    *rand.Rand
 }
 
 // New returns a Core and its clean-up function, which drops the tables.
 func New(options Options) (*Core, func(), error) {
-	random := rand.New(rand.NewPCG(options.Seed, uint64(options.Self.Incarnation)))
+	random := rand.New(rand.NewSource(options.Seed ^ int64(options.Self.Incarnation)))
 	chosen, err := newRouter(options, random)
 	if err != nil {
 		return nil, nil, err
 	}
+	gossip := randv2.New(randv2.NewPCG(uint64(options.Seed), uint64(options.Self.Incarnation)))
 	c := &Core{
 		self:       options.Self,
 		router:     chosen,
 		quarantine: jujubequarantine.New(options.Quarantine),
 		claims:     jujubeclaim.New(options.Self.ID, options.Self.Incarnation, options.Claim),
-		members:    jujubemember.New(options.Self, options.Member, random),
+		members:    jujubemember.New(options.Self, options.Member, gossip),
 		lease:      jujubelease.New(model.StreamLease, options.Self.ID, options.Self.Incarnation, options.Lease),
 		steps:      jujubestep.New(options.Step),
 		rollout:    jujubeweight.New(options.Weight),
@@ -182,11 +182,11 @@
 func (c *Core) applyRest(now time.Time, event Event) []Action {
 	switch e := event.(type) {
 	case PartSubmitted:
-		return c.applySubmitted(now, e.Part)
+		return c.applySubmitted(now, e)
 	case PartPulled:
 		return c.applyPulled(now, e.Pull)
 	case StreamsHeld:
-		c.steps.Resume(now, e.Endpoint, e.Streams)
+		c.steps.Resume(now, e.Streams, e.Endpoint)
 	case StreamProgressed:
 		c.steps.Progress(now, e.Stream, e.From, e.To, e.Version)
 	case StreamEnded:
@@ -207,6 +207,8 @@
 		for _, record := range e.Read.Records {
 			c.lease.Apply(record)
 		}
+	case AppendFailed:
+		c.lease.Failed()
 	case LogReached:
 		c.logAway = e.Away
 		c.lease.SetLogAway(now, e.Away)
--- a/core/services/jujubecore/endpoints.go
+++ b/core/services/jujubecore/endpoints.go
@@ -57,6 +57,9 @@
 		endpoint.Incarnation = row.incarnation
 		endpoint.Leaving = false
 	}
+	if endpoint.Incarnation > row.incarnation {
+		c.blame(now, row, row.incarnation)
+	}
 	row.endpoint = endpoint
 	row.listed = true
 	row.incarnation = max(row.incarnation, endpoint.Incarnation)
@@ -102,6 +105,7 @@
 		return nil
 	}
 	if report.Incarnation > row.incarnation {
+		c.blame(now, row, row.incarnation)
 		row.incarnation = report.Incarnation
 		row.endpoint.Incarnation = report.Incarnation
 		row.endpoint.Leaving = false
@@ -118,27 +122,35 @@
 	return nil
 }
 
-// applyLost blames the requests that were in flight on an incarnation that has ended.
-func (c *Core) applyLost(now time.Time, lost EndpointLost) []Action {
-	row, known := c.endpoints.Get(lost.Endpoint)
-	if !known || lost.Incarnation == 0 {
-		return nil
+// blame makes the requests that were in flight on an incarnation that has ended suspects. An endpoint that was leaving
+// has ended on purpose.
+func (c *Core) blame(now time.Time, row endpointRow, incarnation model.Incarnation) {
+	if incarnation == 0 || row.isLeaving() {
+		return
 	}
 	var inFlight []model.Fingerprint
 	for id, request := range c.requests.All() {
-		if request.endpoint != lost.Endpoint || request.incarnation != lost.Incarnation || request.blamed {
+		if request.endpoint != row.endpoint.ID || request.incarnation != incarnation || request.blamed {
 			continue
 		}
 		request.blamed = true
 		c.requests.Put(id, request)
 		inFlight = append(inFlight, request.fingerprint)
 	}
-	if len(inFlight) > 0 {
-		crash := model.NewCrashID(lost.Endpoint, lost.Incarnation)
-		for _, rumour := range c.quarantine.Crashed(now, crash, inFlight) {
-			c.members.Publish(now, rumour)
-		}
+	if len(inFlight) == 0 {
+		return
+	}
+	for _, rumour := range c.quarantine.Crashed(now, model.NewCrashID(row.endpoint.ID, incarnation), inFlight) {
+		c.members.Publish(now, rumour)
+	}
+}
+
+func (c *Core) applyLost(now time.Time, lost EndpointLost) []Action {
+	row, known := c.endpoints.Get(lost.Endpoint)
+	if !known || lost.Incarnation == 0 {
+		return nil
 	}
+	c.blame(now, row, lost.Incarnation)
 	row.lost = max(row.lost, lost.Incarnation)
 	c.endpoints.Put(lost.Endpoint, row)
 	if !row.isUsable() {
--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -123,6 +123,8 @@
 type PartSubmitted struct {
 	event
 	Part model.StepPart
+	// Held lists what engines hold of an earlier attempt.
+	Held []StreamsHeld
 }
 
 // PartPulled carries a trainer's pull. It is answered by PullAnswered.
@@ -204,6 +206,9 @@
 	Read model.LogRead
 }
 
+// AppendFailed says that the append of a lease record failed or got no answer.
+type AppendFailed struct{ event }
+
 // LogReached says whether the log answers.
 type LogReached struct {
 	event
--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -5,16 +5,14 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubedocument"
+	"jujubepier.example/core/services/jujubelease"
 )
 
 // fetchPause is the least time between two reads of a peer's configuration.
 const fetchPause = 500 * time.Millisecond
 
 func (c *Core) applyConfigRead(now time.Time, read model.LogRead) []Action {
-	for _, record := range read.Records {
-		// A record that can't be decoded or is out of order leaves the state as it is; the follower logs the read.
-		_, _ = c.fold.Apply(record, read.First)
-	}
+	c.fold.ApplyRead(read)
 	return c.applyConfig(now)
 }
 
@@ -27,7 +25,7 @@
 	document, err := jujubedocument.Parse("revision", []byte(state.Document))
 	if err != nil {
 		// The publisher checks a document before it publishes; another program may not.
-		return []Action{ConfigApplied{Revision: c.applied, Digest: err.Error()}}
+		return []Action{ConfigApplied{Revision: state.Revision, Digest: state.Digest, Err: err}}
 	}
 	c.limits = document.Limits()
 	c.limits.Revision = state.Revision
@@ -82,11 +80,12 @@
 		actions = append(actions, AppendLease{Record: record})
 	}
 	state := c.lease.State(now)
-	if state.Fence > c.fence {
-		c.fence = state.Fence
-		c.members.Publish(now, fenceRumour(state.Fence))
+	// Engines take a fencing number of zero as none, so the number is the offset plus one.
+	if fence := state.Fence + 1; fence > c.fence {
+		c.fence = fence
+		c.members.Publish(now, fenceRumour(fence))
 	}
-	leading := c.isLeading(state.Held)
+	leading := c.isLeading(state)
 	if leading || c.leading {
 		c.rollout.Lead(now, leading, c.fence)
 	}
@@ -97,14 +96,13 @@
 // isLeading tells whether this instance gives the orders. While the log is away no lease can be renewed; then the last
 // holder goes on, and if it is dead the lowest-ranked instance takes over with the highest fence known. Orders are
 // absolute and versions only grow, so two orderers cost at most some more engines swapping at once.
-func (c *Core) isLeading(held bool) bool {
-	if held || !c.logAway {
-		return held
+func (c *Core) isLeading(state jujubelease.State) bool {
+	if state.Held || !c.logAway || state.Degraded {
+		return state.Held || state.Degraded
 	}
-	holder := c.lease.State(time.Time{}).Holder
 	for _, member := range c.members.Live() {
-		if member.ID == holder {
-			return holder == c.self.ID
+		if member.ID == state.Holder {
+			return false
 		}
 	}
 	return c.rank() == 0
--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -114,7 +114,7 @@
 }
 
 func (c *Core) applyEnded(now time.Time, ended RequestEnded) []Action {
-	outcome := jujuberouter.Outcome{OK: ended.OK, Failed: ended.Broken, Refused: ended.Refused, Tokens: ended.Tokens, Load: ended.Load}
+	outcome := jujuberouter.Outcome{OK: ended.OK, Failed: ended.Broken, ConnectionRefused: ended.Refused, Tokens: ended.Tokens, Load: ended.Load}
 	return c.finish(now, ended.ID, outcome)
 }
 
@@ -126,7 +126,9 @@
 	}
 	c.requests.Delete(id)
 	completed := outcome.OK && !row.blamed
-	c.quarantine.End(now, row.fingerprint, row.endpoint, completed)
+	if completed {
+		c.quarantine.Complete(now, row.fingerprint, row.endpoint)
+	}
 	actions := c.releaseGrant(row, completed)
 	return append(actions, c.routed(now, c.router.Finish(now, id, outcome))...)
 }
--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -9,7 +9,8 @@
 	"jujubepier.example/core/services/jujubestep"
 )
 
-func (c *Core) applySubmitted(now time.Time, part model.StepPart) []Action {
+func (c *Core) applySubmitted(now time.Time, submitted PartSubmitted) []Action {
+	part := submitted.Part
 	if c.leaving {
 		return []Action{PartAnswered{Err: jujubeerror.ErrRefused{
 			Code: jujubeerror.CodeLeaving, Ran: model.RanNo, Message: "instance is shutting down",
@@ -19,6 +20,11 @@
 	if err != nil {
 		return []Action{PartAnswered{Err: err}}
 	}
+	for _, held := range submitted.Held {
+		c.steps.Resume(now, held.Streams, held.Endpoint)
+		accepted.Resumed += len(held.Streams)
+	}
+	c.steps.ResumeDone(now, part.Key)
 	c.members.Publish(now, attemptRumour(part.Key, part.Attempt))
 	c.learnTrainerVersion(now, part.Key.Trainer, part.Version)
 	return []Action{PartAnswered{Accepted: accepted}}
@@ -60,12 +66,11 @@
 }
 
 func (c *Core) startStream(now time.Time, start jujubestep.StartStream) []Action {
-	limits := c.limits.Trainers[start.Part.Trainer]
 	request := jujuberouter.Request{
-		ID: model.RequestID(start.Stream), Kind: model.KindEngine, Model: limits.Model, Trainer: start.Part.Trainer,
+		ID: model.RequestID(start.Stream), Kind: model.KindEngine, Model: start.Model, Trainer: start.Part.Trainer,
 		Priority: model.PriorityTrainer, Arrived: now, Deadline: start.Deadline, Prefix: model.HashPrefix(start.Prompt),
-		Tokens: start.MaxTokens, MinVersion: start.MinVersion, Exclude: start.Avoid, Retry: start.Retry,
-		Fingerprint: model.NewFingerprint("generate", string(limits.Model), start.Prompt),
+		Tokens: start.MaxTokens, MinVersion: c.minVersion(now, start), Exclude: start.Avoid,
+		Fingerprint: model.NewFingerprint("generate", string(start.Model), start.Prompt),
 	}
 	if start.Endpoint != "" {
 		request.Only = []model.EndpointID{start.Endpoint}
@@ -86,39 +91,47 @@
 		}}
 	case jujuberouter.Refuse:
 		c.steps.Ended(now, start.Stream, jujubestep.StreamEnd{
-			Kind: jujubestep.Refused, Code: decision.Code, RetryAfter: decision.RetryAfter,
+			Kind: jujubestep.EndRefused, Code: decision.Code, RetryAfter: decision.RetryAfter,
 		})
 	}
 	return []Action{RouteDecided{Decision: decision}}
 }
 
 func (c *Core) stopStream(now time.Time, cancel jujubestep.CancelStream) []Action {
-	id := model.RequestID(cancel.Stream)
-	row, known := c.requests.Get(id)
-	if !known {
-		return nil
-	}
-	actions := c.applyCancelled(now, id)
-	if row.endpoint == "" {
+	actions := c.applyCancelled(now, model.RequestID(cancel.Stream))
+	if cancel.Endpoint == "" {
 		return actions
 	}
-	endpoint, _ := c.endpoints.Get(row.endpoint)
+	endpoint, _ := c.endpoints.Get(cancel.Endpoint)
 	return append(actions, StopStream{
-		Stream: cancel.Stream, Address: endpoint.endpoint.Address, Cause: string(cancel.Cause),
+		Stream: cancel.Stream, Address: endpoint.endpoint.Address, Cause: string(cancel.Cause), Detach: cancel.Detach,
 	})
 }
 
+// minVersion prefers engines that are a version newer than needed, so that the sample survives the trainer's next step.
+func (c *Core) minVersion(now time.Time, start jujubestep.StartStream) model.WeightVersion {
+	if start.PreferVersion <= start.MinVersion {
+		return start.MinVersion
+	}
+	for _, view := range c.router.Endpoints(now) {
+		if view.Watched && view.Endpoint.Model == start.Model && view.Load.Version >= start.PreferVersion {
+			return start.PreferVersion
+		}
+	}
+	return start.MinVersion
+}
+
 func (c *Core) applyStreamEnded(now time.Time, ended StreamEnded) []Action {
 	end := jujubestep.StreamEnd{Tokens: ended.Tokens, Code: ended.Code, RetryAfter: ended.RetryAfter}
 	switch {
 	case ended.OK:
-		end.Kind = jujubestep.Finished
+		end.Kind = jujubestep.EndFinished
 	case ended.Broken:
-		end.Kind = jujubestep.Lost
+		end.Kind = jujubestep.EndLost
 	case ended.Code != "":
-		end.Kind = jujubestep.Refused
+		end.Kind = jujubestep.EndRefused
 	default:
-		end.Kind = jujubestep.Failed
+		end.Kind = jujubestep.EndFailed
 	}
 	c.steps.Ended(now, ended.Stream, end)
 	return c.finish(now, model.RequestID(ended.Stream), jujuberouter.Outcome{
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -42,8 +42,8 @@
 	if c.steward().ID != c.self.ID {
 		return SuspectAnswered{RetryAfter: suspectRetry}
 	}
-	views := c.router.Endpoints()
-	slices.SortStableFunc(views, func(a, b jujuberouter.EndpointView) int {
+	views := c.router.Endpoints(now)
+	slices.SortStableFunc(views, func(a, b jujuberouter.EndpointRow) int {
 		return (a.Load.Running + a.Load.Waiting) - (b.Load.Running + b.Load.Waiting)
 	})
 	for _, view := range views {
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -49,17 +49,42 @@
 	return before < followersPerDC
 }
 
-// Endpoints returns the endpoints of the instance list, in the order of their ids.
-func (c *Core) Endpoints() []model.Endpoint {
-	endpoints := make([]model.Endpoint, 0, c.endpoints.Len())
-	for _, row := range c.endpoints.All() {
-		if row.listed {
+// PolledEndpoints returns the endpoints whose load this instance reads: the watched ones, and all while this instance
+// leads the weight rollout, because the leader decides by each engine's own report.
+func (c *Core) PolledEndpoints(now time.Time) []model.Endpoint {
+	watched := make(map[model.EndpointID]bool)
+	for _, row := range c.router.Endpoints(now) {
+		watched[row.Endpoint.ID] = row.Watched
+	}
+	endpoints := make([]model.Endpoint, 0, len(watched))
+	for id, row := range c.endpoints.All() {
+		if row.listed && (watched[id] || !row.isUsable() || (c.leading && row.endpoint.Kind == model.KindEngine)) {
 			endpoints = append(endpoints, row.endpoint)
 		}
 	}
 	return endpoints
 }
 
+// InFlightOn counts this instance's requests on an endpoint.
+func (c *Core) InFlightOn(id model.EndpointID) int {
+	count := 0
+	for _, request := range c.requests.All() {
+		if request.endpoint == id {
+			count++
+		}
+	}
+	return count
+}
+
+// IsLogAway tells whether the log was last seen not to answer.
+func (c *Core) IsLogAway() bool { return c.logAway }
+
+// IsLeaseCandidate tells whether this instance follows the lease.
+func (c *Core) IsLeaseCandidate() bool { return c.rank() < leaseCandidates }
+
+// HasOpenParts tells whether step parts are in progress.
+func (c *Core) HasOpenParts() bool { return len(c.steps.Parts()) > 0 }
+
 // Endpoint returns the row of an endpoint.
 func (c *Core) Endpoint(id model.EndpointID) (model.Endpoint, bool) {
 	row, known := c.endpoints.Get(id)
@@ -72,7 +97,7 @@
 	lease := c.lease.State(now)
 	return model.Status{
 		Instance: c.self.ID, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
-		Ready: c.IsReady(), Leaving: c.leaving, Members: c.members.Live(), Endpoints: c.endpointStatuses(),
+		Ready: c.IsReady(), Leaving: c.leaving, Members: c.members.Live(), Endpoints: c.endpointStatuses(now),
 		Config: model.ConfigStatus{
 			Known: c.applied > 0, Revision: c.applied, Through: state.Through, Digest: state.Digest, InForceAt: c.appliedAt,
 		},
@@ -82,8 +107,8 @@
 	}
 }
 
-func (c *Core) endpointStatuses() []model.EndpointStatus {
-	views := c.router.Endpoints()
+func (c *Core) endpointStatuses(now time.Time) []model.EndpointStatus {
+	views := c.router.Endpoints(now)
 	statuses := make([]model.EndpointStatus, 0, len(views))
 	for _, view := range views {
 		row, _ := c.endpoints.Get(view.Endpoint.ID)
@@ -104,7 +129,7 @@
 func (c *Core) rolloutStatuses() []model.RolloutStatus {
 	var statuses []model.RolloutStatus
 	for name := range c.versions.All() {
-		statuses = append(statuses, c.rollout.Progress(name))
+		statuses = append(statuses, c.rollout.Progress(name).RolloutStatus)
 	}
 	return statuses
 }
--- a/entry/services/jujubeentry/begin.go
+++ b/entry/services/jujubeentry/begin.go
@@ -42,7 +42,7 @@
 		case jujubecore.SendOrder:
 			s.spawn(func(ctx context.Context) { s.sendOrder(ctx, a) })
 		case jujubecore.AppendLease:
-			s.spawn(func(ctx context.Context) { s.appendRecord(ctx, model.StreamLease, a.Record) })
+			s.spawn(func(ctx context.Context) { s.appendLease(ctx, a) })
 		case jujubecore.AppendConfig:
 			s.spawn(func(ctx context.Context) { s.appendCheckpoint(ctx, a) })
 		case jujubecore.FetchConfig:
@@ -138,6 +138,12 @@
 	s.apply(answered)
 }
 
+func (s *Service) appendLease(ctx context.Context, a jujubecore.AppendLease) {
+	if !s.appendRecord(ctx, model.StreamLease, a.Record) {
+		s.apply(jujubecore.AppendFailed{})
+	}
+}
+
 func (s *Service) appendRecord(ctx context.Context, stream string, record any) bool {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
--- a/entry/services/jujubeentry/follow.go
+++ b/entry/services/jujubeentry/follow.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeclient"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubecore"
 )
@@ -17,15 +19,15 @@
 	// readRecords bounds the records of one read.
 	readRecords = 200
 	// Reads of a log that doesn't answer are repeated with a growing delay.
-	followRetryMin = 200 * time.Millisecond
-	followRetryMax = 5 * time.Second
+	firstFollowRetry   = 200 * time.Millisecond
+	longestFollowRetry = 5 * time.Second
 )
 
 // follow reads a stream of the log from the oldest retained record on. Instances that needn't hear of each record at
 // once read it slowly, which bounds the log's load when there are many.
 func (s *Service) follow(ctx context.Context, stream string) error {
 	var next int64
-	retry := followRetryMin
+	retry := firstFollowRetry
 	for {
 		following := s.isFollowing(stream)
 		wait := time.Duration(0)
@@ -37,12 +39,12 @@
 		switch {
 		case err != nil:
 			pause = retry
-			retry = min(2*retry, followRetryMax)
+			retry = min(2*retry, longestFollowRetry)
 		case !following:
 			pause = s.settings.SlowPollPeriod
 			fallthrough
 		default:
-			retry = followRetryMin
+			retry = firstFollowRetry
 			next = max(next, read.Next)
 			if len(read.Records) > 0 {
 				next = read.Records[len(read.Records)-1].Offset + 1
@@ -92,7 +94,9 @@
 	if s.tomb.Context(nil).Err() != nil {
 		return
 	}
-	away := err != nil
+	// A log that refuses a request by its rate or content is not away.
+	unavailable, isUnavailable := jujubeclient.IsErrLogUnavailable(err)
+	away := isUnavailable && !unavailable.RateLimited || errors.Is(err, context.DeadlineExceeded)
 	s.mu.Lock()
 	changed := s.core.IsLogAway() != away
 	s.begin(s.core.Apply(time.Now(), jujubecore.LogReached{Away: away}))
--- a/entry/services/jujubeentry/generate.go
+++ b/entry/services/jujubeentry/generate.go
@@ -142,25 +142,28 @@
 }
 
 func (s *Service) arrival(g *generation, attempt int) jujubecore.RequestArrived {
-	priority := model.PriorityInteractive
-	if g.request.Background {
-		priority = model.PriorityBackground
-	}
 	return jujubecore.RequestArrived{
 		ID: s.attempts.next(g.request.Caller, g.request.ID), Kind: model.KindEngine, Model: g.request.Model,
-		Caller: g.request.Caller, Priority: priority, Deadline: g.deadline, Prefix: model.HashPrefix(g.request.Prompt),
+		Caller: g.request.Caller, Priority: g.priority(), Deadline: g.deadline, Prefix: model.HashPrefix(g.request.Prompt),
 		Tokens: g.request.MaxTokens - g.tokens, Exclude: g.exclude, Retry: attempt > 0,
 		Fingerprint: model.NewFingerprint("generate", string(g.request.Model), g.request.Prompt),
 	}
 }
 
+func (g *generation) priority() model.Priority {
+	if g.request.Background {
+		return model.PriorityBackground
+	}
+	return model.PriorityInteractive
+}
+
 // readGeneration reads the answer from one engine. When the connection breaks and the engine still runs, the stream is
 // continued there; on another engine the text so far becomes part of the prompt, so that no token is lost or repeated.
 func (s *Service) readGeneration(ctx context.Context, g *generation, decision jujuberouter.Decision) (model.EngineDone, error) {
 	base := g.tokens
 	request := model.EngineRequest{
 		Stream: model.StreamID(decision.Request), Model: g.request.Model, Prompt: g.request.Prompt + g.text.String(),
-		MaxTokens: g.request.MaxTokens - base, Priority: model.PriorityInteractive,
+		MaxTokens: g.request.MaxTokens - base, Priority: g.priority(),
 		Timeout: model.Duration(time.Until(g.deadline)),
 	}
 	for resumes := 0; ; resumes++ {
--- a/entry/services/jujubeentry/leave.go
+++ b/entry/services/jujubeentry/leave.go
@@ -51,16 +51,19 @@
 	if !sleep(ctx, time.Until(until)) {
 		return
 	}
-	for s.hasParts() && sleep(ctx, leavePoll) {
-	}
+	s.waitParts(ctx)
 	s.waitServing(ctx)
 	s.handOverKeys(ctx)
 }
 
-func (s *Service) hasParts() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.core.HasOpenParts()
+// waitParts waits until the trainers have taken the samples of the step parts in progress, or the context ends.
+func (s *Service) waitParts(ctx context.Context) {
+	open := true
+	for open && sleep(ctx, leavePoll) {
+		s.mu.Lock()
+		open = s.core.HasOpenParts()
+		s.mu.Unlock()
+	}
 }
 
 // waitServing waits for the requests that were admitted, until the context ends.
--- a/entry/services/jujubeentry/poll.go
+++ b/entry/services/jujubeentry/poll.go
@@ -68,7 +68,7 @@
 	pollers := make(map[model.EndpointID]poller)
 	err := s.every(ctx, s.settings.LoadPeriod, func(ctx context.Context) {
 		s.mu.Lock()
-		endpoints := s.core.PolledEndpoints()
+		endpoints := s.core.PolledEndpoints(time.Now())
 		s.mu.Unlock()
 		listed := make(map[model.EndpointID]bool, len(endpoints))
 		for _, endpoint := range endpoints {
@@ -108,7 +108,7 @@
 	}
 	var seq int64
 	nextCache := time.Now()
-	_ = s.every(ctx, s.settings.LoadPeriod, func(ctx context.Context) {
+	for sleep(ctx, s.loadPeriod()) {
 		report, err := s.readLoad(ctx, endpoint.Address)
 		switch {
 		case err == nil:
@@ -124,7 +124,23 @@
 			nextCache = time.Now().Add(s.settings.CachePeriod)
 			seq = s.readCache(ctx, endpoint, seq)
 		}
-	})
+	}
+}
+
+// loadPeriod is the time between two reads of one endpoint's load. With many instances each endpoint is read by many,
+// and the reads of one instance are bounded, so that they fit its share of the control traffic; loads also come with
+// each answer.
+func (s *Service) loadPeriod() time.Duration {
+	const (
+		manyInstances = 16
+		readPause     = 250 * time.Millisecond
+	)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.core.Members()) <= manyInstances {
+		return s.settings.LoadPeriod
+	}
+	return max(s.settings.LoadPeriod, readPause*time.Duration(len(s.core.PolledEndpoints(time.Now()))))
 }
 
 func (s *Service) hasWorkOn(id model.EndpointID) bool {
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -59,19 +59,21 @@
 		PeerAddress: settings.PeerAddress, CallerAddress: settings.CallerAddress, State: model.MemberAlive,
 	}
 	options := jujubecore.DefaultOptions(self)
-	options.Seed = uint64(started.UnixNano())
+	options.Seed = started.UnixNano()
+	options.Step.StallTimeout = settings.StallTimeout
 	options.Policy = settings.Policy
 	core, cleanCore, err := jujubecore.New(options)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "build core")
 	}
+	logs, closeLogs := jujubeclient.NewLogClient(settings.LogAddress, controlTimeout)
 	transport := newTransport()
 	client := &http.Client{Transport: transport}
 	s := &Service{
 		settings: settings, self: self, log: jujubeevent.NewLog(logger), core: core, tomb: new(tomb.Tomb),
 		engine:  &jujubeclient.EngineClient{HTTP: client},
-		list:    &jujubeclient.ListClient{HTTP: client, URL: settings.ListURL},
-		logs:    jujubeclient.NewLogClient(client, settings.LogURL),
+		list:    &jujubeclient.ListClient{HTTP: client, URL: "http://" + settings.ListAddress},
+		logs:    logs,
 		peers:   newPeerPool(),
 		waiters: make(map[model.RequestID]chan jujuberouter.Decision),
 		streams: newStreamTable(), answers: newAnswerTable(), wake: make(chan struct{}),
@@ -80,6 +82,7 @@
 	s.metrics = newMetrics(s)
 	clean := func() {
 		transport.CloseIdleConnections()
+		closeLogs()
 		s.peers.close()
 		cleanCore()
 	}
--- a/entry/services/jujubeentry/settings.go
+++ b/entry/services/jujubeentry/settings.go
@@ -16,9 +16,9 @@
 	CallerAddress   string `validate:"required,hostname_port"`
 	PeerAddress     string `validate:"required,hostname_port"`
 	OperatorAddress string `validate:"required,hostname_port"`
-	// LogURL and ListURL are the base URLs of the platform's log and instance list.
-	LogURL  string `validate:"required,url"`
-	ListURL string `validate:"required,url"`
+	// LogAddress and ListAddress are host:port of the platform's log and instance list.
+	LogAddress  string `validate:"required,hostname_port"`
+	ListAddress string `validate:"required,hostname_port"`
 	// Register makes the instance write its own row to the instance list; platforms that list instances by themselves
 	// don't need it.
 	Register bool
@@ -37,7 +37,8 @@
 	CachePeriod time.Duration `validate:"min=50ms,max=1m"`
 	// SlowPollPeriod is how often the log is read by an instance that doesn't follow it continuously.
 	SlowPollPeriod time.Duration `validate:"min=1s,max=5m"`
-	// StallTimeout ends a stream without a chunk for this long.
+	// StallTimeout ends a stream without a chunk for this long. It must exceed the time for which engines stop generating
+	// while they load weights.
 	StallTimeout time.Duration `validate:"min=1s,max=10m"`
 	// ShutdownTimeout bounds the wait for requests in flight once the address answers have run out.
 	ShutdownTimeout time.Duration `validate:"min=1s,max=1h"`
@@ -64,7 +65,7 @@
 		AddressValidity: 20 * time.Second,
 		ListPeriod:      time.Second, LoadPeriod: 500 * time.Millisecond, CachePeriod: time.Second,
 		SlowPollPeriod: 30 * time.Second,
-		StallTimeout:   20 * time.Second, ShutdownTimeout: 10 * time.Minute,
+		StallTimeout:   45 * time.Second, ShutdownTimeout: 10 * time.Minute,
 		MaxBodyBytes: 64 << 20, HeaderTimeout: 10 * time.Second, BodyTimeout: time.Minute, MaxTimeout: time.Hour,
 	}
 }
--- a/entry/services/jujubeentry/steps.go
+++ b/entry/services/jujubeentry/steps.go
@@ -62,7 +62,7 @@
 	s.mu.Lock()
 	name := s.core.Limits().Trainers[key.Trainer].Model
 	var engines []model.Endpoint
-	for _, endpoint := range s.core.PolledEndpoints() {
+	for _, endpoint := range s.core.PolledEndpoints(time.Now()) {
 		if endpoint.Kind == model.KindEngine && endpoint.Model == name && len(engines) < maxSearched {
 			engines = append(engines, endpoint)
 		}
--- a/load/cmd/demo.go
+++ b/load/cmd/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 	trainer := trainerSettings(command)
 	trainer.Trainer, trainer.Model, trainer.DataCentre = "sump-policy", settings.Model, settings.DataCentres[0]
 	trainer.Addresses, trainer.StoreURL, trainer.StalenessBound = site.Addresses(), site.StoreURL(), 1
-	display := &progressDisplay{out: out}
+	display := newProgressDisplay(out)
 	trainer.Progress = display.show
 	results, err := jujubetrainer.New(trainer).Run(ctx)
 	display.end()
@@ -82,40 +83,51 @@
 
 // progressDisplay rewrites one line for each step.
 type progressDisplay struct {
-	out  io.Writer
-	mu   sync.Mutex
-	step int64
+	out io.Writer
+	// terminal is true when a line can be rewritten; otherwise one line is written for each eighth of a step.
+	terminal bool
+
+	mu     sync.Mutex
+	step   int64
+	eighth int
+}
+
+func newProgressDisplay(out io.Writer) *progressDisplay {
+	file, isFile := out.(*os.File)
+	if !isFile {
+		return &progressDisplay{out: out}
+	}
+	info, err := file.Stat()
+	return &progressDisplay{out: out, terminal: err == nil && info.Mode()&os.ModeCharDevice != 0}
 }
 
 func (d *progressDisplay) show(progress jujubetrainer.Progress) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.step != 0 && d.step != progress.Step {
-		fmt.Fprintln(d.out)
-	}
-	d.step = progress.Step
 	const width = 32
-	filled := width * progress.Delivered / progress.Wanted
-	fmt.Fprintf(d.out, "\r%s step %d [%-*s] %d/%d samples, %.1f s ", progress.Trainer, progress.Step, width,
-		bar(filled), progress.Delivered, progress.Wanted, progress.Elapsed.Seconds())
+	line := fmt.Sprintf("%s step %d [%-*s] %d/%d samples, %.1f s", progress.Trainer, progress.Step, width,
+		strings.Repeat("=", width*progress.Delivered/progress.Wanted), progress.Delivered, progress.Wanted, progress.Elapsed.Seconds())
+	eighth := 8 * progress.Delivered / progress.Wanted
+	isNew := d.step != progress.Step
+	switch {
+	case !d.terminal && (isNew || eighth != d.eighth):
+		fmt.Fprintln(d.out, line)
+	case d.terminal && isNew && d.step != 0:
+		fmt.Fprint(d.out, "\n", line)
+	case d.terminal:
+		fmt.Fprint(d.out, "\r", line)
+	}
+	d.step, d.eighth = progress.Step, eighth
 }
 
 func (d *progressDisplay) end() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.step != 0 {
+	if d.terminal && d.step != 0 {
 		fmt.Fprintln(d.out)
 	}
 }
 
-func bar(filled int) string {
-	line := make([]byte, filled)
-	for i := range line {
-		line[i] = '='
-	}
-	return string(line)
-}
-
 func writeSummary(out io.Writer, results []jujubetrainer.StepResult) {
 	summary := jujubetrainer.Summarize(results)
 	fmt.Fprintf(out, "steps %d, samples delivered %d (each once, whole groups, labels checked), tokens %d\n",
--- a/load/cmd/train.go
+++ b/load/cmd/train.go
@@ -30,7 +30,7 @@
 			settings.StoreURL = command.String("store")
 			settings.StalenessBound = model.WeightVersion(command.Int("staleness-bound"))
 			out := command.Root().Writer
-			display := &progressDisplay{out: out}
+			display := newProgressDisplay(out)
 			settings.Progress = display.show
 			results, err := jujubetrainer.New(settings).Run(ctx)
 			display.end()
--- a/load/services/jujubesite/site.go
+++ b/load/services/jujubesite/site.go
@@ -205,7 +205,7 @@
 	settings.Instance = model.InstanceID(fmt.Sprintf("entry-%02d", index))
 	settings.DataCentre = s.dataCentre(index)
 	settings.CallerAddress, settings.PeerAddress, settings.OperatorAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
-	settings.LogURL, settings.ListURL = "http://"+s.Log.Address(), "http://"+s.List.Address()
+	settings.LogAddress, settings.ListAddress = s.Log.Address(), s.List.Address()
 	settings.Register = true
 	settings.Policy = s.Settings.Policy
 	settings.AddressValidity = s.Settings.AddressValidity
@@ -235,7 +235,8 @@
 
 // Publish appends a document to the configuration stream, based on revision 0 when it is the first.
 func (s *Site) Publish(ctx context.Context, document string) error {
-	logs := jujubeclient.NewLogClient(s.client, "http://"+s.Log.Address())
+	logs, closeLogs := jujubeclient.NewLogClient(s.Log.Address(), s.client.Timeout)
+	defer closeLogs()
 	_, err := logs.Append(ctx, model.StreamConfig, model.ConfigRecord{Change: &model.ConfigChange{
 		ID: fmt.Sprintf("site-%d", time.Now().UnixNano()), Document: document, Author: "site",
 	}})
