jujubeyaml: bound the nesting of a text

Cause: the parser's time grows with the square of the nesting depth, so a document of nested lists that is in force would stall every instance that parses it.

Ruled out: a lower bound of the document's size, which would have to be far below what 600 servers and their callers may need.

--- a/core/modules/jujubeyaml/decode.go
+++ b/core/modules/jujubeyaml/decode.go
@@ -58,6 +58,9 @@
 // field tagged `key:"required"` must be present. Fields without a key keep their value.
 func Decode(data []byte, target any) (Positions, []Problem) {
 	d := &decoder{positions: Positions{}}
+	if problem, ok := checkNesting(data); !ok {
+		return d.positions, []Problem{problem}
+	}
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		var located yaml.Error
--- a/core/services/jujubedocument/document_test.go
+++ b/core/services/jujubedocument/document_test.go
@@ -75,6 +75,16 @@
 	assert.DeepEqual(t, keys, []string{"Models.dan-llm.SwapTimeout", "Trainers.grading.StalenessBound", "Trainers.grading.Scorer"})
 }
 
+// Guards against a document in force whose parsing stalls every instance for seconds.
+func TestParseBoundsNesting(t *testing.T) {
+	for _, text := range []string{strings.Repeat("[", 100_000), strings.Repeat("[\n", 50_000), strings.Repeat("- ", 50_000)} {
+		begin := time.Now()
+		_, err := jujubedocument.Parse("f.yaml", []byte(text))
+		_, ok := jujubedocument.IsErrDocument(err)
+		assert.Assert(t, ok && time.Since(begin) < time.Second, "%s: %v", time.Since(begin), err)
+	}
+}
+
 // Guards against two trainers that are promised more than all of a model's engines.
 func TestParseRefusesShareSum(t *testing.T) {
 	second := strings.Replace(valid[strings.Index(valid, "  grading"):], "grading", "other", 1)
