ctl: call the log unavailable in the status table

Cause: the table said "away", which the documentation does not explain. Ruled out: nothing else was considered; only the wording changes. Before: "away". After: "unavailable", as in errors and exit codes. Conclusion: go test -race -count=4 ./... passes in ctl.

--- a/ctl/services/jujubereport/status.go
+++ b/ctl/services/jujubereport/status.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		instances.Add(status.Instance, answer.Address, status.DataCentre, describeInstance(*status), status.Config.Revision,
-			shorten(status.Config.Digest), formatTime(status.Config.InForceAt), map[bool]string{true: "available", false: "away"}[status.LogAvailable])
+			shorten(status.Config.Digest), formatTime(status.Config.InForceAt), map[bool]string{true: "available", false: "unavailable"}[status.LogAvailable])
 		for _, part := range status.Parts {
 			parts.Add(part.Key, part.Attempt, status.Instance, part.Groups, part.Delivered, part.Running, formatCounts(part.Discarded))
 		}
