--- /dev/null
+++ b/core/services/jujubeweight/order_test.go
@@ -0,0 +1,126 @@
+package jujubeweight_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubepier.example/core/services/jujubeweight"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+func report(id string, at time.Time, version model.WeightVersion) model.LoadReport {
+	return model.LoadReport{Endpoint: model.EndpointID(id), Incarnation: 1, At: at, Model: "m", Version: version, Target: version}
+}
+
+// newLeader returns a leader that has settled and has to bring the engines to version 9.
+func newLeader(swapping, serving int, reports ...model.LoadReport) (*jujubeweight.Rollout, time.Time) {
+	leader := jujubeweight.New(jujubeweight.Settings{})
+	leader.SetLimits(limits(swapping, serving))
+	leader.Lead(start, true, 5)
+	leader.Announce(start, "m", 9)
+	leader.Tick(start)
+	now := start.Add(time.Second)
+	for _, r := range reports {
+		leader.Report(now, r)
+	}
+	return leader, now
+}
+
+func refusal(code string) error {
+	return jujubeweight.ErrOrder{EngineError: model.EngineError{Code: code, Fence: 7}}
+}
+
+// Guards against orders that cost more samples than needed, and against orders to engines that leave.
+func TestOrderOfEngines(t *testing.T) {
+	leaving, loaded := report("a", start, 1), report("c", start, 7)
+	leaving.Leaving, loaded.Running = true, 9
+	leader, now := newLeader(3, 0, leaving, report("b", start, 8), loaded, report("d", start, 7), report("e", start, 9), report("f", start, 10))
+	orders := leader.Tick(now)
+	var ids []model.EndpointID
+	for _, o := range orders {
+		assert.Equal(t, o, model.Order{Endpoint: o.Endpoint, Model: "m", Version: 9, Fence: 5})
+		ids = append(ids, o.Endpoint)
+	}
+	assert.DeepEqual(t, ids, []model.EndpointID{"d", "c", "b"})
+}
+
+// Guards against a leader that continues after an engine refused its fence, or leads again with such a fence.
+func TestStaleFenceEndsLeading(t *testing.T) {
+	leader, now := newLeader(1, 0, report("a", start, 1), report("b", start, 1))
+	assert.Equal(t, len(leader.Tick(now)), 1)
+	leader.Result(now, "a", model.OrderResult{}, refusal(model.EngineCodeStaleFence))
+	leading, highest := leader.Leading()
+	assert.Assert(t, !leading && highest == 7)
+	leader.Lead(now, true, 7)
+	assert.Equal(t, len(leader.Tick(now.Add(2*time.Second))), 0)
+	leader.Lead(now, true, 8)
+	leading, _ = leader.Leading()
+	assert.Assert(t, leading)
+}
+
+// Guards against rollouts that never begin because there are too few engines.
+func TestMinServingImpossible(t *testing.T) {
+	leader, now := newLeader(4, 2, report("a", start, 1), report("b", start, 1))
+	assert.Equal(t, len(leader.Tick(now)), 1)
+	assert.Equal(t, len(leader.Tick(now.Add(tick))), 0)
+	progress := leader.Progress("m")
+	assert.Assert(t, progress.MinServingUnmet && progress.Swapping == 1 && progress.Serving == 1)
+}
+
+// Guards against one engine that fails and holds up the others, and against retries without delay.
+func TestFailedSwapIsDelayed(t *testing.T) {
+	leader, now := newLeader(1, 0, report("a", start, 1), report("b", start, 1))
+	for _, want := range []string{"a", "b", "", "a"} {
+		orders := leader.Tick(now)
+		if want == "" {
+			assert.Equal(t, len(orders), 0)
+			now = now.Add(time.Second)
+			continue
+		}
+		assert.Equal(t, orders[0].Endpoint, model.EndpointID(want))
+		leader.Result(now, orders[0].Endpoint, model.OrderResult{}, refusal(model.EngineCodeSwapFailed))
+	}
+	leader.Announce(now, "m", 10) // a newer version doesn't wait for the delay
+	assert.Equal(t, leader.Tick(now)[0].Version, model.WeightVersion(10))
+}
+
+// Guards against a window that stays wide while the store refuses, or narrow after it has recovered.
+func TestWindowFollowsTheStore(t *testing.T) {
+	var reports []model.LoadReport
+	for i := range 40 {
+		reports = append(reports, report(fmt.Sprintf("e%02d", i), start, 1))
+	}
+	leader, now := newLeader(16, 0, reports...)
+	refusing, taken := true, map[model.EndpointID]time.Time{}
+	for round := 1; round < 1200; round++ {
+		now = now.Add(tick)
+		if round == 600 {
+			assert.Equal(t, leader.Progress("m").Window, 1)
+			refusing = false
+		}
+		for _, r := range reports {
+			r.At = r.At.Add(time.Duration(round) * tick)
+			if at, ok := taken[r.Endpoint]; ok {
+				r.Target, r.Swapping = 9, now.Sub(at) < time.Second
+				if !r.Swapping {
+					r.Version = 9
+				}
+			}
+			leader.Report(now, r)
+		}
+		for _, o := range leader.Tick(now) {
+			if refusing {
+				leader.Result(now, o.Endpoint, model.OrderResult{}, refusal(model.EngineCodeOverloaded))
+			} else {
+				taken[o.Endpoint] = now
+			}
+		}
+	}
+	progress := leader.Progress("m")
+	assert.Equal(t, progress.Current, 40)
+	assert.Assert(t, progress.Window > 8, "window %d", progress.Window)
+}
