entry: read the configuration stream from the offset that the fold names

Cause: the fold goes back to the records after a checkpoint that it adopts, so a reader that only moves forward would leave them out. Ruled out: reading always from the first retained record (each read would carry the whole stream). Also: the command packages are named jujubecommand in all programs.

--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -19,7 +19,7 @@
 // applyConfig puts the folded revision in force if it is newer than the present one.
 func (c *Core) applyConfig(now time.Time) []Action {
 	state := c.fold.State()
-	if !state.Known || state.Revision <= c.applied {
+	if !state.InForce() || state.Revision <= c.applied {
 		return nil
 	}
 	document, err := jujubedocument.Parse("revision", []byte(state.Document))
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -14,6 +14,9 @@
 // Limits returns the limits in force.
 func (c *Core) Limits() model.Limits { return c.limits }
 
+// ConfigNext returns the offset from which the configuration stream has to be read next.
+func (c *Core) ConfigNext() int64 { return c.fold.Next() }
+
 // ConfigState returns the configuration for another instance.
 func (c *Core) ConfigState() jujubeconfig.State { return c.fold.State() }
 
--- a/entry/cmd/root.go
+++ b/entry/cmd/root.go
@@ -1,5 +1,5 @@
-// Package cmd holds the command line of the entry program.
-package cmd
+// Package jujubecommand holds the command line of the entry program.
+package jujubecommand
 
 import (
 	"context"
--- a/entry/main.go
+++ b/entry/main.go
@@ -8,13 +8,13 @@
 	"os/signal"
 	"syscall"
 
-	"jujubepier.example/entry/cmd"
+	jujubecommand "jujubepier.example/entry/cmd"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := cmd.New().Run(ctx, os.Args); err != nil {
+	if err := jujubecommand.New().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "jujubepier:", err)
 		os.Exit(1)
 	}
--- a/entry/services/jujubeentry/follow.go
+++ b/entry/services/jujubeentry/follow.go
@@ -45,11 +45,12 @@
 			fallthrough
 		default:
 			retry = firstFollowRetry
-			next = max(next, read.Next)
-			if len(read.Records) > 0 {
-				next = read.Records[len(read.Records)-1].Offset + 1
+			before := next
+			next = s.applyRead(stream, read, next)
+			if len(read.Records) > 0 && next == before {
+				// The records can't be used yet; reading them again at once would only load the log.
+				pause = firstFollowRetry
 			}
-			s.applyRead(stream, read)
 		}
 		if len(read.Records) == readRecords {
 			pause = 0
@@ -81,12 +82,20 @@
 	return read, err
 }
 
-func (s *Service) applyRead(stream string, read model.LogRead) {
-	if stream == model.StreamLease {
-		s.apply(jujubecore.LeaseRead{Read: read})
-		return
+// applyRead gives the core a read and returns the offset to read from next. The configuration's fold names its own: it
+// goes back to the records after a checkpoint that it has adopted.
+func (s *Service) applyRead(stream string, read model.LogRead, next int64) int64 {
+	if stream != model.StreamLease {
+		s.apply(jujubecore.ConfigRead{Read: read})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.core.ConfigNext()
+	}
+	s.apply(jujubecore.LeaseRead{Read: read})
+	if len(read.Records) > 0 {
+		return read.Records[len(read.Records)-1].Offset + 1
 	}
-	s.apply(jujubecore.ConfigRead{Read: read})
+	return max(next, read.First)
 }
 
 // reportLog tells the core whether the log answers, and logs each change.
--- a/load/cmd/root.go
+++ b/load/cmd/root.go
@@ -1,5 +1,5 @@
-// Package cmd holds the command line of the load tool.
-package cmd
+// Package jujubecommand holds the command line of the load tool.
+package jujubecommand
 
 import "github.com/urfave/cli/v3"
 
--- a/standin/cmd/platform.go
+++ b/standin/cmd/platform.go
@@ -1,4 +1,4 @@
-package cmd
+package jujubecommand
 
 import (
 	"context"
--- a/standin/cmd/root.go
+++ b/standin/cmd/root.go
@@ -1,5 +1,5 @@
-// Package cmd holds the sub-commands of jujubestandin.
-package cmd
+// Package jujubecommand holds the sub-commands of jujubestandin.
+package jujubecommand
 
 import (
 	"context"
--- a/standin/main.go
+++ b/standin/main.go
@@ -9,13 +9,13 @@
 
 	"github.com/sirupsen/logrus"
 
-	"jujubepier.example/standin/cmd"
+	jujubecommand "jujubepier.example/standin/cmd"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := cmd.New().Run(ctx, os.Args); err != nil {
+	if err := jujubecommand.New().Run(ctx, os.Args); err != nil {
 		logrus.WithError(err).Error("emulator failed")
 		os.Exit(1)
 	}
