jujubemodel: define the answer with cache events once

Cause: the engine wraps its cache events in an object, and the client decoded a list, so no event ever reached the router. Ruled out: a bare list, because an object can get more fields later.

--- a/core/models/jujubemodel/engine.go
+++ b/core/models/jujubemodel/engine.go
@@ -47,6 +47,8 @@
 	EngineCodeLeaving       = "Leaving"
 	EngineCodeBadRequest    = "BadRequest"
 	EngineCodeSwapFailed    = "SwapFailed"
+	// EngineCodeTakenOver ends a connection whose stream another connection has resumed.
+	EngineCodeTakenOver = "TakenOver"
 )
 
 // EngineStream is one row of GET /v1/streams?Prefix=: a stream that the engine holds, running or finished.
@@ -56,6 +58,11 @@
 	Finished bool
 }
 
+// CacheEvents answers GET /v1/cache-events?After=. Seq starts at the incarnation, so that it also grows over a crash.
+type CacheEvents struct {
+	Events []CacheEvent
+}
+
 // CancelRequest is the body of POST /v1/streams/cancel.
 type CancelRequest struct {
 	Stream StreamID
--- a/core/modules/jujubeclient/engine.go
+++ b/core/modules/jujubeclient/engine.go
@@ -184,7 +184,7 @@
 
 // CacheEvents reads the cache events after a sequence number.
 func (c *EngineClient) CacheEvents(ctx context.Context, address, after string) ([]model.CacheEvent, error) {
-	var events []model.CacheEvent
-	err := jujubehttp.Call(ctx, c.HTTP, http.MethodGet, "http://"+address+"/v1/cache-events?After="+after, nil, &events)
-	return events, err
+	var answer model.CacheEvents
+	err := jujubehttp.Call(ctx, c.HTTP, http.MethodGet, "http://"+address+"/v1/cache-events?After="+after, nil, &answer)
+	return answer.Events, err
 }
--- a/standin/services/jujubeengine/cache.go
+++ b/standin/services/jujubeengine/cache.go
@@ -11,11 +11,6 @@
 // keptEvents bounds the cache events that can be read.
 const keptEvents = 4096
 
-// CacheEvents answers GET /v1/cache-events. Seq starts at the incarnation, so that it also grows over a crash.
-type CacheEvents struct {
-	Events []model.CacheEvent
-}
-
 // prefixCache is the LRU cache of prompt prefixes and the log of its changes.
 type prefixCache struct {
 	size   int
--- a/standin/services/jujubeengine/engine_test.go
+++ b/standin/services/jujubeengine/engine_test.go
@@ -179,7 +179,7 @@
 	after := generate(t.Context(), server, resume, nil)
 	assert.Equal(t, checkChunks(t, id, first, after.chunks), 100)
 	assert.Equal(t, after.done.Reason, jujubeengine.ReasonStop)
-	assert.Equal(t, (<-taken).err.Code, jujubeengine.CodeTakenOver)
+	assert.Equal(t, (<-taken).err.Code, model.EngineCodeTakenOver)
 	var held []model.EngineStream
 	call(t, server, http.MethodGet, "/v1/streams?Prefix=t/1/0", nil, &held)
 	assert.DeepEqual(t, held[0], model.EngineStream{Stream: model.StreamID(id), Tokens: 100, Finished: true})
--- a/standin/services/jujubeengine/generate.go
+++ b/standin/services/jujubeengine/generate.go
@@ -144,7 +144,7 @@
 		return []string{formatEvent("error", refusal)}, true, nil
 	}
 	if stream.connection != c.id {
-		refusal := model.EngineError{Code: CodeTakenOver, Message: "another connection has resumed the stream"}
+		refusal := model.EngineError{Code: model.EngineCodeTakenOver, Message: "another connection has resumed the stream"}
 		return []string{formatEvent("error", refusal)}, true, nil
 	}
 	faults := c.server.faults.Get()
--- a/standin/services/jujubeengine/load.go
+++ b/standin/services/jujubeengine/load.go
@@ -54,7 +54,7 @@
 	s.mu.Lock()
 	events := s.cache.after(time.Now(), after)
 	s.mu.Unlock()
-	jujubehost.WriteJSON(w, http.StatusOK, CacheEvents{Events: events})
+	jujubehost.WriteJSON(w, http.StatusOK, model.CacheEvents{Events: events})
 }
 
 func sortStreams(rows []model.EngineStream) {
--- a/standin/services/jujubeengine/stream.go
+++ b/standin/services/jujubeengine/stream.go
@@ -10,10 +10,6 @@
 	model "jujubepier.example/core/models/jujubemodel"
 )
 
-// CodeTakenOver ends the SSE stream of a connection whose stream another connection has resumed. The engine's part of
-// jujubemodel has no code for this.
-const CodeTakenOver = "TakenOver"
-
 // Reasons of model.EngineDone.
 const (
 	ReasonStop      = "Stop"
