jujubemember: add membership and rumours

Cause: entry instances need a common view of each other and of soft state, at no more than 4 KB/s of control traffic per node.

Ruled out: all-to-all heartbeats (370 x 370 messages per second), and listing the whole rumour table when digests differ (about 6.7 KB with 370 members). The table is compared in 32 buckets instead, and only the keys of differing buckets are listed.

Before: nothing.

--- /dev/null
+++ b/core/services/jujubemember/member_test.go
@@ -0,0 +1,346 @@
+package jujubemember_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jujubepier.example/core/services/jujubemember"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+// uniform draws from [0, n) without the bias towards small values of the integer generators, which would make the first
+// cases of a step far more frequent than the others.
+func uniform(t *rapid.T, n int, label string) int {
+	value := 0
+	for _, bit := range rapid.SliceOfN(rapid.Bool(), 13, 13).Draw(t, label) {
+		value *= 2
+		if bit {
+			value++
+		}
+	}
+	return value % n
+}
+
+// checkMonotone guards against members and rumours whose version goes back, and against a leaving member that is
+// presented as alive again.
+func checkMonotone(fatalf func(string, ...any), net *network) func(*node) {
+	type view struct {
+		viewer *jujubemember.Members
+		id     string
+	}
+	members := make(map[view]model.Member)
+	rumours := make(map[view]int64)
+	return func(n *node) {
+		for _, member := range n.members.Known() {
+			key := view{n.members, string(member.ID)}
+			old, ok := members[key]
+			same := old.Incarnation == member.Incarnation
+			if ok && (member.Incarnation < old.Incarnation || same && member.Refutation < old.Refutation && member.State != model.MemberLeaving) {
+				fatalf("%s: %s went back from %+v to %+v", n.member.ID, member.ID, old, member)
+			}
+			if ok && same && old.State == model.MemberLeaving && member.State == model.MemberAlive {
+				fatalf("%s: %s left and came back within an incarnation", n.member.ID, member.ID)
+			}
+			if subject := net.nodes[int(member.ID[6]-'0')*100+int(member.ID[7]-'0')*10+int(member.ID[8]-'0')]; net.loss < 0 &&
+				subject.up && subject.member.Incarnation == member.Incarnation && member.State == model.MemberDead {
+				fatalf("%s: %s is dead although it is reachable and no message was lost", n.member.ID, member.ID)
+			}
+			members[key] = member
+		}
+		for i := range 3 {
+			id := fmt.Sprintf("model-%d", i)
+			rumour, ok := n.members.Rumour(model.RumourWeights, id)
+			if last := rumours[view{n.members, id}]; rumour.Version < last || !ok && last > 0 {
+				fatalf("%s: %s went back from %d to %d", n.member.ID, id, last, rumour.Version)
+			}
+			rumours[view{n.members, id}] = rumour.Version
+		}
+	}
+}
+
+// disturb does one random thing to the network.
+func disturb(t *rapid.T, net *network, version *int64, faults bool) {
+	n := net.nodes[uniform(t, len(net.nodes), "node")]
+	switch op := uniform(t, 8, "op"); {
+	case op == 0 && n.up && len(net.list()) > 2:
+		n.up = false
+	case op == 1 || !n.up:
+		net.start(n)
+	case op == 2 && faults:
+		groups := 1 + uniform(t, 2, "groups")
+		for i, other := range net.nodes {
+			other.group = i % groups
+		}
+	case op == 3 && faults:
+		net.loss = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(t, "loss")
+	case op == 4:
+		n.members.Leave(net.now)
+	default:
+		*version++
+		n.members.Publish(net.now, model.Rumour{Kind: model.RumourWeights, Key: fmt.Sprintf("model-%d", op%3), Version: *version})
+	}
+	net.run(time.Duration(1+uniform(t, 8000, "wait"))*time.Millisecond, nil)
+}
+
+// Guards against versions that go back and members that don't converge after loss, partitions, crashes and restarts.
+func TestMembersConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		net := newNetwork(3+uniform(t, 10, "nodes"), rapid.Uint64().Draw(t, "seed"))
+		net.after = checkMonotone(t.Fatalf, net)
+		var version int64
+		for range 1 + uniform(t, 10, "steps") {
+			disturb(t, net, &version, true)
+		}
+		net.loss = 0
+		for _, n := range net.nodes {
+			n.group = 0
+		}
+		if !net.run(60*time.Second, net.converged) {
+			t.Fatalf("no convergence within 60 s of the last fault")
+		}
+	})
+}
+
+// Guards against a reachable member that is declared dead when no message is lost.
+func TestNoFalseDeathWithoutLoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		net := newNetwork(3+uniform(t, 10, "nodes"), rapid.Uint64().Draw(t, "seed"))
+		net.loss = -1 // none, and checkMonotone refuses any death
+		net.after = checkMonotone(t.Fatalf, net)
+		var version int64
+		for range 1 + uniform(t, 8, "steps") {
+			disturb(t, net, &version, false)
+		}
+	})
+}
+
+// Guards against control traffic above 4 KB/s per node, rumours that take over 3 s and messages over 8 KB.
+func TestTrafficAndSpread(t *testing.T) {
+	for _, count := range []int{9, 32, 100, 370} {
+		net := newNetwork(count, 7)
+		assert.Assert(t, net.run(60*time.Second, net.converged))
+		net.run(10*time.Second, nil)
+		rate := func(duration time.Duration) float64 {
+			bytes, _ := net.bytes()
+			net.run(duration, nil)
+			after, _ := net.bytes()
+			return float64(after-bytes) / duration.Seconds() / float64(count)
+		}
+		steady := rate(30 * time.Second)
+		payload := []byte(`"` + strings.Repeat("x", 1000) + `"`)
+		var slowest time.Duration
+		bytes, _ := net.bytes()
+		begin := net.now
+		for i := range int64(2) {
+			published := net.now
+			publisher := net.nodes[net.random.IntN(count)].members
+			publisher.Publish(net.now, model.Rumour{Kind: model.RumourWeights, Key: "model-0", Version: i + 1, Payload: payload})
+			assert.Assert(t, net.run(3*time.Second, func() bool { return net.holders("model-0", i+1) == count }), "%d nodes", count)
+			slowest = max(slowest, net.now.Sub(published))
+			net.run(30*time.Second-net.now.Sub(published), nil)
+		}
+		after, _ := net.bytes()
+		spread := float64(after-bytes) / net.now.Sub(begin).Seconds() / float64(count)
+		net.nodes[count-1].up = false
+		crashed := net.now
+		assert.Assert(t, net.run(30*time.Second, net.converged))
+		t.Logf("%d nodes: %.0f B/s per node steady, %.0f B/s with a 1 KB rumour per 30 s (slowest %v); crash known everywhere after %v; largest message %d B",
+			count, steady, spread, slowest, net.now.Sub(crashed), net.largest)
+		assert.Assert(t, steady < 4096 && spread < 4096)
+		assert.Assert(t, net.largest <= 8<<10)
+	}
+}
+
+// Guards against halves that stay apart after a partition heals, and reports the cost of the healing.
+func TestPartitionInHalvesHeals(t *testing.T) {
+	for _, count := range sizes() {
+		net := newNetwork(count, 11)
+		assert.Assert(t, net.run(60*time.Second, net.converged))
+		for i, n := range net.nodes {
+			n.group = i % 2
+		}
+		net.run(40*time.Second, nil)
+		assert.Equal(t, len(net.nodes[0].members.Live()), (count+1)/2)
+		for _, n := range net.nodes {
+			n.group = 0
+		}
+		bytes, _ := net.bytes()
+		healed := net.now
+		assert.Assert(t, net.run(60*time.Second, net.converged), "%d nodes", count)
+		after, _ := net.bytes()
+		took := net.now.Sub(healed)
+		t.Logf("%d nodes: converged %v after healing, %.0f B/s per node meanwhile", count, took, float64(after-bytes)/took.Seconds()/float64(count))
+		assert.Assert(t, net.largest <= 8<<10)
+	}
+}
+
+// Guards against old incarnations that survive when all instances restart within a minute.
+func TestAllRestartWithinAMinute(t *testing.T) {
+	for _, count := range sizes() {
+		net := newNetwork(count, 13)
+		assert.Assert(t, net.run(60*time.Second, net.converged))
+		begin := net.now
+		for i := range net.nodes {
+			net.run(begin.Add(time.Duration(i)*time.Minute/time.Duration(count)).Sub(net.now), nil)
+			net.start(net.nodes[i])
+		}
+		last := net.now
+		assert.Assert(t, net.run(20*time.Second, net.converged), "%d nodes", count)
+		bytes, _ := net.bytes()
+		t.Logf("%d nodes: converged %v after the last restart, %.0f B/s per node", count, net.now.Sub(last),
+			float64(bytes)/net.now.Sub(begin).Seconds()/float64(count))
+	}
+}
+
+// newMembers returns the view of a member named a.
+func newMembers(settings jujubemember.Settings) *jujubemember.Members {
+	return jujubemember.New(member("a", 1, "127.0.0.1:1"), settings, rand.New(rand.NewPCG(1, 1)))
+}
+
+func member(id model.InstanceID, incarnation model.Incarnation, address string) model.Member {
+	return model.Member{ID: id, Incarnation: incarnation, PeerAddress: address, State: model.MemberAlive}
+}
+
+func ids(members *jujubemember.Members) (text string) {
+	for _, m := range members.Live() {
+		text += fmt.Sprintf("%s%d ", m.ID, m.Incarnation)
+	}
+	return text
+}
+
+// Guards against a lagging instance list that revives the dead, two members at one address, and dead members that are
+// remembered without bound.
+func TestSeedsAndReplacement(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	m := newMembers(jujubemember.Settings{ForgetDeadAfter: time.Hour})
+	m.SetSeeds(now, []model.Member{member("b", 1, "127.0.0.1:2"), member("c", 1, "127.0.0.1:3")})
+	m.SetSeeds(now, []model.Member{member("d", 2, "127.0.0.1:2")})
+	assert.Equal(t, ids(m), "a1 c1 d2 ", "a newer member at the address replaces b")
+	m.SetSeeds(now, []model.Member{member("b", 1, "127.0.0.1:2")})
+	assert.Equal(t, ids(m), "a1 c1 d2 ", "the list doesn't revive b")
+	m.SetSeeds(now, []model.Member{member("c", 3, "127.0.0.1:3")})
+	assert.Equal(t, ids(m), "a1 c3 d2 ")
+	m.Failed(now, "c")
+	m.Failed(now, "d")
+	for range 400 {
+		now = now.Add(tick)
+		m.Tick(now)
+	}
+	assert.Equal(t, ids(m), "a1 ")
+	assert.Equal(t, len(m.Known()), 4)
+	for range 64 {
+		m.Tick(now.Add(time.Hour))
+	}
+	assert.Equal(t, len(m.Known()), 1)
+}
+
+// Guards against rumours without bound in size, number or time, and against a higher version that is refused.
+func TestRumourBoundsAndExpiry(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	m := newMembers(jujubemember.Settings{MaxRumours: 3})
+	publish := func(key string, version int64, size int) {
+		m.Publish(now, model.Rumour{Kind: model.RumourSuspect, Key: key, Version: version, Payload: make([]byte, size)})
+	}
+	publish("large", 1, 1025)
+	publish("x", 5, 1024)
+	publish("x", 4, 0)
+	publish("y", 1, 0)
+	publish("z", 1, 0)
+	assert.Equal(t, m.Stats().Refused, int64(2))
+	rumour, _ := m.Rumour(model.RumourSuspect, "x")
+	assert.Equal(t, rumour.Version, int64(5))
+	now = now.Add(time.Hour)
+	for range 32 {
+		m.Tick(now)
+	}
+	_, ok := m.Rumour(model.RumourSuspect, "x")
+	assert.Assert(t, !ok)
+	publish("x", 5, 0)
+	_, ok = m.Rumour(model.RumourSuspect, "x")
+	assert.Assert(t, !ok, "an expired version doesn't come back from a peer")
+	publish("x", 6, 0)
+	_, ok = m.Rumour(model.RumourSuspect, "x")
+	assert.Assert(t, ok)
+}
+
+// messages returns a probe, a version list and a rumour message of the sizes that occur with 370 members.
+func messages() []model.PeerMessage {
+	random := rand.New(rand.NewPCG(1, 1))
+	list := make(map[uint64]int64)
+	for range 32 {
+		list[random.Uint64()] = random.Int64()
+	}
+	return []model.PeerMessage{
+		{From: "entry-001", Incarnation: 1_800_000_000_000, Probe: true, Digest: random.Uint64()},
+		{From: "entry-001", Incarnation: 1_800_000_000_000, Digest: random.Uint64(), Versions: list},
+		{From: "entry-001", Incarnation: 1_800_000_000_000, Rumours: []model.Rumour{{
+			Kind: model.RumourMember, Key: "entry-002", Version: random.Int64(), Payload: make([]byte, 70),
+		}}},
+	}
+}
+
+// Guards against size figures that are below what is really sent, and against version lists that grow.
+func TestEstimateSizeAgainstGob(t *testing.T) {
+	var buffer bytes.Buffer
+	encoder := gob.NewEncoder(&buffer)
+	for range 2 { // the first pass sends the type descriptions, once per connection
+		for i, message := range messages() {
+			buffer.Reset()
+			assert.NilError(t, encoder.Encode(message))
+			estimate := jujubemember.EstimateSize(message)
+			t.Logf("message %d: gob %d B, estimate %d B", i, buffer.Len(), estimate)
+		}
+	}
+	for _, message := range messages() {
+		buffer.Reset()
+		assert.NilError(t, encoder.Encode(message))
+		estimate := jujubemember.EstimateSize(message)
+		assert.Assert(t, estimate >= buffer.Len() && estimate < buffer.Len()*3/2+20, "%d %d", estimate, buffer.Len())
+	}
+}
+
+// Guards against a new instance that doesn't get a large table, or gets it in messages over 8 KB.
+func TestNewInstanceGetsLargeTable(t *testing.T) {
+	net := newNetwork(3, 17)
+	for i := range 1000 {
+		net.nodes[0].members.Publish(net.now, model.Rumour{
+			Kind: model.RumourSuspect, Key: fmt.Sprint(i), Version: 1, Payload: make([]byte, 200+i%800),
+		})
+	}
+	assert.Assert(t, net.run(20*time.Second, net.converged))
+	net.start(net.nodes[2])
+	started := net.now
+	assert.Assert(t, net.run(20*time.Second, net.converged))
+	_, ok := net.nodes[2].members.Rumour(model.RumourSuspect, "999")
+	assert.Assert(t, ok)
+	t.Logf("1,000 rumours in %v, largest message %d B", net.now.Sub(started), net.largest)
+	assert.Assert(t, net.largest > 4<<10 && net.largest <= 8<<10)
+}
+
+// BenchmarkGob measures the encoding of one message of each kind; run it with -benchmem.
+func BenchmarkGob(b *testing.B) {
+	var buffer bytes.Buffer
+	encoder := gob.NewEncoder(&buffer)
+	all := messages()
+	size := 0
+	for b.Loop() {
+		size = 0
+		for _, message := range all {
+			buffer.Reset()
+			if err := encoder.Encode(message); err != nil {
+				b.Fatal(err)
+			}
+			size += buffer.Len()
+		}
+	}
+	b.ReportMetric(float64(size), "gob-bytes")
+}
