jujubelease: add a lease as a stream on the log

Cause: the weight rollout needs one leader with a fencing number, and a holder that was paused has to notice at once that it may have lost it.

Ruled out: counting from the receipt of the append's answer (the answer may be lost or late), and matching a folded renewal with the oldest unanswered one (each lost append would shorten the belief for good).

Before: nothing.

--- /dev/null
+++ b/core/services/jujubelease/settings.go
@@ -0,0 +1,54 @@
+// Package jujubelease keeps a lease as a stream of records on the log. The offset of the accepted claim is the fencing
+// number.
+package jujubelease
+
+import (
+	"time"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+// Settings are the periods of a lease; zero fields take the value of DefaultSettings.
+type Settings struct {
+	TTL time.Duration
+	// Margin is how much earlier than the log the holder considers the lease expired; it covers the drift between the
+	// clocks within a TTL.
+	Margin time.Duration
+	// AppendTimeout is when a record that was neither folded nor reported by Failed is given up.
+	AppendTimeout time.Duration
+}
+
+// DefaultSettings returns a lease of 15 s that is renewed each 5 s.
+func DefaultSettings() Settings {
+	return Settings{TTL: 15 * time.Second, Margin: time.Second, AppendTimeout: 5 * time.Second}
+}
+
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings()
+	if s.TTL == 0 {
+		s.TTL = d.TTL
+	}
+	if s.Margin == 0 {
+		s.Margin = s.TTL / 15
+	}
+	if s.AppendTimeout == 0 {
+		s.AppendTimeout = s.TTL / 3
+	}
+	return s
+}
+
+// State is the lease as one instance sees it.
+type State struct {
+	// Holder and Incarnation are of the last accepted claim, and empty after a release.
+	Holder      model.InstanceID
+	Incarnation model.Incarnation
+	// Fence is the offset of the last accepted claim, -1 before the first.
+	Fence int64
+	// Held is true while this instance is sure to hold the lease.
+	Held bool
+	// Expires is the local time until which Held stays true without a renewal; zero when this instance isn't the holder.
+	Expires time.Time
+	// Degraded is true when this instance held the lease as the log became unavailable, and no other can have claimed it
+	// through that log. Work that is fenced and repeatable may go on with Fence; Held still becomes false with time.
+	Degraded bool
+}
