jujuberouter: test requests held back by a trainer's limit

Cause: with the refusal of late requests taken out of Tick, all tests passed, because the queue's scan refuses most of them as well. It passes over requests whose trainer has no room.

Ruled out: relying on the random operations; with longer runs, smaller limits and several requests at once they still didn't reach the case.

Before and after: without the refusal in Tick, the new test reports 0 instead of 1 refusal; with it, it passes.

Conclusion: the random operations keep the smaller limits, and the case has a test of its own.

--- a/core/services/jujuberouter/property_test.go
+++ b/core/services/jujuberouter/property_test.go
@@ -18,8 +18,10 @@
 )
 
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "20", "rapid.steps": "60"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
@@ -116,8 +118,8 @@
 		}
 		s.router = router.New(router.LeastExpectedWait{}, router.Settings{Instance: "i", Queue: 8}, rand.New(rand.NewSource(1)))
 		s.router.SetLimits(model.Limits{
-			Trainers: map[model.TrainerID]model.TrainerLimits{"a": {Share: 1, MaxInFlight: 5}, "b": {Share: 3, MaxInFlight: 9}},
-			Models:   map[model.ModelName]model.ModelLimits{"m": {MaxInFlightPerEndpoint: 4}},
+			Trainers: map[model.TrainerID]model.TrainerLimits{"a": {Share: 1, MaxInFlight: 3}, "b": {Share: 3, MaxInFlight: 9}},
+			Models:   map[model.ModelName]model.ModelLimits{"m": {MaxInFlightPerEndpoint: 3}},
 			Callers:  map[model.CallerID]model.CallerLimits{"c": {RequestsPerSecond: 50, MaxInFlight: 12}},
 		})
 		t.Repeat(map[string]func(*rapid.T){
@@ -151,25 +153,27 @@
 				})
 			},
 			"Members": func(t *rapid.T) {
-				live := rapid.IntRange(1, 6).Draw(t, "live")
+				live := rapid.IntRange(1, 3).Draw(t, "live")
 				s.router.SetMembers(live, rapid.IntRange(0, live-1).Draw(t, "rank"))
 			},
 			"Route": func(t *rapid.T) {
-				s.next++
-				request := router.Request{
-					ID: model.RequestID(fmt.Sprintf("r%d", s.next)), Kind: model.KindEngine, Model: "m", Prefix: uint64(s.next % 3),
-					Caller:   rapid.SampledFrom([]model.CallerID{"", "c"}).Draw(t, "caller"),
-					Trainer:  rapid.SampledFrom([]model.TrainerID{"", "a", "b"}).Draw(t, "trainer"),
-					Priority: model.Priority(rapid.IntRange(0, 2).Draw(t, "priority")), Tokens: 50,
-					Deadline:   s.now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "deadline")) * time.Millisecond),
-					MinVersion: model.WeightVersion(rapid.IntRange(0, 1).Draw(t, "min")), Retry: rapid.Bool().Draw(t, "retry"),
-				}
-				if rapid.Bool().Draw(t, "restricted") {
-					request.Exclude = []model.EndpointID{drawID(t)}
-					request.Only = []model.EndpointID{drawID(t), drawID(t)}
+				for range rapid.IntRange(1, 6).Draw(t, "requests") {
+					s.next++
+					request := router.Request{
+						ID: model.RequestID(fmt.Sprintf("r%d", s.next)), Kind: model.KindEngine, Model: "m", Prefix: uint64(s.next % 3),
+						Caller:   rapid.SampledFrom([]model.CallerID{"", "c"}).Draw(t, "caller"),
+						Trainer:  rapid.SampledFrom([]model.TrainerID{"", "a", "b"}).Draw(t, "trainer"),
+						Priority: model.Priority(rapid.IntRange(0, 2).Draw(t, "priority")), Tokens: 50,
+						Deadline:   s.now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "deadline")) * time.Millisecond),
+						MinVersion: model.WeightVersion(rapid.IntRange(0, 1).Draw(t, "min")), Retry: rapid.Bool().Draw(t, "retry"),
+					}
+					if rapid.Bool().Draw(t, "restricted") {
+						request.Exclude = []model.EndpointID{drawID(t)}
+						request.Only = []model.EndpointID{drawID(t), drawID(t)}
+					}
+					s.requests[request.ID], s.waiting[request.ID] = request, true
+					s.apply([]router.Decision{s.router.Route(s.now, request)})
 				}
-				s.requests[request.ID], s.waiting[request.ID] = request, true
-				s.apply([]router.Decision{s.router.Route(s.now, request)})
 			},
 			"Finish": func(t *rapid.T) {
 				id := drawKey(t, s.running)
--- a/core/services/jujuberouter/router_test.go
+++ b/core/services/jujuberouter/router_test.go
@@ -174,3 +174,24 @@
 		})
 	}
 }
+
+// Guards against requests that wait past their deadline, or until shortly before it, behind a trainer's limit.
+func TestHeldBackRequestsAreRefused(t *testing.T) {
+	r := newRouter(1, 0)
+	r.SetLimits(model.Limits{Trainers: map[model.TrainerID]model.TrainerLimits{"a": {MaxInFlight: 1}}})
+	for i := range 3 {
+		request := ask(i, model.PriorityTrainer, "a")
+		request.Deadline = start.Add(10 * time.Second)
+		r.Route(start, request)
+	}
+	assert.Equal(t, r.QueueLength(), 2)
+	assert.Equal(t, len(r.Tick(start.Add(time.Second))), 0)
+	early := r.Tick(start.Add(8 * time.Second)) // the second in the queue has no time left for its turn and run
+	assert.Equal(t, len(early), 1)
+	assert.Equal(t, early[0].Request, model.RequestID("2"))
+	assert.Equal(t, early[0].Code, jujubeerror.CodeOverloaded)
+	late := r.Tick(start.Add(10 * time.Second))
+	assert.Equal(t, len(late), 1)
+	assert.Equal(t, late[0].Code, jujubeerror.CodeDeadline)
+	assert.Equal(t, r.QueueLength(), 0)
+}
