jujubequarantine: add suspects, verdicts and their rumours

Cause: a request that crashes what runs it may crash two endpoints at most, and the requests in flight with it aren't to blame.

Ruled out: one rumour per suspect fingerprint, because two crashes found at the same time get the same version and one is lost; the key names the crash too. Leaving runs alone that began before their fingerprint became suspect: the steward can't see them and may run the crashing suspect on the same endpoint.

Conclusion: with sequential repeats two endpoints crash at most.

--- /dev/null
+++ b/core/services/jujubequarantine/quarantine_test.go
@@ -0,0 +1,230 @@
+package jujubequarantine_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	quarantine "jujubepier.example/core/services/jujubequarantine"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "21"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+const crasher model.Fingerprint = 100
+
+// cluster is instances whose rumours travel late, reordered and more than once. Instance 0 is the steward.
+type cluster struct {
+	instances []*quarantine.Quarantine
+	sent      []model.Rumour
+	// inFlight is by endpoint; the value is the instance that runs the fingerprint.
+	inFlight map[model.EndpointID]map[model.Fingerprint]int
+	starts   int
+	crashes  int
+}
+
+func (c *cluster) deliver(t *rapid.T, all bool) {
+	order := rapid.Permutation(c.sent).Draw(t, "order")
+	for _, rumour := range order {
+		for _, q := range c.instances {
+			if all || rapid.Bool().Draw(t, "delivered") {
+				q.ApplyRumour(start, rumour)
+				c.sent = append(c.sent, q.Derived()...)
+			}
+		}
+	}
+	for _, q := range c.instances[1:] {
+		for _, run := range q.RunningSuspects(start) {
+			q.End(start, run.Fingerprint, run.Endpoint)
+			delete(c.inFlight[run.Endpoint], run.Fingerprint)
+		}
+	}
+}
+
+// run starts a fingerprint through an instance, as the entry program does, and tells where.
+func (c *cluster) run(t *rapid.T, via int, f model.Fingerprint) (model.EndpointID, bool) {
+	q := c.instances[via]
+	if q.Restricted(start, f) {
+		for _, rumour := range q.RumoursOf(start, f) {
+			c.instances[0].ApplyRumour(start, rumour)
+		}
+		via, q = 0, c.instances[0]
+	}
+	for _, at := range rapid.Permutation([]int{0, 1, 2}).Draw(t, "endpoints") {
+		endpoint := model.EndpointID(fmt.Sprintf("e%d", at))
+		if _, running := c.inFlight[endpoint][f]; !running && q.Admit(start, f, endpoint) {
+			q.Begin(start, f, endpoint)
+			c.inFlight[endpoint][f] = via
+			return endpoint, true
+		}
+	}
+	return "", false
+}
+
+func (c *cluster) crash(endpoint model.EndpointID) {
+	c.crashes++
+	for i, q := range c.instances {
+		var blamed []model.Fingerprint
+		for f, via := range c.inFlight[endpoint] {
+			if via == i {
+				blamed = append(blamed, f)
+			}
+		}
+		c.sent = append(c.sent, q.Crashed(start, quarantine.NewCrashID(endpoint, model.Incarnation(c.crashes)), blamed)...)
+	}
+	clear(c.inFlight[endpoint])
+}
+
+// Guards against a third endpoint that crashes, and against innocents that are quarantined with the crashing request.
+func TestTwoCrashesAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &cluster{inFlight: map[model.EndpointID]map[model.Fingerprint]int{}}
+		for range 3 {
+			c.instances = append(c.instances, quarantine.New(quarantine.Settings{Suspects: 12, Verdicts: 4}))
+		}
+		for i := range 3 {
+			c.inFlight[model.EndpointID(fmt.Sprintf("e%d", i))] = map[model.Fingerprint]int{}
+		}
+		running := map[model.Fingerprint]model.EndpointID{}
+		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+			via := rapid.IntRange(0, 2).Draw(t, "via")
+			f := model.Fingerprint(rapid.IntRange(1, 4).Draw(t, "innocent"))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0, 1, 2, 3, 4:
+				if owner, still := c.inFlight[running[f]][f]; !still {
+					running[f], _ = c.run(t, via, f)
+				} else if rapid.IntRange(0, 4).Draw(t, "complete") == 0 {
+					c.sent = append(c.sent, c.instances[owner].Complete(start, f, running[f])...)
+					delete(c.inFlight[running[f]], f)
+				}
+			case 5, 6, 7, 8:
+				c.deliver(t, false)
+			default: // repeats are sequential: the rumours of the last crash have arrived
+				c.deliver(t, true)
+				if endpoint, ok := c.run(t, via, crasher); ok {
+					c.crash(endpoint)
+				}
+			}
+			assert.Assert(t, c.crashes <= 2, "%d endpoints crashed", c.crashes)
+			for _, q := range c.instances {
+				verdicts := 0
+				entries := q.List()
+				for _, entry := range entries {
+					if entry.State == quarantine.Quarantined {
+						verdicts++
+						assert.Equal(t, entry.Fingerprint, crasher, "an innocent is quarantined: %+v", entry)
+					}
+				}
+				assert.Assert(t, len(entries)-verdicts <= 12 && verdicts <= 4)
+			}
+		}
+		c.deliver(t, true)
+		c.deliver(t, true)
+		for _, q := range c.instances {
+			assert.Equal(t, q.Check(start, crasher) == quarantine.Quarantined, c.crashes == 2)
+		}
+		lift := c.instances[1].Lift(start, crasher)
+		c.instances[0].ApplyRumour(start, lift)
+		c.deliver(t, true) // late copies of the crashes
+		assert.Equal(t, c.instances[0].Check(start, crasher), quarantine.Clear, "a late rumour undid the lift")
+		assert.Equal(t, c.instances[1].Check(start, crasher), quarantine.Clear, "a late rumour undid the lift")
+	})
+}
+
+// Guards against merges that depend on the order or the number of the copies.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := quarantine.New(quarantine.Settings{})
+		var rumours []model.Rumour
+		for i := range rapid.IntRange(1, 4).Draw(t, "crashes") {
+			other := quarantine.New(quarantine.Settings{})
+			crash := quarantine.NewCrashID(model.EndpointID(fmt.Sprint(i)), 1)
+			rumours = append(rumours, other.Crashed(start, crash, []model.Fingerprint{crasher})...)
+		}
+		for _, rumour := range rumours {
+			source.ApplyRumour(start, rumour)
+		}
+		rumours = append(rumours, source.RumoursOf(start, crasher)...)
+		reverse := quarantine.New(quarantine.Settings{}) // judges by other crashes
+		for i := len(rumours) - 1; i >= 0; i-- {
+			if rumours[i].Kind == model.RumourSuspect {
+				reverse.ApplyRumour(start, rumours[i])
+			}
+		}
+		rumours = append(rumours, reverse.RumoursOf(start, crasher)...)
+		if rapid.Bool().Draw(t, "lift") {
+			rumours = append(rumours, source.Lift(start, crasher))
+		}
+		var results [2][]quarantine.Entry
+		for i := range results {
+			q := quarantine.New(quarantine.Settings{})
+			for range i + 1 {
+				for _, rumour := range rapid.Permutation(rumours).Draw(t, "order") {
+					q.ApplyRumour(start, rumour)
+				}
+			}
+			for _, rumour := range rumours {
+				assert.Assert(t, !q.ApplyRumour(start, rumour), "a copy changed something")
+			}
+			q.Check(start, crasher)
+			results[i] = q.List()
+		}
+		assert.DeepEqual(t, results[0], results[1])
+	})
+}
+
+// Guards against tables that grow without bound, entries that never expire, and a first run on too many endpoints.
+func TestBounds(t *testing.T) {
+	q := quarantine.New(quarantine.Settings{})
+	for i := range 5000 {
+		f, now := model.Fingerprint(i), start.Add(time.Duration(i)*time.Millisecond)
+		q.Crashed(now, "a~1", []model.Fingerprint{f})
+		if i < 1100 {
+			q.Crashed(now, "b~1", []model.Fingerprint{f})
+		}
+		assert.Equal(t, q.Check(now, f) == quarantine.Quarantined, i < 1100)
+	}
+	now := start.Add(time.Minute)
+	assert.Equal(t, q.Check(now, 0), quarantine.Clear, "the oldest verdict makes room first")
+	assert.Equal(t, q.Check(now, 1099), quarantine.Quarantined)
+	assert.Equal(t, q.Check(now, 4999), quarantine.Suspect)
+	assert.Equal(t, len(q.List()), 4096+1024-196, "196 of the latest 4096 suspects are quarantined")
+	assert.Equal(t, q.Check(now.Add(time.Hour), 4999), quarantine.Clear)
+	assert.Equal(t, q.Check(now.Add(24*time.Hour), 1099), quarantine.Clear)
+
+	q.Begin(now, crasher+10000, "x")
+	q.Begin(now, crasher+10000, "y")
+	assert.Assert(t, !q.Admit(now, crasher+10000, "z"))
+	q.Complete(now, crasher+10000, "x")
+	assert.Assert(t, q.Admit(now, crasher+10000, "z"))
+}
+
+// Guards against suspicions that outlive a completion, or that a late rumour restores.
+func TestCompletionClears(t *testing.T) {
+	q, other := quarantine.New(quarantine.Settings{}), quarantine.New(quarantine.Settings{})
+	suspected := q.Crashed(start, "a~1", []model.Fingerprint{crasher})
+	assert.Assert(t, q.Restricted(start, crasher))
+	assert.Assert(t, q.Admit(start, crasher, "b"))
+	q.Begin(start, crasher, "b")
+	assert.Assert(t, !q.Admit(start, crasher, "c"), "a suspect runs on one endpoint at a time")
+	cleared := q.Complete(start, crasher, "b")
+	for _, rumour := range append(cleared, suspected...) {
+		other.ApplyRumour(start, rumour)
+		q.ApplyRumour(start, rumour)
+	}
+	assert.Equal(t, q.Check(start, crasher), quarantine.Clear)
+	assert.Equal(t, other.Check(start, crasher), quarantine.Clear)
+}
