jujubestep, jujubeweight: test mechanisms that no test covered

Cause: on a scratch copy, removing each of these left all tests green: the owner in stream ids, the bound on second runs, the age limit of reports, the pause after a gap in ticks, the delay after the swap timeout, and the order of reports. Ruled out: relying on the property tests, whose messages are rarely late enough. After: each is caught by a test. Conclusion: the mechanisms are covered one by one.

--- a/core/services/jujubestep/step_test.go
+++ b/core/services/jujubestep/step_test.go
@@ -174,7 +174,7 @@
 func TestSecondRuns(t *testing.T) {
 	steps := newSteps(t, newPart(1, 10, 4))
 	starts := begin(t, steps)
-	slow := map[int]bool{0: true, 4: true, 8: true, 12: true, 13: true}
+	slow := map[int]bool{0: true, 4: true, 8: true, 12: true, 13: true, 16: true}
 	for i, s := range starts {
 		if !slow[i] {
 			finish(steps, start.Add(5*time.Second), s.Stream, 5)
@@ -215,6 +215,19 @@
 	}
 }
 
+// Guards against stream ids that two owners of the same attempt start both.
+func TestOwnersStartDifferentStreams(t *testing.T) {
+	var ids []model.StreamID
+	for _, owner := range []string{"a", "b"} {
+		steps := jujubestep.New(jujubestep.Settings{Owner: owner})
+		steps.SetLimits(limits(""))
+		_, err := steps.Submit(start, newPart(1, 1, 1))
+		assert.NilError(t, err)
+		ids = append(ids, begin(t, steps)[0].Stream)
+	}
+	assert.Assert(t, ids[0] != ids[1])
+}
+
 // Guards against retries before the time the endpoint gave, and against blaming a group for one refusal.
 func TestRetryAfterIsRespected(t *testing.T) {
 	steps := newSteps(t, newPart(1, 1, 1))
--- a/core/services/jujubeweight/order_test.go
+++ b/core/services/jujubeweight/order_test.go
@@ -124,3 +124,50 @@
 	assert.Equal(t, progress.Current, 40)
 	assert.Assert(t, progress.Window > 8, "window %d", progress.Window)
 }
+
+// Guards against orders below an engine's present version by a leader that was paused, or whose reports are late.
+func TestOldReportsLeadToNoOrders(t *testing.T) {
+	cases := map[string]struct {
+		report model.LoadReport
+		after  time.Duration // since the latest tick
+		orders int
+	}{
+		"recent":             {report("a", start.Add(time.Second), 2), tick, 1},
+		"measured before":    {report("b", start.Add(-time.Second), 1), tick, 0},
+		"held up on its way": {report("b", start.Add(time.Second), 1), 20 * time.Second, 0},
+		"after a pause":      {report("b", start.Add(4*time.Second), 1), 2 * time.Second, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			leader, now := newLeader(1, 0, report("a", start, 9), report("b", start, 9))
+			leader.Tick(now)
+			now = now.Add(c.after)
+			leader.Report(now, c.report)
+			assert.Equal(t, len(leader.Tick(now)), c.orders)
+		})
+	}
+	leader, now := newLeader(1, 0, report("a", start, 9))
+	for range 80 { // ticks go on without any report
+		now = now.Add(tick)
+		leader.Tick(now)
+	}
+	leader.Announce(now, "m", 10)
+	assert.Equal(t, len(leader.Tick(now)), 0)
+}
+
+// Guards against a lost answer that blocks the rollout, and against repeating the order before others had their turn.
+func TestLostAnswerEndsWithTheSwapTimeout(t *testing.T) {
+	leader, now := newLeader(1, 0, report("a", start, 1), report("b", start, 1))
+	assert.Equal(t, leader.Tick(now)[0].Endpoint, model.EndpointID("a"))
+	leader.Result(now, "a", model.OrderResult{}, fmt.Errorf("connection reset"))
+	for passed := tick; passed <= swapTimeout; passed += tick {
+		for _, id := range []string{"a", "b"} {
+			leader.Report(now.Add(passed), report(id, start.Add(passed), 1))
+		}
+		orders := leader.Tick(now.Add(passed))
+		assert.Equal(t, len(orders) == 0, passed < swapTimeout)
+		if passed == swapTimeout {
+			assert.Equal(t, orders[0].Endpoint, model.EndpointID("b"))
+		}
+	}
+}
