jujubequarantine, jujubecore: run unproven content on one endpoint only

Cause: two copies of a crashing prompt (a trainer's group has eight) on two endpoints crash both, and whatever runs beside the copies on both has two crashes too and would be quarantined with it. The steward also granted suspects without waiting for other instances to stop their own runs. Content that has completed is never blamed, as it does not crash each endpoint that runs it. Before: at most two endpoints at once for unproven content. After: one; a suspect waits for the steward's word instead of being refused.

--- a/core/models/jujubemodel/endpoint.go
+++ b/core/models/jujubemodel/endpoint.go
@@ -1,7 +1,6 @@
 package jujubemodel
 
 import (
-	"strconv"
 	"time"
 )
 
@@ -114,8 +113,3 @@
 	RequestsPerSecond float64
 	MaxInFlight       int
 }
-
-// NewCrashID names the end of an endpoint's incarnation.
-func NewCrashID(id EndpointID, incarnation Incarnation) CrashID {
-	return CrashID(string(id) + "@" + strconv.FormatInt(int64(incarnation), 10))
-}
--- a/core/services/jujubecore/action.go
+++ b/core/services/jujubecore/action.go
@@ -22,6 +22,12 @@
 	Decision jujuberouter.Decision
 }
 
+// AbortRequest ends a running attempt of a caller's request, which then tries another endpoint.
+type AbortRequest struct {
+	action
+	ID model.RequestID
+}
+
 // AskSuspect asks the steward for an endpoint on which a suspect request may run. It is answered by SuspectGranted.
 type AskSuspect struct {
 	action
--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -74,12 +74,16 @@
 	self       model.Member
 	router     router
 	quarantine *jujubequarantine.Quarantine
-	claims     *jujubeclaim.Claims
-	members    *jujubemember.Members
-	lease      *jujubelease.Lease
-	steps      *jujubestep.Steps
-	rollout    *jujubeweight.Rollout
-	fold       *jujubeconfig.Fold
+	// grants lists the suspects that run on this steward's word.
+	grants []grant
+	// suspectSince is when this steward first heard of a suspect.
+	suspectSince map[model.Fingerprint]time.Time
+	claims       *jujubeclaim.Claims
+	members      *jujubemember.Members
+	lease        *jujubelease.Lease
+	steps        *jujubestep.Steps
+	rollout      *jujubeweight.Rollout
+	fold         *jujubeconfig.Fold
 
 	// endpoints holds the latest row of each endpoint of the instance list.
 	endpoints *jujubetable.Table[model.EndpointID, endpointRow]
@@ -112,19 +116,20 @@
 	}
 	gossip := randv2.New(randv2.NewPCG(uint64(options.Seed), uint64(options.Self.Incarnation)))
 	c := &Core{
-		self:       options.Self,
-		router:     chosen,
-		quarantine: jujubequarantine.New(options.Quarantine),
-		claims:     jujubeclaim.New(options.Self.ID, options.Self.Incarnation, options.Claim),
-		members:    jujubemember.New(options.Self, options.Member, gossip),
-		lease:      jujubelease.New(model.StreamLease, options.Self.ID, options.Self.Incarnation, options.Lease),
-		steps:      jujubestep.New(options.Step),
-		rollout:    jujubeweight.New(options.Weight),
-		fold:       jujubeconfig.NewFold(),
-		endpoints:  jujubetable.New[model.EndpointID, endpointRow](),
-		requests:   jujubetable.New[model.RequestID, requestRow](),
-		versions:   jujubetable.New[model.ModelName, model.WeightVersion](),
-		random:     random,
+		self:         options.Self,
+		router:       chosen,
+		quarantine:   jujubequarantine.New(options.Quarantine),
+		claims:       jujubeclaim.New(options.Self.ID, options.Self.Incarnation, options.Claim),
+		members:      jujubemember.New(options.Self, options.Member, gossip),
+		lease:        jujubelease.New(model.StreamLease, options.Self.ID, options.Self.Incarnation, options.Lease),
+		steps:        jujubestep.New(options.Step),
+		rollout:      jujubeweight.New(options.Weight),
+		fold:         jujubeconfig.NewFold(),
+		endpoints:    jujubetable.New[model.EndpointID, endpointRow](),
+		requests:     jujubetable.New[model.RequestID, requestRow](),
+		suspectSince: make(map[model.Fingerprint]time.Time),
+		versions:     jujubetable.New[model.ModelName, model.WeightVersion](),
+		random:       random,
 	}
 	c.router.SetMembers(1, 0)
 	return c, func() { *c = Core{} }, nil
@@ -243,5 +248,5 @@
 	actions = append(actions, c.tickSteps(now)...)
 	actions = append(actions, c.routed(now, c.router.Tick(now))...)
 	c.claims.Tick(now)
-	return actions
+	return append(actions, c.tickSuspects(now)...)
 }
--- a/core/services/jujubecore/endpoints.go
+++ b/core/services/jujubecore/endpoints.go
@@ -4,6 +4,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubequarantine"
 )
 
 // endpointRow is an endpoint of the instance list.
@@ -140,9 +141,7 @@
 	if len(inFlight) == 0 {
 		return
 	}
-	for _, rumour := range c.quarantine.Crashed(now, model.NewCrashID(row.endpoint.ID, incarnation), inFlight) {
-		c.members.Publish(now, rumour)
-	}
+	c.publishAll(now, c.quarantine.Crashed(now, jujubequarantine.NewCrashID(row.endpoint.ID, incarnation), inFlight))
 }
 
 func (c *Core) applyLost(now time.Time, lost EndpointLost) []Action {
--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -96,6 +96,10 @@
 	Service     model.ServiceName
 	Kind        model.EndpointKind
 	Exclude     []model.EndpointID
+	// Until bounds the grant.
+	Until time.Time
+	// Known carries what the asking instance knows of the crashes, because their rumours may not have come yet.
+	Known []model.Rumour
 }
 
 // SuspectGranted carries the steward's answer to AskSuspect.
--- a/core/services/jujubecore/members.go
+++ b/core/services/jujubecore/members.go
@@ -122,6 +122,13 @@
 		}
 	case model.RumourSuspect, model.RumourQuarantine:
 		c.quarantine.ApplyRumour(now, rumour)
+		c.publishAll(now, c.quarantine.Derived())
+	}
+}
+
+func (c *Core) publishAll(now time.Time, rumours []model.Rumour) {
+	for _, rumour := range rumours {
+		c.members.Publish(now, rumour)
 	}
 }
 
--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -22,6 +22,8 @@
 	// steward is set while the request runs under a grant.
 	steward model.Member
 	granted bool
+	// askAgain is when the steward is asked again; zero when it need not be.
+	askAgain time.Time
 	// stream is set for a stream of a step part.
 	stream *jujubestep.StartStream
 }
@@ -47,14 +49,19 @@
 }
 
 func (c *Core) route(now time.Time, row requestRow) []Action {
-	row.request.Exclude = append(row.request.Exclude, c.crowded(now, row)...)
+	if !row.granted {
+		row.request.Exclude = append(row.request.Exclude, c.crowded(now, row)...)
+	}
 	c.requests.Put(row.request.ID, row)
 	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, row.request)})
 }
 
 // crowded lists the endpoints that content which has never completed must not be sent to, because it already runs on
-// as many endpoints as a crash may cost.
+// another one.
 func (c *Core) crowded(now time.Time, row requestRow) []model.EndpointID {
+	if !c.quarantine.IsRunning(row.fingerprint) {
+		return nil
+	}
 	var excluded []model.EndpointID
 	for id, endpoint := range c.endpoints.All() {
 		if endpoint.endpoint.Kind == row.request.Kind && !c.quarantine.Admit(now, row.fingerprint, id) {
@@ -82,19 +89,20 @@
 	id := row.request.ID
 	switch decision.Kind {
 	case jujuberouter.Dispatch:
-		if !c.quarantine.Admit(now, row.fingerprint, decision.Endpoint) {
-			// The queue held the request while copies of it started on two other endpoints.
+		if !row.granted && !c.quarantine.Admit(now, row.fingerprint, decision.Endpoint) {
+			// The queue held the request while a copy of it started on another endpoint, or its content became suspect.
 			c.requests.Delete(id)
 			freed := c.router.Finish(now, id, jujuberouter.Outcome{})
 			return append(c.place(now, row), c.routed(now, freed)...)
 		}
 		row.endpoint = decision.Endpoint
 		row.incarnation = decision.Incarnation
+		row.askAgain = time.Time{}
 		c.requests.Put(id, row)
 		c.quarantine.Begin(now, row.fingerprint, decision.Endpoint)
 	case jujuberouter.Refuse:
 		c.requests.Delete(id)
-		return append(c.refused(now, row, decision), c.releaseGrant(row, false)...)
+		return append(c.refused(now, row, decision), c.releaseGrant(now, row, false)...)
 	}
 	if row.stream != nil {
 		return c.streamDecided(now, row, decision)
@@ -125,11 +133,12 @@
 		return nil
 	}
 	c.requests.Delete(id)
-	completed := outcome.OK && !row.blamed
-	if completed {
-		c.quarantine.Complete(now, row.fingerprint, row.endpoint)
+	if outcome.OK {
+		c.publishAll(now, c.quarantine.Complete(now, row.fingerprint, row.endpoint))
+	} else {
+		c.quarantine.End(now, row.fingerprint, row.endpoint)
 	}
-	actions := c.releaseGrant(row, completed)
+	actions := c.releaseGrant(now, row, outcome.OK)
 	return append(actions, c.routed(now, c.router.Finish(now, id, outcome))...)
 }
 
@@ -142,6 +151,6 @@
 		return c.finish(now, id, jujuberouter.Outcome{OK: false})
 	}
 	c.requests.Delete(id)
-	actions := c.releaseGrant(row, false)
+	actions := c.releaseGrant(now, row, false)
 	return append(actions, c.routed(now, c.router.Cancel(now, id))...)
 }
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -9,9 +9,24 @@
 	"jujubepier.example/core/services/jujuberouter"
 )
 
-// suspectRetry is when a suspect request that found no free endpoint may ask again. It is about the time that a short
-// generation takes.
-const suspectRetry = 500 * time.Millisecond
+const (
+	// suspectRetry is when a suspect request that found no free endpoint asks again. It is about the time that a short
+	// generation takes.
+	suspectRetry = 500 * time.Millisecond
+	// suspectDelay is how long the steward holds back a new suspect, so that other instances hear of the crash and stop
+	// their own runs of it: a rumour's travel and a cancelled call.
+	suspectDelay = time.Second
+)
+
+// askTimeout is when a question to the steward that got no answer is repeated.
+const askTimeout = 2 * time.Second
+
+// grant reserves an endpoint for one suspect.
+type grant struct {
+	fingerprint model.Fingerprint
+	endpoint    model.EndpointID
+	until       time.Time
+}
 
 // steward returns the lowest-ranked live instance, which alone places suspect requests so that no two of them share an
 // endpoint.
@@ -25,11 +40,14 @@
 }
 
 func (c *Core) askSteward(now time.Time, row requestRow) []Action {
-	row.steward = c.steward()
+	if !now.Before(row.request.Deadline) {
+		return c.decided(now, row, refuse(row.request.ID, jujubeerror.CodeDeadline, 0))
+	}
+	row.steward, row.askAgain = c.steward(), now.Add(askTimeout)
 	c.requests.Put(row.request.ID, row)
 	ask := SuspectAsked{
 		Fingerprint: row.fingerprint, Kind: row.request.Kind, Model: row.request.Model, Service: row.request.Service,
-		Exclude: row.request.Exclude,
+		Exclude: row.request.Exclude, Until: row.request.Deadline, Known: c.quarantine.RumoursOf(now, row.fingerprint),
 	}
 	if row.steward.ID == c.self.ID {
 		return c.applyGranted(now, SuspectGranted{ID: row.request.ID, SuspectAnswered: c.grantSuspect(now, ask)})
@@ -39,7 +57,10 @@
 
 // grantSuspect picks the least loaded endpoint that runs no other suspect.
 func (c *Core) grantSuspect(now time.Time, ask SuspectAsked) SuspectAnswered {
-	if c.steward().ID != c.self.ID {
+	for _, rumour := range ask.Known {
+		c.applyRumour(now, rumour)
+	}
+	if c.steward().ID != c.self.ID || !c.isSettled(now, ask.Fingerprint) {
 		return SuspectAnswered{RetryAfter: suspectRetry}
 	}
 	views := c.router.Endpoints(now)
@@ -52,6 +73,8 @@
 			continue
 		}
 		if c.quarantine.AdmitSuspect(now, ask.Fingerprint, view.Endpoint.ID) {
+			c.quarantine.Begin(now, ask.Fingerprint, view.Endpoint.ID)
+			c.grants = append(c.grants, grant{ask.Fingerprint, view.Endpoint.ID, ask.Until})
 			return SuspectAnswered{OK: true, Endpoint: view.Endpoint.ID}
 		}
 	}
@@ -68,27 +91,96 @@
 		return nil
 	}
 	if !granted.OK {
-		retryAfter := max(granted.RetryAfter, suspectRetry)
-		return c.decided(now, row, refuse(granted.ID, jujubeerror.CodeOverloaded, retryAfter))
+		row.askAgain = now.Add(max(granted.RetryAfter, suspectRetry))
+		c.requests.Put(granted.ID, row)
+		return nil
 	}
+	row.askAgain = time.Time{}
 	row.granted = true
 	row.request.Only = []model.EndpointID{granted.Endpoint}
 	return c.route(now, row)
 }
 
 // releaseGrant frees the endpoint that the steward reserved.
-func (c *Core) releaseGrant(row requestRow, completed bool) []Action {
+func (c *Core) releaseGrant(now time.Time, row requestRow, completed bool) []Action {
 	if !row.granted {
 		return nil
 	}
 	release := SuspectReleased{Fingerprint: row.fingerprint, Endpoint: row.request.Only[0], Completed: completed}
 	if row.steward.ID == c.self.ID {
-		c.releaseSuspect(time.Time{}, release)
+		c.releaseSuspect(now, release)
 		return nil
 	}
 	return []Action{ReleaseSuspect{Steward: row.steward, Release: release}}
 }
 
 func (c *Core) releaseSuspect(now time.Time, release SuspectReleased) {
-	c.quarantine.ReleaseSuspect(now, release.Fingerprint, release.Endpoint)
+	at := slices.IndexFunc(c.grants, func(g grant) bool {
+		return g.fingerprint == release.Fingerprint && g.endpoint == release.Endpoint
+	})
+	if at < 0 {
+		return
+	}
+	c.grants = slices.Delete(c.grants, at, at+1)
+	if release.Completed {
+		c.publishAll(now, c.quarantine.Complete(now, release.Fingerprint, release.Endpoint))
+		return
+	}
+	c.quarantine.End(now, release.Fingerprint, release.Endpoint)
+}
+
+// isSettled tells whether the other instances have had time to stop their own runs of a suspect.
+func (c *Core) isSettled(now time.Time, f model.Fingerprint) bool {
+	since, known := c.suspectSince[f]
+	if !known {
+		for old, at := range c.suspectSince {
+			if now.Sub(at) > time.Hour {
+				delete(c.suspectSince, old)
+			}
+		}
+		c.suspectSince[f] = now
+	}
+	return known && now.Sub(since) >= suspectDelay
+}
+
+// tickSuspects stops runs that began before their content became suspect, and asks the steward again for those that
+// wait. A call of a plain service isn't stopped: it may have taken effect, and its outcome is wanted.
+func (c *Core) tickSuspects(now time.Time) []Action {
+	c.expireGrants(now)
+	actions := c.stopSuspects(now)
+	for _, row := range c.requests.All() {
+		if row.endpoint == "" && !row.askAgain.IsZero() && !now.Before(row.askAgain) {
+			actions = append(actions, c.place(now, row)...)
+		}
+	}
+	return actions
+}
+
+func (c *Core) stopSuspects(now time.Time) []Action {
+	if len(c.quarantine.RunningSuspects(now)) == 0 {
+		return nil
+	}
+	var actions []Action
+	for id, row := range c.requests.All() {
+		if row.endpoint == "" || row.granted || row.request.Kind != model.KindEngine || !c.quarantine.Restricted(now, row.fingerprint) {
+			continue
+		}
+		if row.stream == nil {
+			actions = append(actions, AbortRequest{ID: id})
+			continue
+		}
+		endpoint, _ := c.endpoints.Get(row.endpoint)
+		actions = append(actions, StopStream{Stream: row.stream.Stream, Address: endpoint.endpoint.Address, Cause: "Suspect"})
+		actions = append(actions, c.applyStreamEnded(now, StreamEnded{Stream: row.stream.Stream, Broken: true})...)
+	}
+	return actions
+}
+
+// expireGrants ends the grants of instances that have died with their requests.
+func (c *Core) expireGrants(now time.Time) {
+	for _, g := range slices.Clone(c.grants) {
+		if !now.Before(g.until) {
+			c.releaseSuspect(now, SuspectReleased{Fingerprint: g.fingerprint, Endpoint: g.endpoint})
+		}
+	}
 }
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -142,7 +142,7 @@
 	statuses := make([]model.QuarantineStatus, 0, len(entries))
 	for _, entry := range entries {
 		statuses = append(statuses, model.QuarantineStatus{
-			Fingerprint: entry.Fingerprint, State: string(entry.Status), Crashes: entry.Crashes, Until: entry.Until,
+			Fingerprint: entry.Fingerprint, State: string(entry.State), Crashes: entry.Crashes, Until: entry.Until,
 		})
 	}
 	return statuses
--- a/core/services/jujubequarantine/quarantine.go
+++ b/core/services/jujubequarantine/quarantine.go
@@ -3,9 +3,9 @@
 // Residual risks. More than two endpoints crash when a fingerprint's first runs go through different instances at the
 // same time, or are repeated faster than the rumour of a crash travels: each instance allows two of its own. During a
 // disagreement about membership two instances may both be the steward and each run the suspect once. An innocent
-// fingerprint is quarantined when it is in flight in two crashes: with copies on two endpoints at once, or as a suspect
-// next to a second crashing fingerprint that wasn't known yet, or when an instance is slower to cancel RunningSuspects than
-// the steward waits. All suspicions are lost when all instances restart.
+// fingerprint is quarantined when it is in flight in two crashes: with copies that two instances run, or as a suspect
+// next to a second crashing fingerprint that wasn't known yet. A fingerprint that crashes only some of its runs isn't found
+// once it has completed. All suspicions are lost when all instances restart.
 package jujubequarantine
 
 import (
@@ -155,8 +155,9 @@
 	return q.Check(now, f) == Suspect
 }
 
-// Admit tells whether a fingerprint may start on an endpoint. Until it first completes it runs on at most two endpoints
-// at once; a suspect is subject to AdmitSuspect.
+// Admit tells whether a fingerprint may start on an endpoint. Until it first completes it runs on one endpoint at a time:
+// copies on two endpoints could crash both, and whatever runs beside them on both would be blamed twice. A suspect is
+// subject to AdmitSuspect.
 func (q *Quarantine) Admit(now time.Time, f model.Fingerprint, endpoint model.EndpointID) bool {
 	switch q.Check(now, f) {
 	case Quarantined:
@@ -167,9 +168,12 @@
 	if q.completed[f] || slices.Contains(q.running[f], endpoint) {
 		return true
 	}
-	endpoints := slices.Clone(q.running[f])
-	slices.Sort(endpoints)
-	return len(slices.Compact(endpoints)) < 2
+	return !q.IsRunning(f)
+}
+
+// IsRunning tells whether this instance runs a fingerprint that has never completed.
+func (q *Quarantine) IsRunning(f model.Fingerprint) bool {
+	return !q.completed[f] && len(q.running[f]) > 0
 }
 
 // AdmitSuspect lets a suspect start when it runs nowhere else and no other suspect runs on the endpoint. Two suspects on
@@ -248,7 +252,8 @@
 	return rumours
 }
 
-// Crashed blames a crash on what this instance had in flight on the endpoint, and returns the rumours of it.
+// Crashed blames a crash on what this instance had in flight on the endpoint, and returns the rumours of it. A fingerprint
+// that has completed before isn't blamed, as it doesn't crash each endpoint that runs it.
 func (q *Quarantine) Crashed(now time.Time, id model.CrashID, inFlight []model.Fingerprint) []model.Rumour {
 	var rumours []model.Rumour
 	fingerprints := slices.Clone(inFlight)
@@ -257,6 +262,9 @@
 		for q.End(now, f, crashedEndpoint(id)) {
 			continue
 		}
+		if q.completed[f] {
+			continue
+		}
 		c := crash{id: id, until: now.Add(q.settings.SuspectFor)}
 		if q.mergeCrash(now, f, c) {
 			rumours = append(rumours, newSuspectRumour(f, c))
--- a/entry/services/jujubeentry/begin.go
+++ b/entry/services/jujubeentry/begin.go
@@ -23,6 +23,10 @@
 		switch a := action.(type) {
 		case jujubecore.RouteDecided:
 			s.deliverDecision(a.Decision)
+		case jujubecore.AbortRequest:
+			if abort, running := s.aborts[a.ID]; running {
+				abort()
+			}
 		case jujubecore.RunStream:
 			s.beginStream(a)
 		case jujubecore.StopStream:
--- a/entry/services/jujubeentry/generate.go
+++ b/entry/services/jujubeentry/generate.go
@@ -97,7 +97,10 @@
 	if err != nil {
 		return false, err
 	}
-	done, err := s.readGeneration(ctx, g, decision)
+	attemptContext, endAttempt := s.beginAttempt(ctx, decision.Request)
+	done, err := s.readGeneration(attemptContext, g, decision)
+	aborted := attemptContext.Err() != nil
+	endAttempt()
 	ended := jujubecore.RequestEnded{ID: decision.Request, OK: err == nil, Tokens: g.tokens}
 	if err == nil {
 		load := done.Load
@@ -111,7 +114,7 @@
 	case errors.As(err, &refused):
 		ended.Refused = true
 	case errors.As(err, &broken):
-		ended.Broken = ctx.Err() == nil
+		ended.Broken = !aborted
 		g.dispatched = g.dispatched || broken.Sent
 	}
 	s.apply(ended)
@@ -187,6 +190,20 @@
 	}
 }
 
+// beginAttempt lets the core abort the attempt.
+func (s *Service) beginAttempt(ctx context.Context, id model.RequestID) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	s.aborts[id] = cancel
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		delete(s.aborts, id)
+		s.mu.Unlock()
+		cancel()
+	}
+}
+
 func (s *Service) cancelStream(address string, stream model.StreamID) {
 	s.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -35,6 +35,8 @@
 	core *jujubecore.Core
 	// waiters holds a channel for each request that waits for a RouteDecided. Guarded by mu.
 	waiters map[model.RequestID]chan jujuberouter.Decision
+	// aborts holds a cancel function for each running attempt that may be repeated. Guarded by mu.
+	aborts  map[model.RequestID]context.CancelFunc
 	streams *streamTable
 	// wake is closed and replaced whenever a pull may find new groups. Guarded by mu.
 	wake chan struct{}
@@ -76,6 +78,7 @@
 		logs:    logs,
 		peers:   newPeerPool(),
 		waiters: make(map[model.RequestID]chan jujuberouter.Decision),
+		aborts:  make(map[model.RequestID]context.CancelFunc),
 		streams: newStreamTable(), answers: newAnswerTable(), wake: make(chan struct{}),
 		single: newSingleClient(), recent: newRecentRequests(),
 	}
