jujuberouter: leave a wider margin when queueing

Cause: recovery from overload was tested with one random sequence, where it took 8 s. With six others it took 8 to 14 s, so the target of 10 s wasn't met.

Ruled out: a margin of up to three quarters of the time until the deadline.

Conclusion: the test covers all seven sequences. The test of requests that are held back by a trainer's limit has later deadlines, as its third request is now refused on arrival. Caller limits and the watched subset get tests.

--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -119,12 +119,13 @@
 	return time.Duration((max(0, p.hold-p.service) + seconds/2) * float64(time.Second))
 }
 
-// margin is the time that has to be left for a request when its turn comes, for it to be queued at all: an average run
-// and another service time for those that are longer, but at most half of the time until the deadline. Without it a queue
-// under overload settles where each request starts just before its deadline and is cut off.
+// margin is the time that has to be left for a request when its turn comes, for it to be queued at all: a run of three
+// and a half mean service times, but at most two thirds of the time until the deadline. Lengths are heavy-tailed, so with
+// a run of two means and half of the time, the queue that an overload left behind still made one request in twenty miss
+// its deadline 14 s later.
 func (p *pool) margin(now time.Time, request *Request) time.Duration {
-	margin := p.runTime(request) + time.Duration(1.5*p.service*float64(time.Second))
-	return min(margin, request.Deadline.Sub(now)/2)
+	margin := p.runTime(request) + time.Duration(3*p.service*float64(time.Second))
+	return min(margin, request.Deadline.Sub(now)*2/3)
 }
 
 // weightOfOne is the weight of one request in the averages: about the last twenty count, as lengths vary too much for
--- a/core/services/jujuberouter/router_test.go
+++ b/core/services/jujuberouter/router_test.go
@@ -181,17 +181,57 @@
 	r.SetLimits(model.Limits{Trainers: map[model.TrainerID]model.TrainerLimits{"a": {MaxInFlight: 1}}})
 	for i := range 3 {
 		request := ask(i, model.PriorityTrainer, "a")
-		request.Deadline = start.Add(10 * time.Second)
+		request.Deadline = start.Add(20 * time.Second)
 		r.Route(start, request)
 	}
 	assert.Equal(t, r.QueueLength(), 2)
 	assert.Equal(t, len(r.Tick(start.Add(time.Second))), 0)
-	early := r.Tick(start.Add(8 * time.Second)) // the second in the queue has no time left for its turn and run
+	early := r.Tick(start.Add(18 * time.Second)) // the second in the queue has no time left for its turn and run
 	assert.Equal(t, len(early), 1)
 	assert.Equal(t, early[0].Request, model.RequestID("2"))
 	assert.Equal(t, early[0].Code, jujubeerror.CodeOverloaded)
-	late := r.Tick(start.Add(10 * time.Second))
+	late := r.Tick(start.Add(20 * time.Second))
 	assert.Equal(t, len(late), 1)
 	assert.Equal(t, late[0].Code, jujubeerror.CodeDeadline)
 	assert.Equal(t, r.QueueLength(), 0)
 }
+
+// Guards against callers above their part of a limit.
+func TestCallerLimits(t *testing.T) {
+	r := newRouter(1, 0)
+	r.SetMembers(2, 0)
+	r.SetLimits(model.Limits{Callers: map[model.CallerID]model.CallerLimits{
+		"rate": {RequestsPerSecond: 20}, "flight": {MaxInFlight: 10},
+	}})
+	for caller, dispatched := range map[model.CallerID][]int{"rate": {10, 10}, "flight": {5, 0}} {
+		for second, want := range dispatched {
+			for n := range 15 {
+				request := ask(n, model.PriorityInteractive, "")
+				request.ID += model.RequestID(fmt.Sprint(caller, second))
+				request.Caller = caller
+				decision := r.Route(start.Add(time.Duration(second)*time.Second), request)
+				assert.Equal(t, decision.Kind == router.Dispatch, n < want, "%+v", decision)
+			}
+		}
+	}
+}
+
+// Guards against instances that watch too many endpoints, all the same ones, or ones that are leaving.
+func TestWatchedSubset(t *testing.T) {
+	watched := map[model.EndpointID]int{}
+	for i := range 20 {
+		r := router.New(router.Random{}, router.Settings{Instance: model.InstanceID(fmt.Sprint(i))}, rand.New(rand.NewSource(1)))
+		for e := range 100 {
+			r.PutEndpoint(start, model.Endpoint{ID: model.EndpointID(fmt.Sprint(e)), Kind: model.KindEngine, Model: "m"})
+		}
+		r.MarkLeaving(start, "7")
+		assert.Equal(t, r.Queues()[0].Watched, 24)
+		for _, row := range r.Endpoints(start) {
+			if row.Watched {
+				watched[row.Endpoint.ID]++
+			}
+		}
+	}
+	assert.Equal(t, watched["7"], 0)
+	assert.Assert(t, len(watched) > 90, "%d of 100 endpoints are watched by one of 20 instances", len(watched))
+}
--- a/core/services/jujuberouter/sim_test.go
+++ b/core/services/jujuberouter/sim_test.go
@@ -87,9 +87,9 @@
 	heap.Push(&s.events, simEvent{at: s.now.Add(d), seq: s.seq, do: do})
 }
 
-func newSim[P router.Policy](policy func() P, uneven bool) *sim[P] {
+func newSim[P router.Policy](policy func() P, uneven bool, seed int64) *sim[P] {
 	s := &sim[P]{
-		now: time.Unix(1000, 0), random: rand.New(rand.NewSource(7)), uneven: uneven,
+		now: time.Unix(1000, 0), random: rand.New(rand.NewSource(seed)), uneven: uneven,
 		requests: map[model.RequestID]*simRequest{}, servers: make([]simServer, simServers),
 	}
 	for e := range s.servers {
@@ -228,7 +228,7 @@
 type simFigures struct{ p50, p99, depth float64 }
 
 func compare[P router.Policy](t *testing.T, uneven bool, policy func() P) simFigures {
-	s := newSim(policy, uneven)
+	s := newSim(policy, uneven, 7)
 	s.run(3*time.Minute, func(time.Duration) float64 { return 0.85 * simCapacity })
 	figures := simFigures{p50: quantile(s.waits, 0.5), p99: quantile(s.waits, 0.99), depth: quantile(s.depths, 0.99)}
 	t.Logf("uneven %-5v %-18s p50 wait %.3f s, p99 wait %.3f s, p99 queue depth %.0f, mean latency %.3f s, refused %d of %d",
@@ -256,26 +256,29 @@
 
 // Guards against a queue that stays full of requests that miss their deadline after an overload.
 func TestRecoveryFromOverload(t *testing.T) {
-	s := newSim(func() router.LeastExpectedWait { return router.LeastExpectedWait{} }, false)
-	s.run(95*time.Second, func(at time.Duration) float64 {
-		if at >= 20*time.Second && at < 50*time.Second {
-			return 2 * simCapacity
+	for seed := int64(1); seed <= 7; seed++ {
+		s := newSim(func() router.LeastExpectedWait { return router.LeastExpectedWait{} }, false, seed)
+		s.run(95*time.Second, func(at time.Duration) float64 {
+			if at >= 20*time.Second && at < 50*time.Second {
+				return 2 * simCapacity
+			}
+			return 0.7 * simCapacity
+		})
+		offered, good := make([]float64, 95), make([]float64, 95)
+		for _, request := range s.all {
+			second := int(request.arrived.Sub(time.Unix(1000, 0)).Seconds())
+			offered[second]++
+			if request.completed {
+				good[second]++
+			}
 		}
-		return 0.7 * simCapacity
-	})
-	offered, good := make([]float64, 95), make([]float64, 95)
-	for _, request := range s.all {
-		second := int(request.arrived.Sub(time.Unix(1000, 0)).Seconds())
-		offered[second]++
-		if request.completed {
-			good[second]++
+		recovered := 80
+		for recovered > 50 && good[recovered-1] >= 0.95*offered[recovered-1] {
+			recovered--
 		}
+		t.Logf("seed %d: during overload %.0f of %.0f requests/s complete in time; back to 95%% after %d s",
+			seed, mean(good[25:50]), mean(offered[25:50]), recovered-50)
+		assert.Check(t, recovered-50 <= 10, "goodput is back after %d s", recovered-50)
+		assert.Check(t, mean(good[25:50]) > simCapacity, "goodput during the overload")
 	}
-	recovered := 80
-	for recovered > 50 && good[recovered-1] >= 0.95*offered[recovered-1] {
-		recovered--
-	}
-	t.Logf("during overload %.0f of %.0f requests/s complete in time; back to 95%% after %d s", mean(good[25:50]), mean(offered[25:50]), recovered-50)
-	assert.Assert(t, recovered-50 <= 10, "goodput is back after %d s", recovered-50)
-	assert.Assert(t, mean(good[25:50]) > 0.8*simCapacity, "goodput during the overload")
 }
