jujubeslope: measure what an instance spends at several sizes

Cause: docs/CAPACITY.md has to work out the target size of 370 instances and 600 endpoints from measurements, and no command made any. "jujubeload slopes" measures decisions, memory, rollouts, membership, connections, tokens, and the control traffic of 8 to 64 real instances, and fits a least-squares line through at least four sizes for each. The peer pool counts its bytes, which are also metrics.

Ruled out: separate processes, whose processor time would need no subtraction, because a program may not start others; the cost of a request is therefore the difference to the same request sent to the engine directly.

--- a/entry/services/jujubeentry/metrics.go
+++ b/entry/services/jujubeentry/metrics.go
@@ -27,6 +27,9 @@
 		}
 		return 0
 	})
+	set.NewGauge("jujube_peer_calls_total", func() float64 { return float64(s.PeerTraffic().Calls) })
+	set.NewGauge("jujube_peer_sent_bytes_total", func() float64 { return float64(s.PeerTraffic().Sent) })
+	set.NewGauge("jujube_peer_received_bytes_total", func() float64 { return float64(s.PeerTraffic().Received) })
 	return &Metrics{
 		set:       set,
 		generated: set.NewCounter("jujube_tokens_received_total"),
--- a/entry/services/jujubeentry/peers.go
+++ b/entry/services/jujubeentry/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +49,39 @@
 type peerPool struct {
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
+	// The counters are those of PeerTraffic.
+	calls, sent, received atomic.Int64
+}
+
+// PeerTraffic counts what this instance's calls to others have cost.
+type PeerTraffic struct {
+	Calls int64
+	// Sent and Received are bytes within TCP.
+	Sent     int64
+	Received int64
+}
+
+// PeerTraffic returns the counters since the start.
+func (s *Service) PeerTraffic() PeerTraffic {
+	return PeerTraffic{Calls: s.peers.calls.Load(), Sent: s.peers.sent.Load(), Received: s.peers.received.Load()}
+}
+
+// countedConnection adds the bytes of a connection to the pool's counters.
+type countedConnection struct {
+	net.Conn
+	pool *peerPool
+}
+
+func (c countedConnection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.pool.received.Add(int64(n))
+	return n, err
+}
+
+func (c countedConnection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.pool.sent.Add(int64(n))
+	return n, err
 }
 
 func newPeerPool() *peerPool { return &peerPool{clients: make(map[string]*rpc.Client)} }
@@ -57,6 +91,7 @@
 	if err != nil {
 		return err
 	}
+	p.calls.Add(1)
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case done := <-call.Done:
@@ -79,10 +114,11 @@
 	if known {
 		return client, nil
 	}
-	client, err := dialPeer(ctx, address)
+	connection, err := dialPeer(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	client = rpc.NewClient(countedConnection{Conn: connection, pool: p})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if kept, known := p.clients[address]; known {
@@ -93,22 +129,23 @@
 	return client, nil
 }
 
-func dialPeer(ctx context.Context, address string) (*rpc.Client, error) {
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: peerTimeout}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to peer")
 	}
-	return rpc.NewClient(connection), nil
+	return connection, nil
 }
 
 // callAlone makes a call on a connection of its own: a long call must not end because a short one on the same connection
 // timed out.
 func callAlone(ctx context.Context, address, method string, args, reply any) error {
-	client, err := dialPeer(ctx, address)
+	connection, err := dialPeer(ctx, address)
 	if err != nil {
 		return err
 	}
+	client := rpc.NewClient(connection)
 	defer func() { _ = client.Close() }()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
--- /dev/null
+++ b/load/services/jujubeslope/core.go
@@ -0,0 +1,124 @@
+package jujubeslope
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubecore"
+)
+
+// What the service has to reach, from section 1 of docs/design.md.
+const (
+	targetInstances = 370
+	targetEndpoints = 600
+	// The requests in flight of one instance: 4 trainers' steps of 4,096 samples.
+	targetInFlight = 4 * 4096 / targetInstances
+	// An instance can hold a whole part of a step when few others are alive.
+	targetSamples = 4096
+	targetKeys    = 65536
+)
+
+var (
+	instanceAxis = axis{"instances", targetInstances}
+	memberAxis   = axis{"members", targetInstances}
+	endpointAxis = axis{"endpoints", targetEndpoints}
+	inFlightAxis = axis{"requests in flight", targetInFlight}
+	sampleAxis   = axis{"samples held", targetSamples}
+	keyAxis      = axis{"idempotency keys", targetKeys}
+	chunkAxis    = axis{"tokens in a chunk", 8}
+)
+
+const (
+	modelName   = model.ModelName("m")
+	trainerName = model.TrainerID("t")
+	// Document allows more than any study uses.
+	Document = `Models:
+  m:
+    Engines: 600
+    MaxInFlightPerEndpoint: 100000
+    MaxSwapping: 136
+    MinServing: 300
+    SwapTimeout: 30s
+Services: {}
+Trainers:
+  t:
+    Model: m
+    Share: 100%
+    StalenessBound: 1
+    MaxInFlight: 1000000
+    StepDeadline: 5m
+Callers: {}
+`
+)
+
+// start is the begin of virtual time.
+var start = time.Unix(1_800_000_000, 0)
+
+func newMember(i int) model.Member {
+	return model.Member{
+		ID: model.InstanceID(fmt.Sprintf("entry-%03d", i)), Incarnation: model.Incarnation(start.UnixMilli()),
+		DataCentre: dataCentre(i), PeerAddress: fmt.Sprintf("10.0.%d.%d:7001", i/200, i%200),
+		CallerAddress: fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200), State: model.MemberAlive,
+	}
+}
+
+func newMembers(count int) []model.Member {
+	members := make([]model.Member, 0, count)
+	for i := range count {
+		members = append(members, newMember(i))
+	}
+	return members
+}
+
+// dataCentre spreads rows over the 8 data centres of the target.
+func dataCentre(i int) model.DataCentre { return model.DataCentre(fmt.Sprintf("dc-%d", i%8)) }
+
+func newEndpoints(count int) []model.Endpoint {
+	endpoints := make([]model.Endpoint, 0, count)
+	for i := range count {
+		endpoints = append(endpoints, model.Endpoint{
+			ID: model.EndpointID(fmt.Sprintf("engine-%03d", i)), Kind: model.KindEngine, DataCentre: dataCentre(i),
+			Address: fmt.Sprintf("10.1.%d.%d:8000", i/200, i%200), Incarnation: 1, Model: modelName,
+		})
+	}
+	return endpoints
+}
+
+func newLoad(endpoint model.Endpoint, at time.Time) model.LoadReport {
+	return model.LoadReport{
+		Endpoint: endpoint.ID, Incarnation: endpoint.Incarnation, At: at, Running: 3, Slots: 64, TokensPerSecond: 60,
+		Model: endpoint.Model, Version: 1, Target: 1,
+	}
+}
+
+// newCore returns the core of the first of some members, with the endpoints' first reports and a configuration.
+func newCore(members, endpoints int) (*jujubecore.Core, func(), error) {
+	core, clean, err := jujubecore.New(jujubecore.DefaultOptions(newMember(0)))
+	if err != nil {
+		return nil, nil, err
+	}
+	list := model.InstanceList{Endpoints: newEndpoints(endpoints), Entries: newMembers(members)}
+	core.Apply(start, jujubecore.InstancesListed{List: list})
+	record := model.ConfigRecord{Change: &model.ConfigChange{ID: "first", Document: Document, Author: "slopes"}}
+	core.Apply(start, jujubecore.ConfigRead{Read: newRead(record)})
+	if !core.IsReady() {
+		return nil, nil, errors.New("the document is not usable")
+	}
+	for _, endpoint := range list.Endpoints {
+		core.Apply(start, jujubecore.LoadReported{Report: newLoad(endpoint, start)})
+	}
+	core.Tick(start)
+	return core, clean, nil
+}
+
+func newRequest(i int, now time.Time) jujubecore.RequestArrived {
+	prompt := fmt.Sprintf("a prompt with the number %d", i)
+	return jujubecore.RequestArrived{
+		ID: model.RequestID(fmt.Sprintf("caller/request-%d", i)), Kind: model.KindEngine, Model: modelName, Caller: "caller",
+		Priority: model.PriorityInteractive, Deadline: now.Add(time.Hour), Prefix: model.HashPrefix(prompt), Tokens: 256,
+		Fingerprint: model.NewFingerprint("generate", string(modelName), prompt),
+	}
+}
