jujubemember: build the list of live members once per change

Cause: each tick copied the members' table about five times, walked it for the rank, and passed every incarnation on, 20 times a second.

Ruled out: ticking less often, because queued requests and probes rely on 50 ms.

--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -103,8 +103,11 @@
 	leading   bool
 	fence     int64
 	listed    int
-	leaving   bool
-	random    *rand.Rand
+	// refreshedAt and refreshedFor are Members.Changes and listed when the members were last passed to the other tables.
+	refreshedAt  int64
+	refreshedFor int
+	leaving      bool
+	random       *rand.Rand
 }
 
 // New returns a Core and its clean-up function, which drops the tables.
--- a/core/services/jujubecore/members.go
+++ b/core/services/jujubecore/members.go
@@ -1,7 +1,9 @@
 package jujubecore
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -75,6 +77,10 @@
 // refreshMembers divides the limits by the instances alive or listed, whichever are more: when half of the instances
 // can't see the other half, each half still keeps to its share.
 func (c *Core) refreshMembers() []Action {
+	if c.members.Changes() == c.refreshedAt && c.listed == c.refreshedFor {
+		return nil
+	}
+	c.refreshedAt, c.refreshedFor = c.members.Changes(), c.listed
 	live := c.members.Live()
 	for _, member := range live {
 		c.claims.SetIncarnation(member.ID, member.Incarnation)
@@ -85,12 +91,10 @@
 
 // rank is the place of this instance among the live ones in the order of their ids.
 func (c *Core) rank() int {
-	for i, member := range c.members.Live() {
-		if member.ID == c.self.ID {
-			return i
-		}
-	}
-	return 0
+	at, _ := slices.BinarySearchFunc(c.members.Live(), c.self.ID, func(member model.Member, id model.InstanceID) int {
+		return cmp.Compare(member.ID, id)
+	})
+	return at
 }
 
 func (c *Core) applyRumours(now time.Time, news []model.Rumour) []Action {
--- a/core/services/jujubemember/member.go
+++ b/core/services/jujubemember/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -26,6 +27,10 @@
 	suspects *jujubetable.Table[model.InstanceID, time.Time]
 	// targets are the peers that aren't dead, sorted; nil after a change.
 	targets []model.InstanceID
+	// live is the answer of Live; nil after a change. It is replaced and never written to, so that callers may keep it.
+	live []model.Member
+	// changes counts the changes of peers.
+	changes int64
 	// ring is the rest of the current round of probes.
 	ring    []model.InstanceID
 	pending *jujubetable.Table[model.InstanceID, probe]
@@ -83,15 +88,33 @@
 	}
 }
 
-// Live returns the members that aren't dead, in the order of their ids.
+// Live returns the members that aren't dead, in the order of their ids. The caller must not change the slice: it is
+// built once after each change, because several systems read it in each tick.
 func (m *Members) Live() []model.Member {
-	live := make([]model.Member, 0, m.peers.Len())
-	for id, member := range m.peers.All() {
-		if id == m.self.ID || member.State != model.MemberDead {
-			live = append(live, member)
+	if m.live == nil {
+		live := make([]model.Member, 0, m.peers.Len())
+		for id, member := range m.peers.All() {
+			if id == m.self.ID || member.State != model.MemberDead {
+				live = append(live, member)
+			}
 		}
+		m.live = slices.Clip(live)
 	}
-	return live
+	return m.live
+}
+
+// Changes grows with each change of what Live and Known return.
+func (m *Members) Changes() int64 { return m.changes }
+
+// putPeer sets the row of a member.
+func (m *Members) putPeer(member model.Member) {
+	m.peers.Put(member.ID, member)
+	m.changed()
+}
+
+func (m *Members) changed() {
+	m.targets, m.live = nil, nil
+	m.changes++
 }
 
 // Known returns every known member with its state, in the order of their ids.
@@ -132,7 +155,7 @@
 func (m *Members) publishSelf(now time.Time) {
 	rumour := newMemberRumour(m.self, m.own)
 	m.self.State, m.self.Refutation = m.own.state(), m.own.refutation
-	m.peers.Put(m.self.ID, m.self)
+	m.putPeer(m.self)
 	m.byAddress[m.self.PeerAddress] = m.self.ID
 	m.hot = append(m.hot, m.table.put(now, rumour, false, m.settings.Forwards))
 }
@@ -177,8 +200,7 @@
 	if e := m.table.put(now, rumour, dead, forwards); forwards > 0 {
 		m.hot = append(m.hot, e)
 	}
-	m.peers.Put(member.ID, member)
-	m.targets = nil
+	m.putPeer(member)
 	if parseStanding(rumour.Version).rank == rankSuspect {
 		m.suspects.Put(member.ID, now.Add(m.settings.SuspectFor))
 	} else {
