jujubecore: read the configuration from instances that follow the log

Cause: an instance that hears of a revision asked any other instance for it. With 370 instances, of which 19 follow the log, most of those don't have it either, and the next read is half a second later.

Ruled out: following the log everywhere, which multiplies its reads by 19; and a shorter pause, which multiplies the failed reads.

One pick in four is still of all instances, in case no follower answers.

--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -1,6 +1,7 @@
 package jujubecore
 
 import (
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -60,12 +61,13 @@
 	return c.wanted > c.applied || c.applied == 0
 }
 
+// anyPeer picks another instance to read the configuration from: mostly one that follows the log, since the others only
+// have it from one of those. One pick in four is of all instances, for when the followers can't be reached.
 func (c *Core) anyPeer() (model.Member, bool) {
-	var peers []model.Member
-	for _, member := range c.members.Live() {
-		if member.ID != c.self.ID {
-			peers = append(peers, member)
-		}
+	isSelf := func(member model.Member) bool { return member.ID == c.self.ID }
+	peers := slices.DeleteFunc(slices.Clone(c.followers()), isSelf)
+	if len(peers) == 0 || c.random.Intn(4) == 0 {
+		peers = slices.DeleteFunc(slices.Clone(c.members.Live()), isSelf)
 	}
 	if len(peers) == 0 {
 		return model.Member{}, false
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -1,6 +1,7 @@
 package jujubecore
 
 import (
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -29,27 +30,34 @@
 // FreezeKeys ends the running of non-idempotent requests and returns the outcomes for a successor.
 func (c *Core) FreezeKeys(now time.Time) []jujubeclaim.Entry { return c.claims.Freeze(now) }
 
-// IsFollowing tells whether this instance reads the log continuously: all do while they are few, and otherwise two in
-// each data centre, so that the reads of the log don't grow with the instances.
-func (c *Core) IsFollowing() bool {
-	const (
-		followAll      = 16
-		followersPerDC = 2
-	)
+const (
+	// followAll is the number of instances up to which all follow the log.
+	followAll = 16
+	// followersPerDC are enough that one is left in each data centre when another restarts.
+	followersPerDC = 2
+)
+
+// followers returns the instances that read the log continuously: all while they are few, and otherwise two in each data
+// centre and the candidates for the lease, so that the reads of the log don't grow with the instances.
+func (c *Core) followers() []model.Member {
 	live := c.members.Live()
-	if len(live) <= followAll || c.rank() < leaseCandidates {
-		return true
+	if len(live) <= followAll {
+		return live
 	}
-	before := 0
-	for _, member := range live {
-		if member.ID == c.self.ID {
-			break
-		}
-		if member.DataCentre == c.self.DataCentre {
-			before++
+	var followers []model.Member
+	counts := make(map[model.DataCentre]int)
+	for rank, member := range live {
+		if rank < leaseCandidates || counts[member.DataCentre] < followersPerDC {
+			followers = append(followers, member)
 		}
+		counts[member.DataCentre]++
 	}
-	return before < followersPerDC
+	return followers
+}
+
+// IsFollowing tells whether this instance reads the log continuously.
+func (c *Core) IsFollowing() bool {
+	return slices.ContainsFunc(c.followers(), func(member model.Member) bool { return member.ID == c.self.ID })
 }
 
 // PolledEndpoints returns the endpoints whose load this instance reads: the watched ones, and all while this instance
