jujuberouter: watch more endpoints when the own shares are small

Cause: an instance watches at most 24 endpoints of a model. With a limit L of an endpoint below the number of instances, each of its shares is one, so that an instance could run at most 24 requests, and 370 instances 8,880, however many the document allows.

Ruled out: dividing a limit among only those instances that watch an endpoint. It uses the limit up as well, but changes which instances hold a share with each new member, and every instance must know the others' choices.

Before and after, 370 instances, 600 endpoints, L = 32, mean over 37 ranks: 24.0 of an instance's 51.9 shares can be used, and now more than 90% of them (TestSmallSharesAreUsed, which fails without the change). At most 96 endpoints are watched.

Conclusion: the document's limits, not the number of instances, bound the requests in flight.

--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -90,7 +90,7 @@
 		}
 		return cmp.Or(cmp.Compare(b.rendezvous, a.rendezvous), cmp.Compare(a.endpoint.ID, b.endpoint.ID))
 	})
-	p.watched = open[:min(len(open), r.settings.Watch)]
+	p.watched = open[:r.countWatched(open)]
 	slices.SortFunc(p.watched, func(a, b *row) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
 	p.scale, p.capacity = 1, 0
 	if total > 0 {
@@ -106,6 +106,23 @@
 	}
 }
 
+// countWatched returns how many of the endpoints, those with a share first, are watched. Many instances hold a share of
+// one on few endpoints each; with only Watch of these, the other shares of the same instance would never be used.
+func (r *Router[P]) countWatched(open []*row) int {
+	capacity := 0
+	for i, e := range open {
+		if i >= r.settings.Watch && (!e.limited || e.share == 0 || capacity >= minSharesPerWatch*r.settings.Watch) {
+			return i
+		}
+		capacity += e.share
+	}
+	return len(open)
+}
+
+// minSharesPerWatch is the number of own requests that the watched endpoints can hold at once, for each of Watch: 96,
+// twice the streams of an instance at the target size.
+const minSharesPerWatch = 4
+
 // drainRate is how many waiting requests leave the queue in a second (Little's law).
 func (p *pool) drainRate() float64 { return float64(max(p.capacity, p.inFlight, 1)) / p.hold }
 
--- a/core/services/jujuberouter/router_test.go
+++ b/core/services/jujuberouter/router_test.go
@@ -235,3 +235,29 @@
 	assert.Equal(t, watched["7"], 0)
 	assert.Assert(t, len(watched) > 90, "%d of 100 endpoints are watched by one of 20 instances", len(watched))
 }
+
+// Guards against limits that can't be used up when there are more instances than a limit has shares: each instance then
+// holds single shares of more endpoints than it would otherwise watch.
+func TestSmallSharesAreUsed(t *testing.T) {
+	const live, endpoints, limit = 370, 600, 32
+	usable, instances := 0, 0
+	for rank := 0; rank < live; rank += 10 {
+		instances++
+		r := router.New(router.Random{}, router.Settings{Instance: model.InstanceID(fmt.Sprint(rank))}, rand.New(rand.NewSource(1)))
+		r.SetLimits(model.Limits{Models: map[model.ModelName]model.ModelLimits{"m": {MaxInFlightPerEndpoint: limit}}})
+		r.SetMembers(live, rank)
+		for e := range endpoints {
+			r.PutEndpoint(start, model.Endpoint{ID: model.EndpointID(fmt.Sprint(e)), Kind: model.KindEngine, Model: "m"})
+		}
+		watched := 0
+		for _, row := range r.Endpoints(start) {
+			if row.Watched {
+				watched++
+				usable += row.Share
+			}
+		}
+		assert.Assert(t, watched <= 96, "%d endpoints are watched", watched)
+	}
+	each, whole := float64(usable)/float64(instances), float64(limit*endpoints)/live
+	assert.Assert(t, each > 0.9*whole, "%.1f of %.1f shares of an instance are usable", each, whole)
+}
