jujubeslope: add rollouts by instances, configuration and calls of peers

Cause: a rollout's time was measured in the decision package only, with reports each 500 ms, which a leader among many instances doesn't get. The time until a configuration is in force was measured up to 64 instances, where few read it from a peer that doesn't have it. Lines through 8 to 64 instances crossed the change of the periods at 16 instances and predicted negative values.

--- a/load/services/jujubeslope/core.go
+++ b/load/services/jujubeslope/core.go
@@ -22,7 +22,6 @@
 )
 
 var (
-	instanceAxis = axis{"instances", targetInstances}
 	memberAxis   = axis{"members", targetInstances}
 	endpointAxis = axis{"endpoints", targetEndpoints}
 	inFlightAxis = axis{"requests in flight", targetInFlight}
@@ -34,25 +33,28 @@
 const (
 	modelName   = model.ModelName("m")
 	trainerName = model.TrainerID("t")
-	// Document allows more than any study uses.
-	Document = `Models:
+)
+
+// Document returns an environment document that allows more than any study uses, and a rollout to a number of engines.
+func Document(engines int) string {
+	return fmt.Sprintf(`Models:
   m:
-    Engines: 600
+    Engines: %d
     MaxInFlightPerEndpoint: 100000
-    MaxSwapping: 136
-    MinServing: 300
+    MaxSwapping: %d
+    MinServing: %d
     SwapTimeout: 30s
 Services: {}
 Trainers:
   t:
     Model: m
-    Share: 100%
+    Share: 100%%
     StalenessBound: 1
     MaxInFlight: 1000000
     StepDeadline: 5m
 Callers: {}
-`
-)
+`, engines, maxSwapping(engines), engines/2)
+}
 
 // start is the begin of virtual time.
 var start = time.Unix(1_800_000_000, 0)
@@ -102,7 +104,7 @@
 	}
 	list := model.InstanceList{Endpoints: newEndpoints(endpoints), Entries: newMembers(members)}
 	core.Apply(start, jujubecore.InstancesListed{List: list})
-	record := model.ConfigRecord{Change: &model.ConfigChange{ID: "first", Document: Document, Author: "slopes"}}
+	record := model.ConfigRecord{Change: &model.ConfigChange{ID: "first", Document: Document(max(1, endpoints)), Author: "slopes"}}
 	core.Apply(start, jujubecore.ConfigRead{Read: newRead(record)})
 	if !core.IsReady() {
 		return nil, nil, errors.New("the document is not usable")
--- a/load/services/jujubeslope/fit_test.go
+++ b/load/services/jujubeslope/fit_test.go
@@ -39,7 +39,7 @@
 
 // Guards against a study that ends with an error or without points, and against a report without a JSON form.
 func TestSmallStudies(t *testing.T) {
-	_, err := jujubedocument.Parse("slopes", []byte(jujubeslope.Document))
+	_, err := jujubedocument.Parse("slopes", []byte(jujubeslope.Document(600)))
 	assert.NilError(t, err)
 	report, err := jujubeslope.Run(context.Background(), map[string]bool{"rollout": true, "connections": true, "memory": true})
 	assert.NilError(t, err)
--- a/load/services/jujubeslope/instances.go
+++ b/load/services/jujubeslope/instances.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	model "jujubepier.example/core/models/jujubemodel"
 )
 
 // traffic is what all instances of a site have spent so far.
@@ -66,10 +68,19 @@
 	})
 }
 
-// studyInstances runs real instances with 10 endpoints.
+func instanceAxis(count int) axis {
+	const fewInstances = 16
+	if count <= fewInstances {
+		return axis{"instances, up to 16", fewInstances}
+	}
+	return axis{"instances, above 16", targetInstances}
+}
+
+// studyInstances runs real instances with 10 endpoints. Some periods change above 16 instances, so that a line holds on
+// either side only.
 func studyInstances(ctx context.Context, report *Report) error {
 	const endpoints = 10
-	for _, count := range []int{8, 16, 32, 64} {
+	for _, count := range []int{4, 8, 12, 16, 24, 32, 48, 64} {
 		before := memoryInUse()
 		s, err := startSite(ctx, count, endpoints)
 		if err != nil {
@@ -85,10 +96,10 @@
 }
 
 func (s *site) studyOne(ctx context.Context, report *Report, count int, before float64) error {
-	if err := s.idle(ctx, report, instanceAxis, count); err != nil {
+	if err := s.idle(ctx, report, instanceAxis(count), count); err != nil {
 		return err
 	}
-	report.add(instanceAxis, count, "memory of an instance, platform included", "MB", (memoryInUse()-before)/1e6/float64(count))
+	report.add(instanceAxis(count), count, "memory of an instance, platform included", "MB", (memoryInUse()-before)/1e6/float64(count))
 	if err := report.steady(func() error { return s.change(ctx, report, count) }); err != nil {
 		return err
 	}
@@ -115,13 +126,13 @@
 		}
 		return true
 	}
-	if err := s.wait(ctx, time.Minute, inForce); err != nil {
+	if err := s.wait(ctx, "configuration in force", time.Minute, inForce); err != nil {
 		return err
 	}
 	after := s.traffic()
-	report.add(instanceAxis, count, "configuration: append until in force everywhere", "s", last.Sub(begin).Seconds())
-	report.add(instanceAxis, count, "configuration: log requests meanwhile", "requests", float64(after.logRequests-before.logRequests))
-	report.add(instanceAxis, count, "configuration: bytes to and from the log", "B", float64(after.logBytes-before.logBytes))
+	report.add(instanceAxis(count), count, "configuration: append until in force everywhere", "s", last.Sub(begin).Seconds())
+	report.add(instanceAxis(count), count, "configuration: log requests meanwhile", "requests", float64(after.logRequests-before.logRequests))
+	report.add(instanceAxis(count), count, "configuration: bytes to and from the log", "B", float64(after.logBytes-before.logBytes))
 	return nil
 }
 
@@ -135,8 +146,8 @@
 		return err
 	}
 	wait := func(name string, done func() bool) error {
-		err := s.wait(ctx, time.Minute, done)
-		report.add(instanceAxis, count, "restart until "+name, "s", time.Since(begin).Seconds())
+		err := s.wait(ctx, "restart until "+name, time.Minute, done)
+		report.add(instanceAxis(count), count, "restart until "+name, "s", time.Since(begin).Seconds())
 		return err
 	}
 	if err := wait("ready", func() bool { return s.entries[last].Service.IsReady() }); err != nil {
@@ -146,8 +157,8 @@
 		return err
 	}
 	after := s.traffic()
-	report.add(instanceAxis, count, "restart: log requests of all instances meanwhile", "requests", float64(after.logRequests-before.logRequests))
-	report.add(instanceAxis, count, "restart: list requests of all instances meanwhile", "requests", float64(after.listRequests-before.listRequests))
+	report.add(instanceAxis(count), count, "restart: log requests of all instances meanwhile", "requests", float64(after.logRequests-before.logRequests))
+	report.add(instanceAxis(count), count, "restart: list requests of all instances meanwhile", "requests", float64(after.listRequests-before.listRequests))
 	return wait("each watched endpoint has reported", func() bool { return s.isLoaded(last) })
 }
 
@@ -160,6 +171,9 @@
 			return err
 		}
 		err = s.idle(ctx, report, endpointAxis, count)
+		if err == nil {
+			err = report.steady(func() error { return s.rollOut(ctx, report, count) })
+		}
 		s.close()
 		if err != nil {
 			return err
@@ -167,3 +181,23 @@
 	}
 	return nil
 }
+
+// rollOut announces a new version and measures the rollout and the reads of all instances meanwhile.
+func (s *site) rollOut(ctx context.Context, report *Report, count int) error {
+	const most = 45 * time.Second
+	before, begin := s.traffic(), time.Now()
+	version := s.engines.report(0).Version + 1
+	announced := model.WeightsAnnounced{Trainer: trainerName, Model: modelName, Version: version}
+	if err := s.entries[0].Service.AnnounceWeights(announced); err != nil {
+		return err
+	}
+	// A rollout that takes longer counts with what it has done.
+	_ = s.wait(ctx, "rollout", most, func() bool { return s.engines.countAt(version) == count })
+	took, after := time.Since(begin), s.traffic()
+	report.add(endpointAxis, count, "rollout by 32 instances, at most 45 s", "s", took.Seconds())
+	report.add(endpointAxis, count, "rollout by 32 instances, engines done", "engines", float64(s.engines.countAt(version)))
+	report.add(endpointAxis, count, "rollout by 32 instances, reads of all", "1/s", float64(after.readRequests-before.readRequests)/took.Seconds())
+	report.add(endpointAxis, count, "rollout by 32 instances, bytes of the reads", "B/s", float64(after.readBytes-before.readBytes)/took.Seconds())
+	report.add(endpointAxis, count, "rollout by 32 instances, processor time of all", "% of a core", 100*(after.processor-before.processor).Seconds()/took.Seconds())
+	return ctx.Err()
+}
--- a/load/services/jujubeslope/members.go
+++ b/load/services/jujubeslope/members.go
@@ -40,6 +40,8 @@
 	byID     map[model.InstanceID]*jujubecore.Core
 	messages int
 	bytes    int
+	// fetches counts the reads of a peer's configuration.
+	fetches int
 }
 
 func newNetwork(count, endpoints int) (*network, error) {
@@ -73,6 +75,13 @@
 
 func (n *network) act(from *jujubecore.Core, actions []jujubecore.Action) {
 	for _, action := range actions {
+		if fetch, ok := action.(jujubecore.FetchConfig); ok {
+			n.fetches++
+			n.later(func() {
+				state := n.byID[fetch.From.ID].ConfigState()
+				n.later(func() { n.act(from, from.Apply(n.now, jujubecore.ConfigReceived{State: state})) })
+			})
+		}
 		send, ok := action.(jujubecore.SendPeer)
 		if !ok {
 			continue
@@ -109,6 +118,31 @@
 	return nil
 }
 
+// change lets those that follow the log read a configuration and returns the time until it is in force everywhere.
+func (n *network) change(ctx context.Context) (time.Duration, error) {
+	record := model.ConfigRecord{Change: &model.ConfigChange{ID: "first", Document: Document(60), Author: "slopes"}}
+	for _, core := range n.cores {
+		if core.IsFollowing() {
+			n.later(func() { n.act(core, core.Apply(n.now, jujubecore.ConfigRead{Read: newRead(record)})) })
+		}
+	}
+	begin := n.now
+	for {
+		if err := n.run(ctx, jujubecore.TickPeriod); err != nil {
+			return 0, err
+		}
+		ready := 0
+		for _, core := range n.cores {
+			if core.IsReady() {
+				ready++
+			}
+		}
+		if ready == len(n.cores) || n.now.Sub(begin) > time.Minute {
+			return n.now.Sub(begin), nil
+		}
+	}
+}
+
 // studyMembers measures cores that only keep the membership.
 func studyMembers(ctx context.Context, report *Report) error {
 	const (
@@ -134,7 +168,11 @@
 			report.add(memberAxis, count, "membership sent by a node", "B/s", float64(net.bytes)/each)
 			report.add(memberAxis, count, "membership sent by a node, messages", "1/s", float64(net.messages)/each)
 			report.add(memberAxis, count, "processor time of a core", "% of a core", 100*used.Seconds()/each)
-			return nil
+			net.fetches = 0
+			took, err := net.change(ctx)
+			report.add(memberAxis, count, "configuration: read by followers until in force everywhere", "s", took.Seconds())
+			report.add(memberAxis, count, "configuration: reads from peers by a node", "reads", float64(net.fetches)/float64(count))
+			return err
 		})
 		if err != nil {
 			return err
--- a/load/services/jujubeslope/rollout.go
+++ b/load/services/jujubeslope/rollout.go
@@ -18,11 +18,19 @@
 	longestRollout = 10 * time.Minute
 )
 
+// storeRate is the rate of the weight store that the goal needs.
+func storeRate(engines int) float64 { return float64(engines) / (rolloutGoal - loadTime).Seconds() }
+
+// maxSwapping is the number of engines that load at once at that rate, and a third more.
+func maxSwapping(engines int) int {
+	return max(1, int(math.Ceil(storeRate(engines)*loadTime.Seconds()*1.3)))
+}
+
 // studyRollout measures the time of a rollout at shares of the store's rate that the goal needs, and with the reports
 // that a leader gets at several periods of its reads.
 func studyRollout(ctx context.Context, report *Report) error {
 	for _, engines := range []int{10, 60, 200, 600} {
-		needed := float64(engines) / (rolloutGoal - loadTime).Seconds()
+		needed := storeRate(engines)
 		report.add(endpointAxis, engines, "rollout: store rate that the goal needs", "loads/s", needed)
 		for _, one := range []struct {
 			share float64
@@ -64,10 +72,9 @@
 // rollOut returns the virtual time until all engines serve a new version, and how many orders the store refused. The
 // store admits rate loads a second with a burst of a quarter second. Each engine is read once in a period.
 func rollOut(count int, rate float64, period time.Duration) (took time.Duration, refused int) {
-	swapping := max(1, int(math.Ceil(rate*loadTime.Seconds()*1.3)))
 	leader := jujubeweight.New(jujubeweight.Settings{})
 	leader.SetLimits(model.Limits{Models: map[model.ModelName]model.ModelLimits{
-		modelName: {MaxSwapping: swapping, MinServing: count / 2, SwapTimeout: 30 * time.Second},
+		modelName: {MaxSwapping: maxSwapping(count), MinServing: count / 2, SwapTimeout: 30 * time.Second},
 	}})
 	engines := make([]*fakeEngine, 0, count)
 	byID := make(map[model.EndpointID]*fakeEngine, count)
--- a/load/services/jujubeslope/site.go
+++ b/load/services/jujubeslope/site.go
@@ -49,7 +49,7 @@
 			return nil, err
 		}
 	}
-	if err := s.wait(ctx, time.Minute, s.isReady); err != nil {
+	if err := s.wait(ctx, "start", time.Minute, s.isReady); err != nil {
 		s.close()
 		return nil, err
 	}
@@ -109,7 +109,7 @@
 
 // publish appends a configuration change.
 func (s *site) publish(ctx context.Context) error {
-	change := &model.ConfigChange{ID: time.Now().String(), Base: s.base, Document: Document, Author: "slopes"}
+	change := &model.ConfigChange{ID: time.Now().String(), Base: s.base, Document: Document(len(s.engines.rows)), Author: "slopes"}
 	_, err := s.logs.Append(ctx, model.StreamConfig, model.ConfigRecord{Change: change})
 	s.base++
 	return err
@@ -145,13 +145,13 @@
 }
 
 // wait polls until done.
-func (s *site) wait(ctx context.Context, most time.Duration, done func() bool) error {
+func (s *site) wait(ctx context.Context, what string, most time.Duration, done func() bool) error {
 	const poll = 20 * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	for !done() {
 		if !sleep(ctx, poll) {
-			return errors.New("not done after " + most.String())
+			return errors.New(what + ": not done after " + most.String())
 		}
 	}
 	return nil
