jujubeentry: let the control reads fit 4 KB/s with many instances

Cause: each instance read the whole instance list every second, 75 KB/s with 632 rows, and each read of a load was followed by one of cache events, whose content grows with the requests of all others. The period of the load reads grew with the endpoints read, so that the leader of a rollout would have read each of 600 engines every 150 s, while an engine gets an order only by a report of the last 3 s.

Now above 16 instances: the period of the list grows with its rows (1 KB/s), but the instances take turns in the order of their ranks, so that one of them reads it each 0.5 s and a rumour tells the others; an endpoint that has reported with an answer isn't read; cache events are not read, as an instance knows the prefixes that it sent itself; a leader reads each engine every 2 s while a rollout is in progress. A first read no longer waits for a period.

Ruled out: a few readers of the list, which alone would exceed 4 KB/s by far; conditional reads, which the platform doesn't promise.

--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -7,6 +7,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubeclaim"
 	"jujubepier.example/core/services/jujubeconfig"
+	"jujubepier.example/core/services/jujuberouter"
 )
 
 // IsReady tells whether the instance knows a configuration and may serve callers.
@@ -60,22 +61,47 @@
 	return slices.ContainsFunc(c.followers(), func(member model.Member) bool { return member.ID == c.self.ID })
 }
 
+// PolledEndpoint is an endpoint whose load this instance reads.
+type PolledEndpoint struct {
+	model.Endpoint
+	// ReportedAt is the endpoint's time of its latest report, read or with an answer; zero before the first.
+	ReportedAt time.Time
+	// Urgent is true while this instance leads a rollout that isn't done: an engine gets an order only by a fresh report.
+	Urgent bool
+}
+
 // PolledEndpoints returns the endpoints whose load this instance reads: the watched ones, and all while this instance
 // leads the weight rollout, because the leader decides by each engine's own report.
-func (c *Core) PolledEndpoints(now time.Time) []model.Endpoint {
-	watched := make(map[model.EndpointID]bool)
-	for _, row := range c.router.Endpoints(now) {
-		watched[row.Endpoint.ID] = row.Watched
+func (c *Core) PolledEndpoints(now time.Time) []PolledEndpoint {
+	urgent := make(map[model.ModelName]bool)
+	if c.leading {
+		for name := range c.versions.All() {
+			progress := c.rollout.Progress(name)
+			urgent[name] = progress.Waiting+progress.Swapping > 0
+		}
 	}
-	endpoints := make([]model.Endpoint, 0, len(watched))
+	views := make(map[model.EndpointID]jujuberouter.EndpointRow)
+	for _, view := range c.router.Endpoints(now) {
+		if view.Watched || c.leading {
+			views[view.Endpoint.ID] = view
+		}
+	}
+	endpoints := make([]PolledEndpoint, 0, len(views))
 	for id, row := range c.endpoints.All() {
-		if row.listed && (watched[id] || !row.isUsable() || (c.leading && row.endpoint.Kind == model.KindEngine)) {
-			endpoints = append(endpoints, row.endpoint)
+		view := views[id]
+		isLed := c.leading && row.endpoint.Kind == model.KindEngine
+		if row.listed && (view.Watched || !row.isUsable() || isLed) {
+			endpoints = append(endpoints, PolledEndpoint{
+				Endpoint: row.endpoint, ReportedAt: view.Load.At, Urgent: isLed && urgent[row.endpoint.Model],
+			})
 		}
 	}
 	return endpoints
 }
 
+// Rank returns the place of this instance among the live ones.
+func (c *Core) Rank() int { return c.rank() }
+
 // InFlightOn counts this instance's requests on an endpoint.
 func (c *Core) InFlightOn(id model.EndpointID) int {
 	count := 0
--- a/entry/services/jujubeentry/poll.go
+++ b/entry/services/jujubeentry/poll.go
@@ -13,26 +13,44 @@
 	"jujubepier.example/core/services/jujubecore"
 )
 
-// pollList reads the instance list, and renews the instance's own row where the platform asks for that.
+// pollList reads the instance list.
 func (s *Service) pollList(ctx context.Context) error {
-	away := false
+	away, rows := false, 0
+	for {
+		list, err := s.readList(ctx)
+		if err == nil {
+			rows = len(list.Endpoints) + len(list.Entries)
+			s.apply(jujubecore.InstancesListed{List: list})
+		}
+		if err != nil && !away {
+			s.log.Write(jujubeevent.ListUnavailable, func() logrus.Fields { return logrus.Fields{"Error": err.Error()} })
+		}
+		away = err != nil
+		s.mu.Lock()
+		live, rank := len(s.core.Members()), s.core.Rank()
+		s.mu.Unlock()
+		if !sleep(ctx, ListPause(time.Now(), s.settings.ListPeriod, rows, live, rank)) {
+			return nil
+		}
+	}
+}
+
+func (s *Service) readList(ctx context.Context) (model.InstanceList, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return s.list.Instances(ctx)
+}
+
+// renewRow writes the instance's own row to the list, where the platform asks for that.
+func (s *Service) renewRow(ctx context.Context) error {
+	if !s.settings.Register {
+		return nil
+	}
 	return s.every(ctx, s.settings.ListPeriod, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 		defer cancel()
-		if s.settings.Register {
-			// A failed renewal shows in the read that follows.
-			_ = s.list.Register(ctx, s.ownRow())
-		}
-		list, err := s.list.Instances(ctx)
-		if err != nil {
-			if !away {
-				s.log.Write(jujubeevent.ListUnavailable, func() logrus.Fields { return logrus.Fields{"Error": err.Error()} })
-			}
-			away = true
-			return
-		}
-		away = false
-		s.apply(jujubecore.InstancesListed{List: list})
+		// A list that isn't reached shows in the reads.
+		_ = s.list.Register(ctx, s.ownRow())
 	})
 }
 
@@ -58,32 +76,45 @@
 	}
 }
 
+// poller reads the load of one endpoint each time that it is due.
+type poller struct {
+	address string
+	cancel  context.CancelFunc
+	ended   chan struct{}
+	// due gets a value for each read; it holds one, so that a slow endpoint's reads don't pile up.
+	due  chan struct{}
+	last time.Time
+}
+
 // pollEndpoints starts a poller for each endpoint and ends it when the endpoint is no longer listed.
 func (s *Service) pollEndpoints(ctx context.Context) error {
-	type poller struct {
-		address string
-		cancel  context.CancelFunc
-		ended   chan struct{}
-	}
-	pollers := make(map[model.EndpointID]poller)
+	pollers := make(map[model.EndpointID]*poller)
 	err := s.every(ctx, s.settings.LoadPeriod, func(ctx context.Context) {
+		now := time.Now()
 		s.mu.Lock()
-		endpoints := s.core.PolledEndpoints(time.Now())
+		endpoints, live := s.core.PolledEndpoints(now), len(s.core.Members())
 		s.mu.Unlock()
 		listed := make(map[model.EndpointID]bool, len(endpoints))
 		for _, endpoint := range endpoints {
 			listed[endpoint.ID] = true
 			current, polled := pollers[endpoint.ID]
-			if polled && current.address == endpoint.Address {
-				continue
-			}
-			if polled {
+			if polled && current.address != endpoint.Address {
 				current.cancel()
+				polled = false
+			}
+			if !polled {
+				own, cancel := context.WithCancel(ctx)
+				current = &poller{address: endpoint.Address, cancel: cancel, ended: make(chan struct{}), due: make(chan struct{}, 1)}
+				pollers[endpoint.ID] = current
+				go s.pollEndpoint(own, endpoint.Endpoint, current)
+			}
+			if IsReadDue(now, s.settings.LoadPeriod, current.last, endpoint, len(endpoints), live) {
+				current.last = now
+				select {
+				case current.due <- struct{}{}:
+				default:
+				}
 			}
-			own, cancel := context.WithCancel(ctx)
-			ended := make(chan struct{})
-			pollers[endpoint.ID] = poller{address: endpoint.Address, cancel: cancel, ended: ended}
-			go s.pollEndpoint(own, endpoint, ended)
 		}
 		for id, current := range pollers {
 			if !listed[id] {
@@ -99,16 +130,22 @@
 	return err
 }
 
-// pollEndpoint reads one endpoint's load and, for engines, its cache events. The start is spread over a period by the
-// endpoint's id, so that the reads of all endpoints don't come at once.
-func (s *Service) pollEndpoint(ctx context.Context, endpoint model.Endpoint, ended chan<- struct{}) {
-	defer close(ended)
-	if !sleep(ctx, spread(string(endpoint.ID)+string(s.self.ID), s.settings.LoadPeriod)) {
-		return
-	}
+// pollEndpoint reads one endpoint's load and, for engines, its cache events. The reads are spread over a period by the
+// endpoint's id, so that those of all endpoints don't come at once.
+func (s *Service) pollEndpoint(ctx context.Context, endpoint model.Endpoint, own *poller) {
+	defer close(own.ended)
+	offset := spread(string(endpoint.ID)+string(s.self.ID), s.settings.LoadPeriod)
 	var seq int64
 	nextCache := time.Now()
-	for sleep(ctx, s.loadPeriod()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-own.due:
+		}
+		if !sleep(ctx, offset) {
+			return
+		}
 		report, err := s.readLoad(ctx, endpoint.Address)
 		switch {
 		case err == nil:
@@ -120,27 +157,19 @@
 				return logrus.Fields{"Endpoint": endpoint.ID, "Error": err.Error()}
 			})
 		}
-		if err == nil && endpoint.Kind == model.KindEngine && !time.Now().Before(nextCache) {
+		if err == nil && endpoint.Kind == model.KindEngine && !time.Now().Before(nextCache) && s.isReadingCache() {
 			nextCache = time.Now().Add(s.settings.CachePeriod)
 			seq = s.readCache(ctx, endpoint, seq)
 		}
 	}
 }
 
-// loadPeriod is the time between two reads of one endpoint's load. With many instances each endpoint is read by many,
-// and the reads of one instance are bounded, so that they fit its share of the control traffic; loads also come with
-// each answer.
-func (s *Service) loadPeriod() time.Duration {
-	const (
-		manyInstances = 16
-		readPause     = 250 * time.Millisecond
-	)
+// isReadingCache tells whether cache events are read. With many instances each one sends an engine few of its requests
+// and learns their prefixes as it sends them; the events of all others' requests would exceed the control traffic.
+func (s *Service) isReadingCache() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.core.Members()) <= manyInstances {
-		return s.settings.LoadPeriod
-	}
-	return max(s.settings.LoadPeriod, readPause*time.Duration(len(s.core.PolledEndpoints(time.Now()))))
+	return len(s.core.Members()) <= manyInstances
 }
 
 func (s *Service) hasWorkOn(id model.EndpointID) bool {
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -109,6 +109,7 @@
 func (s *Service) Run(ctx context.Context) error {
 	s.tomb.Go(func() error { return s.tick(s.tomb.Context(nil)) })
 	s.tomb.Go(func() error { return s.pollList(s.tomb.Context(nil)) })
+	s.tomb.Go(func() error { return s.renewRow(s.tomb.Context(nil)) })
 	s.tomb.Go(func() error { return s.pollEndpoints(s.tomb.Context(nil)) })
 	s.tomb.Go(func() error { return s.follow(s.tomb.Context(nil), model.StreamConfig) })
 	s.tomb.Go(func() error { return s.follow(s.tomb.Context(nil), model.StreamLease) })
--- a/entry/services/jujubeentry/settings.go
+++ b/entry/services/jujubeentry/settings.go
@@ -29,7 +29,8 @@
 	TLS       TLSSettings
 	// AddressValidity is how long callers may keep an address answer, and how long a shutdown waits at least.
 	AddressValidity time.Duration `validate:"min=1s,max=5m"`
-	// ListPeriod is the time between two reads of the instance list.
+	// ListPeriod is the time between two reads of the instance list. It and the next two grow with many instances, so that
+	// the reads fit the control traffic; see ListPause and IsReadDue.
 	ListPeriod time.Duration `validate:"min=100ms,max=1m"`
 	// LoadPeriod is the time between two reads of an endpoint's load.
 	LoadPeriod time.Duration `validate:"min=50ms,max=1m"`
--- a/entry/services/jujubeentry/steps.go
+++ b/entry/services/jujubeentry/steps.go
@@ -64,7 +64,7 @@
 	var engines []model.Endpoint
 	for _, endpoint := range s.core.PolledEndpoints(time.Now()) {
 		if endpoint.Kind == model.KindEngine && endpoint.Model == name && len(engines) < maxSearched {
-			engines = append(engines, endpoint)
+			engines = append(engines, endpoint.Endpoint)
 		}
 	}
 	s.mu.Unlock()
