jujubemember, jujubelease: test mechanisms that no test covered

Cause: mutants of four mechanisms passed the tests: a renewal without the fence check, two outstanding lease records, a leaving mark that is lost under suspicion, and seeds that revive a member found dead. Ruled out: comparing lease readers only with each other, which hides a fault that all readers share; they are now compared with a reference.

--- a/core/services/jujubelease/lease_test.go
+++ b/core/services/jujubelease/lease_test.go
@@ -42,8 +42,7 @@
 		*r = reference{offset, record.Holder, record.Incarnation, at.Add(record.TTL.Std())}
 	case record.Claim || !same:
 	case record.Release:
-		r.expires = time.Time{}
-		r.holder = ""
+		r.expires, r.holder, r.started = time.Time{}, "", 0
 	case at.Before(r.expires) && at.Add(record.TTL.Std()).After(r.expires):
 		r.expires = at.Add(record.TTL.Std())
 	}
@@ -84,7 +83,7 @@
 	away      bool
 	// newest is the highest incarnation of each instance that held the lease.
 	newest map[model.InstanceID]model.Incarnation
-	// views are the states by log position, on which all readers have to agree.
+	// views are the states of the reference by log position, on which all readers have to agree.
 	views  map[int]jujubelease.State
 	claims int
 }
@@ -103,6 +102,10 @@
 	offset := int64(len(w.log))
 	w.log = append(w.log, model.LogRecord{Offset: offset, At: w.now, Body: body})
 	before := w.reference.fence
+	defer func() {
+		r := w.reference
+		w.views[len(w.log)] = jujubelease.State{Holder: r.holder, Incarnation: r.started, Fence: r.fence}
+	}()
 	if w.reference.apply(record, offset, w.now); w.reference.fence != before {
 		w.claims++
 		assert.Assert(w.t, w.reference.fence > before)
@@ -117,10 +120,9 @@
 		p.read++
 		state := p.lease.State(time.Time{})
 		view := jujubelease.State{Holder: state.Holder, Incarnation: state.Incarnation, Fence: state.Fence}
-		if other, ok := w.views[p.read]; ok && other != view {
-			w.t.Fatalf("readers disagree after %d records: %+v and %+v", p.read, other, view)
+		if other := w.views[p.read]; other != view {
+			w.t.Fatalf("%s disagrees with the reference after %d records: %+v and %+v", p.instance, p.read, view, other)
 		}
-		w.views[p.read] = view
 		if state.Fence < p.fence {
 			w.t.Fatalf("fence went back from %d to %d", p.fence, state.Fence)
 		}
@@ -237,6 +239,7 @@
 	assert.Equal(t, len(a.Tick(at(4), true)), 0)
 	renewal := a.Tick(at(5), true)
 	assert.Equal(t, renewal[0].Renew, int64(3))
+	assert.Equal(t, len(a.Tick(at(5), false)), 0, "one outstanding record")
 	append1(t, renewal[0], 4, at(5), a, b)
 	assert.Equal(t, a.State(at(5)).Expires, at(19))
 	assert.Equal(t, len(b.Tick(at(5), true)), 0)
@@ -267,4 +270,7 @@
 	again := restarted.Tick(at(63), true)
 	append1(t, again[0], 9, at(63), a, b, restarted)
 	assert.Assert(t, restarted.State(at(63)).Held && !a.State(at(63)).Held, "a newer incarnation takes over at once")
+	late := model.LeaseRecord{Lease: "weights", Holder: "a", Incarnation: 2, Renew: 8, Release: true}
+	append1(t, late, 10, at(63), restarted)
+	assert.Assert(t, restarted.State(at(63)).Held, "a release that names another claim has no effect")
 }
--- a/core/services/jujubemember/member_test.go
+++ b/core/services/jujubemember/member_test.go
@@ -236,6 +236,8 @@
 		m.Tick(now)
 	}
 	assert.Equal(t, ids(m), "a1 ")
+	m.SetSeeds(now, []model.Member{member("c", 3, "127.0.0.1:3"), member("d", 1, "127.0.0.1:2")})
+	assert.Equal(t, ids(m), "a1 ", "the list doesn't revive members found dead")
 	assert.Equal(t, len(m.Known()), 4)
 	for range 64 {
 		m.Tick(now.Add(time.Hour))
@@ -272,6 +274,22 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against a leaving member that isn't announced, or that a refuted suspicion presents as staying.
+func TestLeavingLastsThroughSuspicion(t *testing.T) {
+	net := newNetwork(5, 19)
+	assert.Assert(t, net.run(20*time.Second, net.converged))
+	net.nodes[1].members.Leave(net.now)
+	for step, group := range []int{0, 1, 0} {
+		net.nodes[1].group = group
+		net.run(4*time.Second, nil)
+		for _, n := range net.nodes {
+			assert.Equal(t, n.members.Known()[1].State, model.MemberLeaving, "step %d", step)
+		}
+	}
+	assert.Assert(t, net.run(10*time.Second, net.converged))
+	assert.Assert(t, net.nodes[0].members.Known()[1].Refutation > 0, "there was no suspicion")
+}
+
 // messages returns a probe, a version list and a rumour message of the sizes that occur with 370 members.
 func messages() []model.PeerMessage {
 	random := rand.New(rand.NewPCG(1, 1))
