jujubeweight: bound the age of a report that an order relies on

Ruled out: trusting the leader's own memory of versions, which another leader's orders make wrong. The oldest report that an order may rely on is 2 s instead of 3 s; it must be shorter than the shortest swap, less the delays of report and order, so the test, whose swaps last 1 s, uses 600 ms. The fault model and the assertions are the same.

--- a/core/services/jujubeweight/order_test.go
+++ b/core/services/jujubeweight/order_test.go
@@ -58,6 +58,7 @@
 	leader.Lead(now, true, 7)
 	assert.Equal(t, len(leader.Tick(now.Add(2*time.Second))), 0)
 	leader.Lead(now, true, 8)
+	leader.Result(now, "a", model.OrderResult{}, refusal(model.EngineCodeStaleFence)) // late, of the former term
 	leading, _ = leader.Leading()
 	assert.Assert(t, leading)
 }
--- a/core/services/jujubeweight/report.go
+++ b/core/services/jujubeweight/report.go
@@ -72,8 +72,7 @@
 	var refused ErrOrder
 	isRefused := errors.As(err, &refused)
 	if isRefused && refused.Code == model.EngineCodeStaleFence {
-		w.stale = max(w.stale, w.fence, refused.Fence)
-		w.leading = false
+		w.refuseFence(e, refused.Fence)
 	}
 	if !ok || e.order == nil || err != nil && !isRefused {
 		return
@@ -99,6 +98,17 @@
 	}
 }
 
+// refuseFence ends leading if the refusal concerns the present fence. The answer to an order of an earlier term of this
+// instance may come after a new term has begun, so the engine's fence is compared, or else the order's own one.
+func (w *Rollout) refuseFence(e *engine, known int64) {
+	if known == 0 && e != nil && e.order != nil {
+		known = e.order.fence + 1
+	}
+	if known > w.fence {
+		w.stale, w.leading = max(w.stale, known), false
+	}
+}
+
 // served counts a model's swaps that engines have accepted.
 func (w *Rollout) served(name model.ModelName) int {
 	count := 0
--- a/core/services/jujubeweight/rollout.go
+++ b/core/services/jujubeweight/rollout.go
@@ -14,9 +14,10 @@
 type Settings struct {
 	// ReportTTL (10 s) is the age of a report from which on its engine doesn't count as serving.
 	ReportTTL time.Duration
-	// OrderAge (3 s) is the age of a report from which on its engine gets no order. It must exceed the interval of the
-	// reports. A leader that was paused would otherwise order by what engines reported before, which could be a version
-	// below their present one.
+	// OrderAge (2 s) is the age of a report from which on its engine gets no order. It must exceed the interval of the
+	// reports. A former leader that doesn't know it was replaced could otherwise order a version below the engine's
+	// present one. OrderAge, the fastest report's way and an order's way together must be shorter than the shortest swap:
+	// then a report from before the swap is too old, or the order arrives before the swap ends.
 	OrderAge time.Duration
 	// Settle (1 s) is how long a new leader, or one whose ticks paused for longer than this, waits for reports that show
 	// the orders of another leader.
@@ -32,7 +33,7 @@
 
 func (s Settings) withDefaults() Settings {
 	s.ReportTTL = cmp.Or(s.ReportTTL, 10*time.Second)
-	s.OrderAge = cmp.Or(s.OrderAge, 3*time.Second)
+	s.OrderAge = cmp.Or(s.OrderAge, 2*time.Second)
 	s.Settle = cmp.Or(s.Settle, time.Second)
 	s.RetryDelay = cmp.Or(s.RetryDelay, time.Second)
 	s.MaxRetryDelay = cmp.Or(s.MaxRetryDelay, 30*time.Second)
@@ -50,7 +51,7 @@
 	targets  *jujubetable.Table[model.ModelName, *target]
 	leading  bool
 	fence    int64
-	// stale is the highest fence that an engine refused or named when it refused; the leader's own fence is above it.
+	// stale is the highest fence of another leader that an engine named in a refusal; a leader's own fence is above it.
 	stale     int64
 	leadSince time.Time
 	lastTick  time.Time
@@ -84,6 +85,7 @@
 // order is an order that counts as a swap until a report shows otherwise.
 type order struct {
 	version model.WeightVersion
+	fence   int64
 	sent    time.Time
 	// targetBefore is the engine's reported target when the order was sent: a higher one shows that it was accepted.
 	targetBefore model.WeightVersion
--- a/core/services/jujubeweight/rollout_test.go
+++ b/core/services/jujubeweight/rollout_test.go
@@ -109,7 +109,8 @@
 			messages = append(messages, message{at: now.Add(delay), deliver: deliver, to: to})
 		}
 		for i := range leaders {
-			leaders[i] = jujubeweight.New(jujubeweight.Settings{})
+			// 550 ms at most, with 200 ms each for a report and an order, is less than the shortest swap of 1 s.
+			leaders[i] = jujubeweight.New(jujubeweight.Settings{OrderAge: 600 * time.Millisecond})
 			leaders[i].SetLimits(limits(swapping, serving))
 		}
 		leaders[0].Lead(now, true, fence)
--- a/core/services/jujubeweight/tick.go
+++ b/core/services/jujubeweight/tick.go
@@ -55,7 +55,7 @@
 	slices.SortStableFunc(candidates, before)
 	var orders []model.Order
 	for _, e := range candidates[:t.window.take(w.now, count)] {
-		e.order = &order{version: t.version, sent: w.now, targetBefore: e.report.Target}
+		e.order = &order{version: t.version, fence: w.fence, sent: w.now, targetBefore: e.report.Target}
 		if e.report.Swapping {
 			e.swapSeen = w.now
 		}
