jujubecore: pass an engine's refusal of an order on to the rollout

Cause: the core wrapped the code in a type of its own, so the rollout took each refusal for a lost answer: a stale fence did not depose the leader, an overloaded store did not lower the number of swaps, and each refusal held a place until the swap timeout. Versions announced before the first configuration were dropped for good, and failed groups did not reach the trainer, which would have submitted them again without end. Ruled out: a second list of engine codes in jujubecore. Before: the refusal's code and fence were lost. After: jujubeweight gets ErrOrder with code and fence; known versions are announced again after each change of limits; model.Pulled lists the failed groups. Also: requests being served are counted by an atomic number, because a WaitGroup must not be added to while it is waited for at zero.

--- a/core/modules/jujubeclient/engine.go
+++ b/core/modules/jujubeclient/engine.go
@@ -26,6 +26,8 @@
 	Message string
 	// Status is the HTTP status; zero for an error event.
 	Status int
+	// Fence is the highest fencing number that the engine has seen, when it refused an order for its number.
+	Fence int64
 }
 
 // Error gives the code and the message.
@@ -130,7 +132,7 @@
 	if err := json.Unmarshal(data, &failure); err != nil || failure.Code == "" {
 		failure = model.EngineError{Code: model.EngineCodeBadRequest, Message: string(data)}
 	}
-	return errors.WithStack(ErrEngine{Code: failure.Code, Message: failure.Message, Status: response.StatusCode})
+	return errors.WithStack(ErrEngine{Code: failure.Code, Message: failure.Message, Status: response.StatusCode, Fence: failure.Fence})
 }
 
 // Cancel stops a stream; an unknown stream is no error.
--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -188,8 +188,10 @@
 	event
 	Endpoint model.EndpointID
 	Result   model.OrderResult
-	// Code is empty for success, an engine code, or "Unreachable".
-	Code string
+	// Refusal is the engine's own refusal; its code is empty when there was none.
+	Refusal model.EngineError
+	// Lost is true when no answer came, so that the order may have taken effect.
+	Lost bool
 }
 
 // ConfigRead carries a read of the configuration stream.
--- a/core/services/jujubecore/keys.go
+++ b/core/services/jujubecore/keys.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
-
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubeclaim"
 )
@@ -33,13 +31,10 @@
 	c.members.Publish(now, newRumour(model.RumourSuccessor, key, 1, payload))
 }
 
-func orderError(code string) error { return errors.WithStack(ErrOrder{Code: code}) }
-
-// ErrOrder is an engine's refusal of an order, or the loss of its answer.
-type ErrOrder struct {
-	// Code is an engine code, or "Unreachable".
-	Code string
+// ErrOrderLost is an order whose answer didn't come; the engine may have taken it.
+type ErrOrderLost struct {
+	Endpoint model.EndpointID
 }
 
-// Error gives the code.
-func (e ErrOrder) Error() string { return "order: " + e.Code }
+// Error names the engine.
+func (e ErrOrderLost) Error() string { return "no answer to an order of " + string(e.Endpoint) }
--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -6,6 +6,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubedocument"
 	"jujubepier.example/core/services/jujubelease"
+	"jujubepier.example/core/services/jujubeweight"
 )
 
 // fetchPause is the least time between two reads of a peer's configuration.
@@ -34,6 +35,10 @@
 	c.router.SetLimits(c.limits)
 	c.steps.SetLimits(c.limits)
 	c.rollout.SetLimits(c.limits)
+	for name, version := range c.versions.All() {
+		// The rollout passes over announcements of models that it doesn't know.
+		c.rollout.Announce(now, name, version)
+	}
 	c.members.Publish(now, configRumour(state.Revision))
 	return []Action{ConfigApplied{Revision: state.Revision, Digest: state.Digest}}
 }
@@ -137,8 +142,11 @@
 
 func (c *Core) applyOrderAnswered(now time.Time, answered OrderAnswered) {
 	var err error
-	if answered.Code != "" {
-		err = orderError(answered.Code)
+	switch {
+	case answered.Refusal.Code != "":
+		err = jujubeweight.ErrOrder{EngineError: answered.Refusal}
+	case answered.Lost:
+		err = ErrOrderLost{Endpoint: answered.Endpoint}
 	}
 	c.rollout.Result(now, answered.Endpoint, answered.Result, err)
 	if answered.Result.Report.Endpoint != "" {
--- a/core/services/jujubestep/action.go
+++ b/core/services/jujubestep/action.go
@@ -118,15 +118,4 @@
 }
 
 // Delivery answers a pull. The adapter fills in the texts by stream id; all slices belong to the caller.
-type Delivery struct {
-	model.Pulled
-	// Failed lists all groups of the attempt that ended without samples; each answer repeats the whole list.
-	Failed []FailedGroup
-}
-
-// FailedGroup is a group that will never be delivered by this attempt.
-type FailedGroup struct {
-	Group   int
-	Code    string
-	Message string
-}
+type Delivery struct{ model.Pulled }
--- a/core/services/jujubestep/part.go
+++ b/core/services/jujubestep/part.go
@@ -29,7 +29,7 @@
 	// content ever changes: the trainer may have taken them.
 	handed    []*group
 	confirmed int
-	failed    []FailedGroup
+	failed    []model.FailedGroup
 	samples   int
 	bytes     int
 	ran       bool
--- a/core/services/jujubestep/pull.go
+++ b/core/services/jujubestep/pull.go
@@ -47,10 +47,9 @@
 	if remaining == 0 && count == 0 && p.ended.IsZero() {
 		s.release(now, p)
 	}
-	answer := Delivery{
-		Pulled: model.Pulled{Key: p.key, Attempt: p.attempt, Cursor: pull.Cursor, Remaining: remaining},
-		Failed: slices.Clone(p.failed),
-	}
+	answer := Delivery{model.Pulled{
+		Key: p.key, Attempt: p.attempt, Cursor: pull.Cursor, Remaining: remaining, Failed: slices.Clone(p.failed),
+	}}
 	for _, g := range p.handed[:count] {
 		answer.Groups = append(answer.Groups, g.copyOut())
 	}
--- a/core/services/jujubestep/step_test.go
+++ b/core/services/jujubestep/step_test.go
@@ -240,5 +240,5 @@
 	answer, err := steps.Pull(start, model.Pull{Key: key, Attempt: 1, Version: 5})
 	assert.NilError(t, err)
 	assert.Equal(t, answer.Remaining, 0)
-	assert.DeepEqual(t, answer.Failed, []jujubestep.FailedGroup{{Group: 0, Code: jujubeerror.CodeQuarantined}})
+	assert.DeepEqual(t, answer.Failed, []model.FailedGroup{{Group: 0, Code: jujubeerror.CodeQuarantined}})
 }
--- a/core/services/jujubestep/stream.go
+++ b/core/services/jujubestep/stream.go
@@ -208,7 +208,7 @@
 		s.dropAll(p, sm, CauseGroupFailed, false)
 	}
 	g.state, g.samples = groupFailed, nil
-	p.failed = append(p.failed, FailedGroup{Group: g.number, Code: code, Message: message})
+	p.failed = append(p.failed, model.FailedGroup{Group: g.number, Code: code, Message: message})
 }
 
 // retry delays the next try of a sample after a failure and avoids the engine that failed.
--- a/entry/services/jujubeentry/begin.go
+++ b/entry/services/jujubeentry/begin.go
@@ -130,13 +130,11 @@
 	result, err := s.engine.Send(ctx, send.Address, send.Order)
 	answered := jujubecore.OrderAnswered{Endpoint: send.Order.Endpoint, Result: result}
 	if err != nil {
-		answered.Code = "Unreachable"
 		var refused jujubeclient.ErrEngine
-		if errors.As(err, &refused) {
-			answered.Code = refused.Code
-		}
+		answered.Lost = !errors.As(err, &refused)
+		answered.Refusal = model.EngineError{Code: refused.Code, Message: refused.Message, Fence: refused.Fence}
 		s.log.Write(jujubeevent.OrderFailed, func() logrus.Fields {
-			return logrus.Fields{"Endpoint": send.Order.Endpoint, "Code": answered.Code, "Error": err.Error()}
+			return logrus.Fields{"Endpoint": send.Order.Endpoint, "Code": refused.Code, "Error": err.Error()}
 		})
 	}
 	s.apply(answered)
--- a/entry/services/jujubeentry/generate.go
+++ b/entry/services/jujubeentry/generate.go
@@ -114,7 +114,7 @@
 	case errors.As(err, &refused):
 		ended.Refused = true
 	case errors.As(err, &broken):
-		ended.Broken = !aborted
+		ended.Broken, ended.Refused = broken.Sent && !aborted, !broken.Sent
 		g.dispatched = g.dispatched || broken.Sent
 	}
 	s.apply(ended)
--- a/entry/services/jujubeentry/leave.go
+++ b/entry/services/jujubeentry/leave.go
@@ -25,8 +25,13 @@
 			Code: jujubeerror.CodeLeaving, Ran: model.RanNo, RetryAfter: time.Millisecond, Message: "instance is shutting down; use another address",
 		}
 	}
+	return s.beginServing(), nil
+}
+
+// beginServing counts a request until the returned function is called.
+func (s *Service) beginServing() func() {
 	s.serving.Add(1)
-	return s.serving.Done, nil
+	return func() { s.serving.Add(-1) }
 }
 
 func (s *Service) isLeaving() bool {
@@ -68,14 +73,8 @@
 
 // waitServing waits for the requests that were admitted, until the context ends.
 func (s *Service) waitServing(ctx context.Context) {
-	served := make(chan struct{})
-	go func() {
-		s.serving.Wait()
-		close(served)
-	}()
-	select {
-	case <-served:
-	case <-ctx.Done():
+	for s.serving.Load() > 0 && sleep(ctx, leavePoll) {
+		continue
 	}
 }
 
--- a/entry/services/jujubeentry/once.go
+++ b/entry/services/jujubeentry/once.go
@@ -44,8 +44,7 @@
 			Message: "a non-idempotent call needs an Idempotency-Key that starts with the key prefix of an address answer",
 		}
 	}
-	s.serving.Add(1)
-	defer s.serving.Done()
+	defer s.beginServing()()
 	deadline := time.Now().Add(call.Timeout)
 	for {
 		decided, running := s.presentKey(call)
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,8 +48,8 @@
 	single   *http.Client
 	attempts attemptCounter
 	recent   *recentRequests
-	// serving counts the requests that were admitted.
-	serving sync.WaitGroup
+	// serving counts the requests that are being served.
+	serving atomic.Int64
 	// leaveUntil is zero until the shutdown begins. Guarded by leaveMu.
 	leaveUntil time.Time
 	leaveMu    sync.Mutex
--- a/entry/services/jujubeentry/steps.go
+++ b/entry/services/jujubeentry/steps.go
@@ -92,8 +92,7 @@
 
 // PullGroups hands finished groups to a trainer, and waits for some up to the pull's own bound.
 func (s *Service) PullGroups(ctx context.Context, pull model.Pull) (model.Pulled, error) {
-	s.serving.Add(1)
-	defer s.serving.Done()
+	defer s.beginServing()()
 	until := time.Now().Add(min(max(pull.Wait.Std(), 0), maxPullWait))
 	for {
 		pulled, wake, err := s.pullOnce(pull)
