jujubeentry: end a process whose instance id was taken over

Cause: an instance whose clock is behind its previous start, or that runs twice, is ignored by the others under its id; it went on serving without hearing of anything. Ruled out: raising its own incarnation, which would take over the keys of the other process. Before: nothing happened. After: event 8008 and the end of the process.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -55,6 +55,7 @@
 	LogLevelChanged  Number = 8005
 	RequestAfterExit Number = 8006
 	ServerFailed     Number = 8007
+	InstanceReplaced Number = 8008
 )
 
 // Catalogue lists every event. docs/events.md is held against it by a test.
@@ -107,6 +108,7 @@
 		{InstanceStopped, "InstanceStopped", info, "The process ends."},
 		{LogLevelChanged, "LogLevelChanged", info, "An operator changed the log level."},
 		{RequestAfterExit, "RequestAfterExit", info, "A request that came after the shutdown began was refused with other addresses."},
+		{InstanceReplaced, "InstanceReplaced", warn, "Another process runs under this instance's name with a later start, or this machine's clock is behind; the process ends."},
 		{ServerFailed, "ServerFailed", warn, "A listener failed; the process ends."},
 	}
 }
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -79,6 +79,9 @@
 	return count
 }
 
+// IsReplaced tells whether another process runs under this instance's id with a newer incarnation.
+func (c *Core) IsReplaced() bool { return c.members.Replaced() }
+
 // IsLogAway tells whether the log was last seen not to answer.
 func (c *Core) IsLogAway() bool { return c.logAway }
 
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -144,8 +144,12 @@
 		s.begin(s.core.Tick(time.Now()))
 		close(s.wake)
 		s.wake = make(chan struct{})
-		isReady := s.core.IsReady()
+		isReady, isReplaced := s.core.IsReady(), s.core.IsReplaced()
 		s.mu.Unlock()
+		if isReplaced {
+			s.log.Write(jujubeevent.InstanceReplaced, func() logrus.Fields { return logrus.Fields{"Instance": s.self.ID} })
+			return ErrReplaced{Instance: s.self.ID}
+		}
 		if isReady && !ready {
 			s.log.Write(jujubeevent.InstanceReady, func() logrus.Fields { return logrus.Fields{"Instance": s.self.ID} })
 		}
@@ -153,6 +157,16 @@
 	}
 }
 
+// ErrReplaced ends a process whose instance id another process has taken over.
+type ErrReplaced struct {
+	Instance model.InstanceID
+}
+
+// Error names the instance.
+func (e ErrReplaced) Error() string {
+	return "instance " + string(e.Instance) + " runs elsewhere with a newer incarnation, or this machine's clock is behind"
+}
+
 // apply gives the core an event, begins the actions that go elsewhere and returns all of them.
 func (s *Service) apply(event jujubecore.Event) []jujubecore.Action {
 	s.mu.Lock()
