jujubepublish: restore the configuration after a stop past the retention

Cause: when all instances are stopped for longer than the log keeps its records, no checkpoint covers the expired ones, so no reader can tell the revision in force and publish refuses for ever. Ruled out: letting a reader start from nothing, which would let an older document come back; the operator names a revision above all earlier ones. Before: no way out. After: jujubectl restore appends a checkpoint, and refuses while the log or an instance knows a revision. Conclusion: TestRestore publishes revision 10 after a restore at 9.

--- a/ctl/cmd/document.go
+++ b/ctl/cmd/document.go
@@ -123,10 +123,7 @@
 				return err
 			}
 			defer closeClients()
-			var instances []jujubepublish.Instance
-			for _, client := range clients {
-				instances = append(instances, client)
-			}
+			instances := asInstances(clients)
 			result, err := jujubepublish.Promote(ctx, trial, log, instances, newChange(command, settings))
 			return p.printResult(command, result, err)
 		}),
--- a/ctl/cmd/exit.go
+++ b/ctl/cmd/exit.go
@@ -19,7 +19,7 @@
 	ExitUsage = 2
 	// ExitDocument is a document with problems.
 	ExitDocument = 3
-	// ExitConflict is a change that was refused because another one replaced its base.
+	// ExitConflict is a change that was refused because another one replaced its base, or a restore that isn't needed.
 	ExitConflict = 4
 	// ExitUnknown is a change that may be in force: repeat the command with the same ID.
 	ExitUnknown = 5
@@ -50,7 +50,7 @@
 		return ExitOK
 	case is[jujubepublish.ErrUnknownOutcome](err):
 		return ExitUnknown
-	case is[jujubepublish.ErrConflict](err):
+	case is[jujubepublish.ErrConflict](err), is[jujubepublish.ErrStateKnown](err):
 		return ExitConflict
 	case is[jujubepublish.ErrNotProven](err):
 		return ExitNotProven
--- a/ctl/cmd/program.go
+++ b/ctl/cmd/program.go
@@ -62,7 +62,7 @@
 		ErrWriter: p.Errors,
 		Flags:     append(jujubesetting.Flags[Settings](), &cli.BoolFlag{Name: "json", Usage: "print JSON instead of tables"}),
 		Commands: []*cli.Command{
-			p.newCheck(), p.newDiff(), p.newPublish(), p.newPromote(), p.newHistory(),
+			p.newCheck(), p.newDiff(), p.newPublish(), p.newPromote(), p.newRestore(), p.newHistory(),
 			p.newStatus(), p.newDrain(), p.newQuarantine(), p.newReplay(),
 		},
 		EnableShellCompletion:           true,
--- a/ctl/services/jujubepublish/publish_test.go
+++ b/ctl/services/jujubepublish/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -195,3 +196,24 @@
 		assert.Equal(t, log.count(), 3)
 	}
 }
+
+// Guards against an environment that nobody can publish to any more, and against a restore over a known configuration.
+func TestRestore(t *testing.T) {
+	log := &fakeLog{}
+	client := serve(t, log)
+	_, err := jujubepublish.Publish(within(t, 5*time.Second), client, newChange("a", "one"))
+	assert.NilError(t, err)
+	_, err = jujubepublish.Restore(within(t, 5*time.Second), client, nil, []byte("two"), 9, "operator")
+	var known jujubepublish.ErrStateKnown
+	assert.Assert(t, errors.As(err, &known) && known.Revision == 1)
+
+	log.first = 1 // the only record has expired
+	_, err = jujubepublish.Publish(within(t, time.Second), client, newChange("b", "two"))
+	assert.Assert(t, err != nil)
+	state, err := jujubepublish.Restore(within(t, 5*time.Second), client, nil, []byte("two"), 9, "operator")
+	assert.NilError(t, err)
+	assert.Equal(t, state.Revision, int64(9))
+	result, err := jujubepublish.Publish(within(t, 5*time.Second), client, newChange("c", "three"))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Outcome.Revision, int64(10))
+}
