jujubecore: grant suspects no lost endpoint

Cause: the steward chose among all rows of the router, lost endpoints included. A lost endpoint has no load, so that it came first: the suspect was refused with NoEndpoint on the steward, or sent to the dead endpoint by an instance that had not noticed the crash. Ruled out: the order of the rows; with an idle third endpoint the lost one still came first by its id. Before: in the trace R10-crashing-request the crashing request's second run goes to e1, which was lost 1.2 s earlier, the innocent one is refused, and 6 of 12 expectations fail. After: they run on e3 and e2.

--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -69,7 +69,7 @@
 	})
 	for _, view := range views {
 		row, known := c.endpoints.Get(view.Endpoint.ID)
-		if !known || row.isLeaving() || slices.Contains(ask.Exclude, view.Endpoint.ID) || !c.serves(row.endpoint, ask) {
+		if !known || !row.isUsable() || row.isLeaving() || slices.Contains(ask.Exclude, view.Endpoint.ID) || !c.serves(row.endpoint, ask) {
 			continue
 		}
 		if c.quarantine.AdmitSuspect(now, ask.Fingerprint, view.Endpoint.ID) {
