jujubecore: use an avoided engine when there is no other

Cause: jujubestep.StartStream.Avoid names engines that are used when no other qualifies, but the core passed them to the router as excluded. With one engine, or when all of a model's engines (at most three) had failed a sample once, the sample was refused with NoEndpoint until its deadline. Ruled out: the limit of three avoided engines; it only helps models with four or more.

--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -102,6 +102,11 @@
 		c.quarantine.Begin(now, row.fingerprint, decision.Endpoint)
 	case jujuberouter.Refuse:
 		c.requests.Delete(id)
+		if row.stream != nil && len(row.stream.Avoid) > 0 && decision.Code == jujubeerror.CodeNoEndpoint && !row.granted {
+			// Engines that failed a sample are used when there is no other.
+			row.stream.Avoid, row.request.Exclude = nil, nil
+			return c.route(now, row)
+		}
 		return append(c.refused(now, row, decision), c.releaseGrant(now, row, false)...)
 	}
 	if row.stream != nil {
