jujubetrace: add traces and their replay

Cause: each requirement needs a proof that is written from its text and runs on the same decision code as the program. A trace is a file of JSON lines: a header with the instances, events by the name of their type, ticks, cuts, pauses and restarts, and expectations of actions and status fields. Unknown names and fields are refused with file and line. Times are offsets from a fixed start; errors in actions are matched by code. Ruled out: custom JSON methods on the event types; the core's types would then have a second form only for traces. encoding/json alone; it ignores case and takes durations as numbers.

--- /dev/null
+++ b/core/services/jujubetrace/replay_test.go
@@ -0,0 +1,95 @@
+package jujubetrace_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jujubepier.example/core/services/jujubetrace"
+)
+
+// Guards against a decision that breaks one of the requirements R1 to R11, and against replays that differ.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.jsonl")
+	assert.NilError(t, err)
+	covered := make(map[string]bool)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			assert.NilError(t, err)
+			var first, second bytes.Buffer
+			err = jujubetrace.Replay(file, data, &first)
+			_ = jujubetrace.Replay(file, data, &second)
+			assert.Equal(t, first.String(), second.String())
+			assert.NilError(t, err, first.String())
+			name, _, _ := strings.Cut(filepath.Base(file), "-")
+			covered[name] = covered[name] || strings.Contains(first.String(), "ok ")
+		})
+	}
+	for number := 1; number <= 11; number++ {
+		assert.Assert(t, covered[fmt.Sprintf("R%d", number)], "no trace for R%d", number)
+	}
+}
+
+const header = `{"Trace":"t","Instances":[{"ID":"entry-01"}]}` + "\n"
+
+// Guards against a misspelt name in a trace that makes it pass without a check.
+func TestParseRefuses(t *testing.T) {
+	for _, test := range []struct{ line, reason string }{
+		{`{"At":"1s","Instance":"entry-01","Event":"LoadRaported"}`, `unknown event "LoadRaported"`},
+		{`{"At":"1s","Instance":"entry-01","Event":"LoadReported","Data":{"Report":{"Slot":1}}}`, `unknown field "Report.Slot"`},
+		{`{"At":"1s","Instance":"entry-01","Event":"RequestEnded","Data":{"id":"r"}}`, `unknown field "id"`},
+		{`{"At":"1s","Instance":"entry-01","Event":"RequestArrived","Data":{"Deadline":"soon"}}`, "Deadline"},
+		{`{"At":"1s","Instance":"entry-02","Tick":true}`, `instance "entry-02" isn't in the header`},
+		{`{"At":"1s","Expect":"RouteDecide"}`, `unknown action "RouteDecide"`},
+		{`{"At":"1s","Expect":"RouteDecided","Where":{"Decision.Endpont":"e"}}`, `unknown field "Endpont"`},
+		{`{"At":"1s","Never":"RouteDecided"}`, "Until must be later"},
+		{`{"At":"1s","Instance":"entry-01","Status":{"Config.Rev":1}}`, `unknown field "Rev"`},
+		{`{"At":"1s","Instance":"entry-01","Tick":true,"Pause":true}`, "the line has 2 of"},
+		{`{"At":1,"Instance":"entry-01","Tick":true}`, "JSON"},
+		{`{"At":"1s","Instance":"entry-01","Tick":true}}`, "text after the value"},
+	} {
+		_, err := jujubetrace.Parse("f.jsonl", []byte(header+test.line))
+		fault, ok := jujubetrace.IsErrTrace(err)
+		assert.Assert(t, ok, "%s: %v", test.line, err)
+		assert.Equal(t, fault.Line, 2)
+		assert.ErrorContains(t, err, test.reason)
+	}
+}
+
+// Guards against expectations that hold whatever the core does.
+func TestReplayReportsFailures(t *testing.T) {
+	for _, test := range []struct{ line, detail string }{
+		{`{"At":"1s","Expect":"RouteDecided"}`, "FAIL f.jsonl:3 1s to 1s  expect RouteDecided: none"},
+		{`{"At":"2s","Expect":"RouteDecided","Where":{"Decision.Kind":"Dispatch"}}`, `the last one has {"Decision.Kind":"Refuse"}`},
+		{`{"At":"2s","Expect":"RouteDecided","Where":{"Decision.RetryAfter":{"Max":"10ms"}}}`, "FAIL"},
+		{`{"At":"2s","Expect":"RouteDecided","Count":2}`, "FAIL f.jsonl:3 2s to 2s  expect RouteDecided: 1, first at 2s"},
+		{`{"At":"1s","Never":"RouteDecided","Until":"3s"}`, "FAIL f.jsonl:3 1s to 3s  never RouteDecided: 1, first at 2s"},
+		{`{"At":"1s","Instance":"entry-01","Status":{"Leaving":true},"Within":"200ms"}`, `FAIL f.jsonl:3 1s to 1.2s entry-01 status Leaving=true: none`},
+	} {
+		request := `{"At":"2s","Instance":"entry-01","Event":"RequestArrived","Data":{"ID":"r","Kind":"Engine","Model":"m","Deadline":"9s"}}`
+		var output bytes.Buffer
+		err := jujubetrace.Replay("f.jsonl", []byte(header+request+"\n"+test.line), &output)
+		assert.ErrorContains(t, err, "1 of 1 expectations failed")
+		assert.Assert(t, strings.Contains(output.String(), test.detail), output.String())
+	}
+}
+
+// Guards against an event or action type that is added to jujubecore and can't be named in a trace.
+func TestNames(t *testing.T) {
+	for file, names := range map[string][]string{"event": jujubetrace.EventNames(), "action": jujubetrace.ActionNames()} {
+		source, err := os.ReadFile("../jujubecore/" + file + ".go")
+		assert.NilError(t, err)
+		var declared []string
+		for _, match := range regexp.MustCompile(`(?m)^type (\w+) struct ?\{\s*`+file+`\b`).FindAllSubmatch(source, -1) {
+			declared = append(declared, string(match[1]))
+		}
+		assert.DeepEqual(t, declared, names)
+	}
+}
