ctl: replay traces

Cause: replay was not built in. It takes several files, prints each expectation with its outcome and goes on after a failure. A failed expectation ends with exit code 1, a faulty trace with 3, so that a script can tell a broken trace from a broken decision. Ruled out: an exit code of its own for failed expectations; 1 is for any other failure and no other failure of replay needs telling apart. Before: "replay: not built in".

--- a/ctl/cmd/exit.go
+++ b/ctl/cmd/exit.go
@@ -7,6 +7,7 @@
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubesetting"
 	"jujubepier.example/core/services/jujubedocument"
+	"jujubepier.example/core/services/jujubetrace"
 	"jujubepier.example/ctl/services/jujubepublish"
 )
 
@@ -17,7 +18,7 @@
 	ExitFailure = 1
 	// ExitUsage is a wrong command, flag, argument or setting.
 	ExitUsage = 2
-	// ExitDocument is a document with problems.
+	// ExitDocument is a document or a trace with problems.
 	ExitDocument = 3
 	// ExitConflict is a change that was refused because another one replaced its base.
 	ExitConflict = 4
@@ -42,6 +43,7 @@
 // exitCode tells the outcome to scripts. The errors of a publication come first, because they wrap others.
 func exitCode(err error) int {
 	_, isDocument := jujubedocument.IsErrDocument(err)
+	_, isTrace := jujubetrace.IsErrTrace(err)
 	_, isSetting := jujubesetting.IsErrSetting(err)
 	_, isRefused := jujubeerror.IsErrRefused(err)
 	_, isUnavailable := jujubeclient.IsErrLogUnavailable(err)
@@ -56,7 +58,7 @@
 		return ExitNotProven
 	case is[jujubepublish.ErrNotAppended](err), isUnavailable, is[jujubepublish.ErrStateUnknown](err), is[jujubeclient.ErrOperator](err):
 		return ExitUnavailable
-	case isDocument:
+	case isDocument, isTrace:
 		return ExitDocument
 	case isRefused:
 		return ExitRefused
--- a/ctl/cmd/operate.go
+++ b/ctl/cmd/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"fmt"
 	"strconv"
 
@@ -13,6 +14,9 @@
 	"jujubepier.example/ctl/services/jujubereport"
 )
 
+// maxFiles bounds the arguments of replay.
+const maxFiles = 1000
+
 func (p *Program) newStatus() *cli.Command {
 	return &cli.Command{
 		Name: "status", Usage: "show instances, endpoints, step parts and weight rollouts",
@@ -111,9 +115,18 @@
 
 func (p *Program) newReplay() *cli.Command {
 	return &cli.Command{
-		Name: "replay", Usage: "replay a trace", ArgsUsage: "FILE",
-		Action: p.action(1, 1, func(ctx context.Context, command *cli.Command, _ Settings) error {
-			return p.Replay(ctx, command.Args().First(), p.Output)
+		Name: "replay", Usage: "replay traces and check their expectations", ArgsUsage: "FILE...",
+		Action: p.action(1, maxFiles, func(ctx context.Context, command *cli.Command, _ Settings) error {
+			var failures []error
+			for _, file := range command.Args().Slice() {
+				if err := ctx.Err(); err != nil {
+					return errors.Wrap(err, "replay")
+				}
+				if err := p.Replay(ctx, file, p.Output); err != nil {
+					failures = append(failures, err)
+				}
+			}
+			return stderrors.Join(failures...)
 		}),
 	}
 }
--- a/ctl/cmd/program_test.go
+++ b/ctl/cmd/program_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubetrace"
 	jujubecommand "jujubepier.example/ctl/cmd"
 )
 
@@ -89,6 +92,10 @@
 		{"", "quarantine lift 0xc0ffee", jujubecommand.ExitOK, "lifted"},
 		{"", "quarantine lift 7", jujubecommand.ExitRefused, "BadRequest"},
 		{"", "replay x", jujubecommand.ExitFailure, "not built in"},
+		{"trace", "replay", jujubecommand.ExitUsage, "takes 1 to"},
+		{"trace", "replay good", jujubecommand.ExitOK, "good\n"},
+		{"trace", "replay failed good", jujubecommand.ExitFailure, "good\nfailed: 1 of 2 expectations failed"},
+		{"trace", "replay failed wrong", jujubecommand.ExitDocument, "wrong:7: unknown event"},
 		{"", "completion bash", jujubecommand.ExitOK, "complete"},
 	} {
 		t.Run(test.arguments, func(t *testing.T) {
@@ -98,9 +105,24 @@
 			t.Setenv("JUJUBECTL_OPERATOR", strings.TrimPrefix(server.URL, "http://"))
 			var output bytes.Buffer
 			program := jujubecommand.NewProgram(&output, &output)
+			if test.rival == "trace" {
+				program.Replay = replay
+			}
 			code := program.Run(t.Context(), append([]string{"jujubectl"}, strings.Fields(test.arguments)...))
 			assert.Equal(t, code, test.code, output.String())
 			assert.Assert(t, strings.Contains(output.String(), test.want), output.String())
 		})
 	}
 }
+
+// replay stands for the replay of a trace that passes, fails or has a fault.
+func replay(_ context.Context, file string, output io.Writer) error {
+	switch file {
+	case "failed":
+		return jujubetrace.ErrFailed{File: file, Failed: 1, Total: 2}
+	case "wrong":
+		return jujubetrace.ErrTrace{File: file, Line: 7, Reason: "unknown event"}
+	}
+	_, err := fmt.Fprintln(output, file)
+	return err
+}
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -3,10 +3,14 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/pkg/errors"
+
+	"jujubepier.example/core/services/jujubetrace"
 	jujubecommand "jujubepier.example/ctl/cmd"
 )
 
@@ -17,5 +21,15 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return jujubecommand.NewProgram(os.Stdout, os.Stderr).Run(ctx, os.Args)
+	program := jujubecommand.NewProgram(os.Stdout, os.Stderr)
+	program.Replay = replay
+	return program.Run(ctx, os.Args)
+}
+
+func replay(_ context.Context, file string, output io.Writer) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "replay")
+	}
+	return jujubetrace.Replay(file, data, output)
 }
