jujubecore: pass an engine's refusal of an order on

Cause: the rollout recognises a refusal by jujubeweight.ErrOrder, but the core wrapped the code in an error type of its own. Each refusal counted as a lost answer: StaleFence didn't stop the leader, Overloaded didn't shrink the window, and the engine was held until the swap timeout. Ruled out: comparing codes in the rollout; its own tests pass ErrOrder and pass. Before: in the trace weights-stale-fence the orderer sends two more orders with the refused fence after 5 s.

--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -183,12 +183,15 @@
 	Version model.WeightVersion
 }
 
+// CodeUnreachable is the code of an order that got no answer.
+const CodeUnreachable = "Unreachable"
+
 // OrderAnswered carries an engine's answer to an order.
 type OrderAnswered struct {
 	event
 	Endpoint model.EndpointID
 	Result   model.OrderResult
-	// Code is empty for success, an engine code, or "Unreachable".
+	// Code is empty for success, an engine code, or CodeUnreachable.
 	Code string
 }
 
--- a/core/services/jujubecore/keys.go
+++ b/core/services/jujubecore/keys.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
-
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubeclaim"
 )
@@ -32,14 +30,3 @@
 	payload := successorPayload{From: imported.From, Incarnation: imported.Incarnation, To: c.self.ID}
 	c.members.Publish(now, newRumour(model.RumourSuccessor, key, 1, payload))
 }
-
-func orderError(code string) error { return errors.WithStack(ErrOrder{Code: code}) }
-
-// ErrOrder is an engine's refusal of an order, or the loss of its answer.
-type ErrOrder struct {
-	// Code is an engine code, or "Unreachable".
-	Code string
-}
-
-// Error gives the code.
-func (e ErrOrder) Error() string { return "order: " + e.Code }
--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubedocument"
 	"jujubepier.example/core/services/jujubelease"
+	"jujubepier.example/core/services/jujubeweight"
 )
 
 // fetchPause is the least time between two reads of a peer's configuration.
@@ -135,12 +138,19 @@
 	return actions
 }
 
-func (c *Core) applyOrderAnswered(now time.Time, answered OrderAnswered) {
-	var err error
-	if answered.Code != "" {
-		err = orderError(answered.Code)
+// orderError tells an engine's refusal from a lost answer, after which the engine may have taken the order.
+func orderError(answered OrderAnswered) error {
+	switch answered.Code {
+	case "":
+		return nil
+	case CodeUnreachable:
+		return errors.New("no answer to the order")
 	}
-	c.rollout.Result(now, answered.Endpoint, answered.Result, err)
+	return errors.WithStack(jujubeweight.ErrOrder{EngineError: model.EngineError{Code: answered.Code}})
+}
+
+func (c *Core) applyOrderAnswered(now time.Time, answered OrderAnswered) {
+	c.rollout.Result(now, answered.Endpoint, answered.Result, orderError(answered))
 	if answered.Result.Report.Endpoint != "" {
 		c.applyLoad(now, answered.Result.Report)
 	}
--- a/core/services/jujubetrace/codec.go
+++ b/core/services/jujubetrace/codec.go
@@ -298,7 +298,6 @@
 
 // encodeError makes errors matchable by code.
 func encodeError(err error) any {
-	var order jujubecore.ErrOrder
 	if refused, ok := jujubeerror.IsErrRefused(err); ok {
 		return encode(reflect.ValueOf(struct {
 			Code       string
@@ -307,9 +306,6 @@
 			Message    string
 		}(refused)))
 	}
-	if errors.As(err, &order) {
-		return map[string]any{"Code": order.Code, "Message": err.Error()}
-	}
 	return map[string]any{"Code": "Error", "Message": err.Error()}
 }
 
--- a/entry/services/jujubeentry/begin.go
+++ b/entry/services/jujubeentry/begin.go
@@ -130,7 +130,7 @@
 	result, err := s.engine.Send(ctx, send.Address, send.Order)
 	answered := jujubecore.OrderAnswered{Endpoint: send.Order.Endpoint, Result: result}
 	if err != nil {
-		answered.Code = "Unreachable"
+		answered.Code = jujubecore.CodeUnreachable
 		var refused jujubeclient.ErrEngine
 		if errors.As(err, &refused) {
 			answered.Code = refused.Code
