jujubecore: stop a holder without the log once a peer has the lease

Cause: a holder that loses the log goes on with its last fence, on the ground that nobody can claim through that log. When only this instance has lost it, a peer does claim; the peer's fence arrives as a rumour, and the former holder went on giving orders with the peer's own number, which no engine refuses. Ruled out: giving the orders the own, older fence; engines that ignore the number would still take them from two leaders.

--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -100,6 +100,10 @@
 // holder goes on, and if it is dead the lowest-ranked instance takes over with the highest fence known. Orders are
 // absolute and versions only grow, so two orderers cost at most some more engines swapping at once.
 func (c *Core) isLeading(state jujubelease.State) bool {
+	if state.Degraded && c.fence > state.Fence+1 {
+		// Only this instance has lost the log: a peer has claimed the lease, and c.fence is that peer's.
+		return false
+	}
 	if state.Held || !c.logAway || state.Degraded {
 		return state.Held || state.Degraded
 	}
