jujubecore: believe a list without incarnations that an endpoint leaves

Cause: an instance list may give no incarnations. "Leaving" from such a list was dropped as late once the endpoint's own report had told one, and a mark from before the first report ended with that report. New work then went to the leaving endpoint for good. Ruled out: the report's own Leaving field; it covers only endpoints that know that they leave. Residual: such a list that lags behind a restart takes the new incarnation out until its next restart, since Leaving is never taken back for an incarnation.

--- a/core/services/jujubecore/endpoints.go
+++ b/core/services/jujubecore/endpoints.go
@@ -54,9 +54,9 @@
 func (c *Core) putEndpoint(now time.Time, endpoint model.Endpoint) {
 	row, known := c.endpoints.Get(endpoint.ID)
 	if known && endpoint.Incarnation < row.incarnation {
-		// The list lags behind the endpoint's own report.
+		// The list lags behind the endpoint's own report, unless it gives no incarnations at all.
+		endpoint.Leaving = endpoint.Leaving && endpoint.Incarnation == 0
 		endpoint.Incarnation = row.incarnation
-		endpoint.Leaving = false
 	}
 	if endpoint.Incarnation > row.incarnation {
 		c.blame(now, row, row.incarnation)
@@ -107,6 +107,10 @@
 	}
 	if report.Incarnation > row.incarnation {
 		c.blame(now, row, row.incarnation)
+		if row.leaving && row.incarnation == 0 && row.leavingIncarnation == 0 {
+			// Whoever said that the endpoint leaves didn't know its incarnation; this is the first one known.
+			row.leavingIncarnation = report.Incarnation
+		}
 		row.incarnation = report.Incarnation
 		row.endpoint.Incarnation = report.Incarnation
 		row.endpoint.Leaving = false
--- a/core/services/jujubecore/members.go
+++ b/core/services/jujubecore/members.go
@@ -145,6 +145,10 @@
 	row.leaving = true
 	row.operator = row.operator || payload.Operator
 	row.leavingIncarnation = max(row.leavingIncarnation, payload.Incarnation)
+	if payload.Incarnation == 0 {
+		// The sender didn't know the incarnation.
+		row.leavingIncarnation = max(row.leavingIncarnation, row.incarnation)
+	}
 	c.endpoints.Put(payload.Endpoint, row)
 	if row.isLeaving() {
 		c.router.MarkLeaving(now, payload.Endpoint)
