--- a/core/services/jujubetrace/replay_test.go
+++ b/core/services/jujubetrace/replay_test.go
@@ -93,3 +93,21 @@
 		assert.DeepEqual(t, declared, names)
 	}
 }
+
+// Guards against a page whose examples can't be replayed, and an event without an example.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/traces.md")
+	assert.NilError(t, err)
+	lines := regexp.MustCompile(`(?m)^\{.*$`).FindAll(page, -1)
+	trace, err := jujubetrace.Parse("traces.md", bytes.Join(lines, []byte("\n")))
+	assert.NilError(t, err)
+	var shown []string
+	for _, line := range trace.Lines {
+		if line.Event != "" {
+			shown = append(shown, line.Event)
+		}
+	}
+	assert.DeepEqual(t, shown, jujubetrace.EventNames())
+	_, err = jujubetrace.Run(trace)
+	assert.NilError(t, err)
+}
