--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -102,6 +102,10 @@
 // holder goes on, and if it is dead the lowest-ranked instance takes over with the highest fence known. Orders are
 // absolute and versions only grow, so two orderers cost at most some more engines swapping at once.
 func (c *Core) isLeading(state jujubelease.State) bool {
+	if state.Degraded && c.fence > state.Fence+1 {
+		// Only this instance has lost the log: a peer has claimed the lease, and c.fence is that peer's.
+		return false
+	}
 	if state.Held || !c.logAway || state.Degraded {
 		return state.Held || state.Degraded
 	}
@@ -140,15 +144,19 @@
 	return actions
 }
 
-func (c *Core) applyOrderAnswered(now time.Time, answered OrderAnswered) {
-	var err error
+// orderError tells an engine's refusal from a lost answer, after which the engine may have taken the order.
+func orderError(answered OrderAnswered) error {
 	switch {
 	case answered.Refusal.Code != "":
-		err = jujubeweight.ErrOrder{EngineError: answered.Refusal}
+		return jujubeweight.ErrOrder{EngineError: answered.Refusal}
 	case answered.Lost:
-		err = ErrOrderLost{Endpoint: answered.Endpoint}
+		return ErrOrderLost{Endpoint: answered.Endpoint}
 	}
-	c.rollout.Result(now, answered.Endpoint, answered.Result, err)
+	return nil
+}
+
+func (c *Core) applyOrderAnswered(now time.Time, answered OrderAnswered) {
+	c.rollout.Result(now, answered.Endpoint, answered.Result, orderError(answered))
 	if answered.Result.Report.Endpoint != "" {
 		c.applyLoad(now, answered.Result.Report)
 	}
