standin: share the listener, the faults and the rate limit

Cause: six emulators each held the same fields and start-up code, which a newcomer has to compare to see that they are alike. Ruled out: one emulator type with a list of handlers; their states differ. Conclusion: no change of behaviour; go test -race ./... passes.

--- a/standin/services/jujubeengine/engine.go
+++ b/standin/services/jujubeengine/engine.go
@@ -9,19 +9,18 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"goji.io"
 	"goji.io/pat"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/standin/modules/jujubebase"
 	"jujubepier.example/standin/modules/jujubefault"
 	"jujubepier.example/standin/modules/jujubehost"
 )
 
 // Server is a running engine.
 type Server struct {
+	*jujubebase.Base[Faults]
 	settings Settings
-	faults   *jujubefault.Box[Faults]
-	host     *jujubehost.Host
 	client   *http.Client
 	// wake starts the loop when it rests for want of streams.
 	wake chan struct{}
@@ -64,19 +63,18 @@
 	if err := settings.check(); err != nil {
 		return nil, nil, errors.Wrap(err, "engine")
 	}
+	base, mux := jujubebase.New[Faults]()
 	s := &Server{
-		settings: settings, faults: jujubefault.New[Faults](), wake: make(chan struct{}, 1),
+		Base: base, settings: settings, wake: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{}},
 	}
 	s.reset(time.Now())
-	mux := goji.NewMux()
-	mux.Use(s.faults.Guard(func(f Faults) (jujubefault.Outage, time.Duration) {
+	s.Guard(mux, func(f Faults) (jujubefault.Outage, time.Duration) {
 		if f.Freeze {
 			return jujubefault.OutageHang, 0
 		}
 		return jujubefault.OutageNone, 0
-	}))
-	s.faults.Handle(mux)
+	})
 	mux.HandleFunc(pat.Post("/v1/generate"), s.generate)
 	mux.HandleFunc(pat.Post("/v1/streams/cancel"), s.cancel)
 	mux.HandleFunc(pat.Get("/v1/streams"), s.list)
@@ -86,32 +84,25 @@
 	mux.HandleFunc(pat.Post("/v1/leave"), s.leave)
 	// Handlers that need the host wait for the mutex until it is set.
 	s.mu.Lock()
-	host, err := jujubehost.Listen(ctx, settings.Listen, mux)
-	s.host = host
+	err := s.Listen(ctx, "engine", settings.Listen, mux)
 	s.mu.Unlock()
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "engine")
+		return nil, nil, err
 	}
-	host.Go(s.run)
-	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, func() bool { return s.faults.Get().Freeze })
+	s.Host.Go(s.run)
+	s.Host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, func() bool { return s.Faults.Get().Freeze })
 	return s, func() {
-		host.Close()
+		s.Host.Close()
 		s.client.CloseIdleConnections()
 	}, nil
 }
 
-// Address returns host:port.
-func (s *Server) Address() string { return s.host.Address() }
-
-// SetFaults replaces the faults, as PUT /faults does.
-func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
-
 // Endpoint returns the engine's row in the instance list.
 func (s *Server) Endpoint() model.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return model.Endpoint{
-		ID: s.settings.ID, Kind: model.KindEngine, DataCentre: s.settings.DataCentre, Address: s.host.Address(),
+		ID: s.settings.ID, Kind: model.KindEngine, DataCentre: s.settings.DataCentre, Address: s.Host.Address(),
 		Incarnation: s.incarnation, Model: s.settings.Model, Leaving: s.leaving,
 	}
 }
@@ -129,13 +120,13 @@
 		return
 	}
 	s.crashing = true
-	s.host.Go(func(context.Context) {
+	s.Host.Go(func(context.Context) {
 		logrus.WithField("Endpoint", s.settings.ID).Info("engine crashes")
 		if s.settings.OnCrash != nil {
 			s.settings.OnCrash()
 			return
 		}
-		s.host.Crash(s.settings.scaled(s.settings.CrashDowntime), func() {
+		s.Host.Crash(s.settings.scaled(s.settings.CrashDowntime), func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.reset(time.Now())
--- a/standin/services/jujubeengine/generate.go
+++ b/standin/services/jujubeengine/generate.go
@@ -118,8 +118,8 @@
 	stream.connection = s.connections
 	stream.notify()
 	c := &connection{server: s, stream: stream, id: s.connections, cutAfter: -1}
-	if s.faults.Take(func(f *Faults) *int { return &f.CutConnections }) {
-		c.cutAfter = s.faults.Get().CutAfterTokens
+	if s.Faults.Take(func(f *Faults) *int { return &f.CutConnections }) {
+		c.cutAfter = s.Faults.Get().CutAfterTokens
 	}
 	return c
 }
@@ -147,7 +147,7 @@
 		refusal := model.EngineError{Code: model.EngineCodeTakenOver, Message: "another connection has resumed the stream"}
 		return []string{formatEvent("error", refusal)}, true, nil
 	}
-	faults := c.server.faults.Get()
+	faults := c.server.Faults.Get()
 	for c.cutAfter < 0 || c.sent < c.cutAfter {
 		chunk, ok := stream.next(c.next, c.server.settings.ChunkTokens)
 		if !ok {
--- a/standin/services/jujubeengine/load.go
+++ b/standin/services/jujubeengine/load.go
@@ -12,7 +12,7 @@
 
 // report describes the engine as it is now.
 func (s *Server) report(now time.Time) model.LoadReport {
-	faults := s.faults.Get()
+	faults := s.Faults.Get()
 	return model.LoadReport{
 		Endpoint: s.settings.ID, Incarnation: s.incarnation, At: now.UTC(),
 		Running: len(s.running), Waiting: len(s.waiting), Slots: s.settings.Slots,
--- a/standin/services/jujubeengine/schedule.go
+++ b/standin/services/jujubeengine/schedule.go
@@ -50,7 +50,7 @@
 
 // advance generates the tokens of the time that has passed and reports whether the engine holds streams.
 func (s *Server) advance(now time.Time, passed time.Duration) bool {
-	faults := s.faults.Get()
+	faults := s.Faults.Get()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if faults.Freeze {
@@ -116,7 +116,7 @@
 
 // admit gives free slots to the first waiting streams.
 func (s *Server) admit(now time.Time) {
-	marker := s.faults.Get().CrashMarker
+	marker := s.Faults.Get().CrashMarker
 	changed := false
 	for len(s.waiting) > 0 && len(s.running) < s.settings.Slots && !s.crashing {
 		stream := s.waiting[0]
--- a/standin/services/jujubeengine/swap.go
+++ b/standin/services/jujubeengine/swap.go
@@ -31,7 +31,7 @@
 		jujubehost.WriteError(w, status, *refusal)
 		return
 	}
-	if s.faults.Take(func(f *Faults) *int { return &f.LoseOrderAnswers }) {
+	if s.Faults.Take(func(f *Faults) *int { return &f.LoseOrderAnswers }) {
 		jujubehost.Abort()
 	}
 	jujubehost.WriteJSON(w, http.StatusOK, model.OrderResult{Accepted: true, Report: report})
@@ -83,7 +83,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stopSwap = stop
-	s.host.Go(func(host context.Context) {
+	s.Host.Go(func(host context.Context) {
 		release := context.AfterFunc(host, stop)
 		defer release()
 		s.finish(ctx, version, s.swap(ctx, version))
@@ -98,13 +98,13 @@
 		}
 	}
 	jujubehost.Sleep(ctx, s.settings.scaled(s.settings.SwapTime))
-	for faults := s.faults.Get(); (faults.HangSwaps || faults.Freeze) && ctx.Err() == nil; faults = s.faults.Get() {
+	for faults := s.Faults.Get(); (faults.HangSwaps || faults.Freeze) && ctx.Err() == nil; faults = s.Faults.Get() {
 		jujubehost.Sleep(ctx, hangCheck)
 	}
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	if s.faults.Take(func(f *Faults) *int { return &f.FailSwaps }) {
+	if s.Faults.Take(func(f *Faults) *int { return &f.FailSwaps }) {
 		return errors.New("swap fails by a fault")
 	}
 	return nil
--- a/standin/services/jujubelist/list.go
+++ b/standin/services/jujubelist/list.go
@@ -7,11 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-	"goji.io"
 	"goji.io/pat"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/standin/modules/jujubebase"
 	"jujubepier.example/standin/modules/jujubefault"
 	"jujubepier.example/standin/modules/jujubehost"
 )
@@ -39,9 +38,8 @@
 
 // Server is a running instance list.
 type Server struct {
+	*jujubebase.Base[Faults]
 	settings Settings
-	faults   *jujubefault.Box[Faults]
-	host     *jujubehost.Host
 
 	mu        sync.Mutex
 	endpoints *history[model.EndpointID, model.Endpoint]
@@ -50,14 +48,13 @@
 
 // Start runs an instance list until the clean-up function is called or ctx ends.
 func Start(ctx context.Context, settings Settings) (*Server, func(), error) {
+	base, mux := jujubebase.New[Faults]()
 	s := &Server{
-		settings: settings, faults: jujubefault.New[Faults](),
+		Base: base, settings: settings,
 		endpoints: newHistory[model.EndpointID, model.Endpoint](settings),
 		entries:   newHistory[model.InstanceID, model.Member](settings),
 	}
-	mux := goji.NewMux()
-	mux.Use(s.faults.Guard(func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() }))
-	s.faults.Handle(mux)
+	s.Guard(mux, func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() })
 	mux.HandleFunc(pat.Get("/v1/instances"), s.read)
 	mux.HandleFunc(pat.Put("/v1/endpoints/:id"), s.putEndpoint)
 	mux.HandleFunc(pat.Post("/v1/endpoints/:id/leave"), s.leaveEndpoint)
@@ -65,20 +62,12 @@
 	mux.HandleFunc(pat.Put("/v1/entries/:id"), s.putEntry)
 	mux.HandleFunc(pat.Post("/v1/entries/:id/leave"), s.leaveEntry)
 	mux.HandleFunc(pat.Delete("/v1/entries/:id"), s.deleteEntry)
-	host, err := jujubehost.Listen(ctx, settings.Listen, mux)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "instance list")
+	if err := s.Listen(ctx, "instance list", settings.Listen, mux); err != nil {
+		return nil, nil, err
 	}
-	s.host = host
-	return s, host.Close, nil
+	return s, s.Host.Close, nil
 }
 
-// Address returns host:port.
-func (s *Server) Address() string { return s.host.Address() }
-
-// SetFaults replaces the faults, as PUT /faults does.
-func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
-
 func (s *Server) read(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	now := time.Now()
--- a/standin/services/jujubelog/log.go
+++ b/standin/services/jujubelog/log.go
@@ -8,12 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-	"goji.io"
 	"goji.io/pat"
 	"golang.org/x/time/rate"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/standin/modules/jujubebase"
 	"jujubepier.example/standin/modules/jujubefault"
 	"jujubepier.example/standin/modules/jujubehost"
 )
@@ -55,10 +54,9 @@
 
 // Server is a running log.
 type Server struct {
+	*jujubebase.Base[Faults]
 	settings Settings
-	faults   *jujubefault.Box[Faults]
 	limiter  *rate.Limiter
-	host     *jujubehost.Host
 
 	mu      sync.Mutex
 	streams map[string]*stream
@@ -75,31 +73,18 @@
 
 // Start runs a log until the clean-up function is called or ctx ends.
 func Start(ctx context.Context, settings Settings) (*Server, func(), error) {
-	s := &Server{settings: settings, faults: jujubefault.New[Faults](), streams: make(map[string]*stream)}
-	limit := rate.Inf
-	if settings.AppendsPerSecond > 0 {
-		limit = rate.Limit(settings.AppendsPerSecond)
-	}
-	s.limiter = rate.NewLimiter(limit, max(1, settings.Burst))
-	mux := goji.NewMux()
-	mux.Use(s.faults.Guard(func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() }))
-	s.faults.Handle(mux)
+	base, mux := jujubebase.New[Faults]()
+	s := &Server{Base: base, settings: settings, streams: make(map[string]*stream)}
+	s.limiter = jujubebase.NewLimiter(settings.AppendsPerSecond, settings.Burst)
+	s.Guard(mux, func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() })
 	mux.HandleFunc(pat.Post("/v1/streams/:stream/records"), s.append)
 	mux.HandleFunc(pat.Get("/v1/streams/:stream/records"), s.read)
-	host, err := jujubehost.Listen(ctx, settings.Listen, mux)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "log")
+	if err := s.Listen(ctx, "log", settings.Listen, mux); err != nil {
+		return nil, nil, err
 	}
-	s.host = host
-	return s, host.Close, nil
+	return s, s.Host.Close, nil
 }
 
-// Address returns host:port.
-func (s *Server) Address() string { return s.host.Address() }
-
-// SetFaults replaces the faults, as PUT /faults does.
-func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
-
 func (s *Server) append(w http.ResponseWriter, r *http.Request) {
 	body, ok := jujubehost.ReadBody(w, r)
 	if !ok {
@@ -115,7 +100,7 @@
 		return
 	}
 	record := s.store(pat.Param(r, "stream"), body)
-	if s.faults.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
+	if s.Faults.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
 		jujubehost.Abort()
 	}
 	jujubehost.WriteJSON(w, http.StatusOK, model.LogAppended{Offset: record.Offset, At: record.At})
@@ -167,7 +152,7 @@
 			expired = true
 		case <-appended:
 			// An outage that began during the long poll also holds for its answer.
-			if s.faults.Get().Outage != jujubefault.OutageNone {
+			if s.Faults.Get().Outage != jujubefault.OutageNone {
 				jujubehost.Abort()
 			}
 		}
--- a/standin/services/jujubescorer/scorer.go
+++ b/standin/services/jujubescorer/scorer.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"goji.io"
 	"goji.io/pat"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/standin/modules/jujubebase"
 	"jujubepier.example/standin/modules/jujubefault"
 	"jujubepier.example/standin/modules/jujubehost"
 )
@@ -48,9 +48,8 @@
 
 // Server is a running scorer.
 type Server struct {
+	*jujubebase.Base[Faults]
 	settings    Settings
-	faults      *jujubefault.Box[Faults]
-	host        *jujubehost.Host
 	incarnation model.Incarnation
 	running     atomic.Int64
 }
@@ -60,34 +59,25 @@
 	if settings.ID == "" || settings.Heartbeat <= 0 {
 		return nil, nil, errors.New("scorer: ID and Heartbeat must be set")
 	}
+	base, mux := jujubebase.New[Faults]()
 	s := &Server{
-		settings: settings, faults: jujubefault.New[Faults](),
+		Base: base, settings: settings,
 		incarnation: model.Incarnation(time.Now().UnixMilli()),
 	}
-	mux := goji.NewMux()
-	mux.Use(s.faults.Guard(func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() }))
-	s.faults.Handle(mux)
+	s.Guard(mux, func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() })
 	mux.HandleFunc(pat.Post("/v1/score"), s.score)
 	mux.HandleFunc(pat.Get("/v1/load"), s.load)
-	host, err := jujubehost.Listen(ctx, settings.Listen, mux)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "scorer")
+	if err := s.Listen(ctx, "scorer", settings.Listen, mux); err != nil {
+		return nil, nil, err
 	}
-	s.host = host
-	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, nil)
-	return s, host.Close, nil
+	s.Host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, nil)
+	return s, s.Host.Close, nil
 }
 
-// Address returns host:port.
-func (s *Server) Address() string { return s.host.Address() }
-
-// SetFaults replaces the faults, as PUT /faults does.
-func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
-
 // Endpoint returns the scorer's row in the instance list.
 func (s *Server) Endpoint() model.Endpoint {
 	return model.Endpoint{
-		ID: s.settings.ID, Kind: model.KindScorer, DataCentre: s.settings.DataCentre, Address: s.host.Address(),
+		ID: s.settings.ID, Kind: model.KindScorer, DataCentre: s.settings.DataCentre, Address: s.Host.Address(),
 		Incarnation: s.incarnation, Service: s.settings.Service,
 	}
 }
@@ -105,7 +95,7 @@
 	if !jujubehost.ReadJSON(w, r, &request) {
 		return
 	}
-	if s.faults.Take(func(f *Faults) *int { return &f.FailNext }) {
+	if s.Faults.Take(func(f *Faults) *int { return &f.FailNext }) {
 		jujubehost.WriteError(w, http.StatusInternalServerError,
 			model.EngineError{Code: jujubehost.CodeUnavailable, Message: "score fails by a fault"})
 		return
--- a/standin/services/jujubeservice/service.go
+++ b/standin/services/jujubeservice/service.go
@@ -12,10 +12,10 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"goji.io"
 	"goji.io/pat"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/standin/modules/jujubebase"
 	"jujubepier.example/standin/modules/jujubefault"
 	"jujubepier.example/standin/modules/jujubehost"
 )
@@ -86,9 +86,8 @@
 
 // Server is a running plain service.
 type Server struct {
+	*jujubebase.Base[Faults]
 	settings Settings
-	faults   *jujubefault.Box[Faults]
-	host     *jujubehost.Host
 
 	mu          sync.Mutex
 	incarnation model.Incarnation
@@ -102,49 +101,41 @@
 	if settings.ID == "" || settings.Heartbeat <= 0 {
 		return nil, nil, errors.New("service: ID and Heartbeat must be set")
 	}
+	base, mux := jujubebase.New[Faults]()
 	s := &Server{
-		settings: settings, faults: jujubefault.New[Faults](),
+		Base: base, settings: settings,
 		incarnation: model.Incarnation(time.Now().UnixMilli()),
 		calls:       Calls{ByKey: make(map[string]int), ByRecord: make(map[string]int)},
 	}
-	mux := goji.NewMux()
 	mux.Use(s.guard)
-	s.faults.Handle(mux)
 	mux.HandleFunc(pat.Get("/calls"), s.list)
 	mux.HandleFunc(pat.Get("/v1/load"), s.load)
 	mux.HandleFunc(pat.Post("/v1/leave"), s.leave)
 	mux.HandleFunc(pat.New("/*"), s.call)
 	// Handlers that need the host wait for the mutex until it is set.
 	s.mu.Lock()
-	host, err := jujubehost.Listen(ctx, settings.Listen, mux)
-	s.host = host
+	err := s.Listen(ctx, "service", settings.Listen, mux)
 	s.mu.Unlock()
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "service")
+		return nil, nil, err
 	}
-	host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, nil)
-	return s, host.Close, nil
+	s.Host.Register(settings.ListURL, settings.Heartbeat, s.Endpoint, nil)
+	return s, s.Host.Close, nil
 }
 
-// Address returns host:port.
-func (s *Server) Address() string { return s.host.Address() }
-
-// SetFaults replaces the faults, as PUT /faults does.
-func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
-
 // Endpoint returns the server's row in the instance list.
 func (s *Server) Endpoint() model.Endpoint {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return model.Endpoint{
-		ID: s.settings.ID, Kind: model.KindService, DataCentre: s.settings.DataCentre, Address: s.host.Address(),
+		ID: s.settings.ID, Kind: model.KindService, DataCentre: s.settings.DataCentre, Address: s.Host.Address(),
 		Incarnation: s.incarnation, Service: s.settings.Service, Leaving: s.leaving,
 	}
 }
 
 // guard leaves GET /calls readable during an outage, so that a test can count while it lasts.
 func (s *Server) guard(next http.Handler) http.Handler {
-	guarded := s.faults.Guard(func(f Faults) (jujubefault.Outage, time.Duration) {
+	guarded := s.Faults.Guard(func(f Faults) (jujubefault.Outage, time.Duration) {
 		return f.Outage, f.Slow.Std()
 	})(next)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -163,18 +154,18 @@
 	if !ok {
 		return
 	}
-	if s.faults.Take(func(f *Faults) *int { return &f.CloseBefore }) {
+	if s.Faults.Take(func(f *Faults) *int { return &f.CloseBefore }) {
 		jujubehost.Abort()
 	}
-	if s.faults.Take(func(f *Faults) *int { return &f.Fail }) {
+	if s.Faults.Take(func(f *Faults) *int { return &f.Fail }) {
 		jujubehost.WriteError(w, http.StatusInternalServerError,
 			model.EngineError{Code: jujubehost.CodeUnavailable, Message: "call fails by a fault"})
 		return
 	}
 	// The call has its effect first: a client that goes away meanwhile doesn't undo it.
 	echo := s.execute(r, body)
-	marker := s.faults.Get().CrashMarker
-	if s.faults.Take(func(f *Faults) *int { return &f.Crash }) ||
+	marker := s.Faults.Get().CrashMarker
+	if s.Faults.Take(func(f *Faults) *int { return &f.Crash }) ||
 		(marker != "" && strings.Contains(string(body), marker)) {
 		s.Crash()
 		jujubehost.Abort()
@@ -182,7 +173,7 @@
 	if !jujubehost.Sleep(r.Context(), s.settings.Latency) {
 		jujubehost.Abort()
 	}
-	if s.faults.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
+	if s.Faults.Take(func(f *Faults) *int { return &f.LoseAnswers }) {
 		jujubehost.Abort()
 	}
 	jujubehost.WriteJSON(w, http.StatusOK, echo)
@@ -231,7 +222,7 @@
 		return
 	}
 	s.mu.Lock()
-	host := s.host
+	host := s.Host
 	s.mu.Unlock()
 	host.Crash(s.settings.CrashDowntime, func() {
 		s.mu.Lock()
--- a/standin/services/jujubestore/store.go
+++ b/standin/services/jujubestore/store.go
@@ -8,12 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-	"goji.io"
 	"goji.io/pat"
 	"golang.org/x/time/rate"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/standin/modules/jujubebase"
 	"jujubepier.example/standin/modules/jujubefault"
 	"jujubepier.example/standin/modules/jujubehost"
 )
@@ -52,10 +51,9 @@
 
 // Server is a running store.
 type Server struct {
+	*jujubebase.Base[Faults]
 	settings Settings
-	faults   *jujubefault.Box[Faults]
 	limiter  *rate.Limiter
-	host     *jujubehost.Host
 
 	mu      sync.Mutex
 	weights map[key][]byte
@@ -70,31 +68,18 @@
 
 // Start runs a store until the clean-up function is called or ctx ends.
 func Start(ctx context.Context, settings Settings) (*Server, func(), error) {
-	s := &Server{settings: settings, faults: jujubefault.New[Faults](), weights: make(map[key][]byte)}
-	limit := rate.Inf
-	if settings.FetchesPerSecond > 0 {
-		limit = rate.Limit(settings.FetchesPerSecond)
-	}
-	s.limiter = rate.NewLimiter(limit, max(1, settings.Burst))
-	mux := goji.NewMux()
-	mux.Use(s.faults.Guard(func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() }))
-	s.faults.Handle(mux)
+	base, mux := jujubebase.New[Faults]()
+	s := &Server{Base: base, settings: settings, weights: make(map[key][]byte)}
+	s.limiter = jujubebase.NewLimiter(settings.FetchesPerSecond, settings.Burst)
+	s.Guard(mux, func(f Faults) (jujubefault.Outage, time.Duration) { return f.Outage, f.Slow.Std() })
 	mux.HandleFunc(pat.Put("/v1/weights/:model/:version"), s.put)
 	mux.HandleFunc(pat.Get("/v1/weights/:model/:version"), s.get)
-	host, err := jujubehost.Listen(ctx, settings.Listen, mux)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "weight store")
+	if err := s.Listen(ctx, "weight store", settings.Listen, mux); err != nil {
+		return nil, nil, err
 	}
-	s.host = host
-	return s, host.Close, nil
+	return s, s.Host.Close, nil
 }
 
-// Address returns host:port.
-func (s *Server) Address() string { return s.host.Address() }
-
-// SetFaults replaces the faults, as PUT /faults does.
-func (s *Server) SetFaults(faults Faults) { s.faults.Set(faults) }
-
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
 	name, ok := readKey(w, r)
 	if !ok {
@@ -158,7 +143,7 @@
 		return 0
 	}
 	bytes := float64(max(int64(size), s.settings.WeightBytes))
-	seconds := bytes / s.settings.BytesPerSecond * max(1, s.faults.Get().SlowFactor)
+	seconds := bytes / s.settings.BytesPerSecond * max(1, s.Faults.Get().SlowFactor)
 	return time.Duration(seconds * float64(time.Second))
 }
 
