core: share the function that fills in defaults

Ruled out: reflection over the settings structs; the explicit lines show each default next to its field. Conclusion: no change of behaviour; the tests of the three packages pass.

--- a/core/services/jujubeclaim/settings.go
+++ b/core/services/jujubeclaim/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubedefault"
 )
 
 // Settings are the bounds of the key table; zero fields take the value of DefaultSettings.
@@ -36,21 +37,14 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (s Settings) withDefaults() Settings {
 	d := DefaultSettings()
-	setDefault(&s.Validity, d.Validity)
-	setDefault(&s.Margin, d.Margin)
-	setDefault(&s.MaxKeys, d.MaxKeys)
-	setDefault(&s.MaxAnswer, d.MaxAnswer)
-	setDefault(&s.MaxAnswerBytes, d.MaxAnswerBytes)
-	setDefault(&s.RetryAfter, d.RetryAfter)
+	jujubedefault.Set(&s.Validity, d.Validity)
+	jujubedefault.Set(&s.Margin, d.Margin)
+	jujubedefault.Set(&s.MaxKeys, d.MaxKeys)
+	jujubedefault.Set(&s.MaxAnswer, d.MaxAnswer)
+	jujubedefault.Set(&s.MaxAnswerBytes, d.MaxAnswerBytes)
+	jujubedefault.Set(&s.RetryAfter, d.RetryAfter)
 	return s
 }
 
--- a/core/services/jujubemember/settings.go
+++ b/core/services/jujubemember/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubedefault"
 )
 
 // Settings are the periods and bounds of the protocol; zero fields take the value of DefaultSettings.
@@ -61,29 +62,22 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 func (s Settings) withDefaults() Settings {
 	d := DefaultSettings()
-	setDefault(&s.ProbeInterval, d.ProbeInterval)
-	setDefault(&s.ProbeTimeout, d.ProbeTimeout)
-	setDefault(&s.IndirectTimeout, d.IndirectTimeout)
-	setDefault(&s.IndirectPeers, d.IndirectPeers)
-	setDefault(&s.SuspectFor, d.SuspectFor)
-	setDefault(&s.DeadProbeInterval, d.DeadProbeInterval)
-	setDefault(&s.ForgetDeadAfter, d.ForgetDeadAfter)
-	setDefault(&s.Fanout, d.Fanout)
-	setDefault(&s.Forwards, d.Forwards)
-	setDefault(&s.MemberBurst, d.MemberBurst)
-	setDefault(&s.MemberRate, d.MemberRate)
-	setDefault(&s.MaxMessage, d.MaxMessage)
-	setDefault(&s.MaxPayload, d.MaxPayload)
-	setDefault(&s.MaxRumours, d.MaxRumours)
+	jujubedefault.Set(&s.ProbeInterval, d.ProbeInterval)
+	jujubedefault.Set(&s.ProbeTimeout, d.ProbeTimeout)
+	jujubedefault.Set(&s.IndirectTimeout, d.IndirectTimeout)
+	jujubedefault.Set(&s.IndirectPeers, d.IndirectPeers)
+	jujubedefault.Set(&s.SuspectFor, d.SuspectFor)
+	jujubedefault.Set(&s.DeadProbeInterval, d.DeadProbeInterval)
+	jujubedefault.Set(&s.ForgetDeadAfter, d.ForgetDeadAfter)
+	jujubedefault.Set(&s.Fanout, d.Fanout)
+	jujubedefault.Set(&s.Forwards, d.Forwards)
+	jujubedefault.Set(&s.MemberBurst, d.MemberBurst)
+	jujubedefault.Set(&s.MemberRate, d.MemberRate)
+	jujubedefault.Set(&s.MaxMessage, d.MaxMessage)
+	jujubedefault.Set(&s.MaxPayload, d.MaxPayload)
+	jujubedefault.Set(&s.MaxRumours, d.MaxRumours)
 	if s.Expiry == nil {
 		s.Expiry = d.Expiry
 	}
--- a/core/services/jujuberouter/request.go
+++ b/core/services/jujuberouter/request.go
@@ -11,6 +11,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubedefault"
 )
 
 // CodeCancelled is the code of the final decision of a waiting request that its caller cancelled.
@@ -118,27 +119,20 @@
 	ForgetRemoved time.Duration
 }
 
-func setDefault[T comparable](value *T, preset T) {
-	var zero T
-	if *value == zero {
-		*value = preset
-	}
-}
-
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Watch, 24)
-	setDefault(&s.Queue, 4096)
-	setDefault(&s.MaxWait, time.Minute)
-	setDefault(&s.ServiceTime, 2*time.Second)
-	setDefault(&s.PrefillSaved, 150*time.Millisecond)
-	setDefault(&s.Prefixes, 1024)
-	setDefault(&s.CacheRecent, 2*time.Second)
-	setDefault(&s.MaxReportLag, 2*time.Second)
-	setDefault(&s.Failures, 3)
-	setDefault(&s.AsideMin, 500*time.Millisecond)
-	setDefault(&s.AsideMax, 15*time.Second)
-	setDefault(&s.RetryRatio, 0.1)
-	setDefault(&s.RetryBurst, 10)
-	setDefault(&s.ForgetRemoved, 10*time.Minute)
+	jujubedefault.Set(&s.Watch, 24)
+	jujubedefault.Set(&s.Queue, 4096)
+	jujubedefault.Set(&s.MaxWait, time.Minute)
+	jujubedefault.Set(&s.ServiceTime, 2*time.Second)
+	jujubedefault.Set(&s.PrefillSaved, 150*time.Millisecond)
+	jujubedefault.Set(&s.Prefixes, 1024)
+	jujubedefault.Set(&s.CacheRecent, 2*time.Second)
+	jujubedefault.Set(&s.MaxReportLag, 2*time.Second)
+	jujubedefault.Set(&s.Failures, 3)
+	jujubedefault.Set(&s.AsideMin, 500*time.Millisecond)
+	jujubedefault.Set(&s.AsideMax, 15*time.Second)
+	jujubedefault.Set(&s.RetryRatio, 0.1)
+	jujubedefault.Set(&s.RetryBurst, 10)
+	jujubedefault.Set(&s.ForgetRemoved, 10*time.Minute)
 	return s
 }
