--- a/ctl/services/jujubedocs/tables_test.go
+++ b/ctl/services/jujubedocs/tables_test.go
@@ -101,6 +101,7 @@
 			return
 		}
 		rules := field.Tag.Get("validate")
+		assert.Check(t, field.Tag.Get("usage") != "", "--help says nothing of %s", key)
 		assert.Check(t, isDefault(row[2], value, rules), "%s: the default of %s is %v", page, key, value)
 		checkLimits(t, page, key, row[3], rules)
 		flag := strings.Trim(row[5], "`")
--- a/entry/cmd/root.go
+++ b/entry/cmd/root.go
@@ -29,8 +29,8 @@
 		Name: "serve", Usage: "serve callers until SIGINT or SIGTERM, then shut down gracefully",
 		Flags: jujubesetting.Flags[jujubeentry.Settings](),
 		Action: func(ctx context.Context, command *cli.Command) error {
-			settings := jujubeentry.DefaultSettings()
-			if err := jujubesetting.LoadCommand(command, environPrefix, &settings); err != nil {
+			settings, err := loadSettings(command)
+			if err != nil {
 				return err
 			}
 			logger, err := jujubeevent.NewLogger(os.Stderr, settings.LogLevel, settings.LogFormat)
@@ -52,8 +52,16 @@
 		Name: "check", Usage: "check the settings and exit",
 		Flags: jujubesetting.Flags[jujubeentry.Settings](),
 		Action: func(_ context.Context, command *cli.Command) error {
-			settings := jujubeentry.DefaultSettings()
-			return jujubesetting.LoadCommand(command, environPrefix, &settings)
+			_, err := loadSettings(command)
+			return err
 		},
 	}
 }
+
+func loadSettings(command *cli.Command) (jujubeentry.Settings, error) {
+	settings := jujubeentry.DefaultSettings()
+	if err := jujubesetting.LoadCommand(command, environPrefix, &settings); err != nil {
+		return settings, err
+	}
+	return settings, settings.Check()
+}
--- a/entry/services/jujubeentry/settings.go
+++ b/entry/services/jujubeentry/settings.go
@@ -3,59 +3,82 @@
 package jujubeentry
 
 import (
+	"net/netip"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubesetting"
 )
 
 // Settings are the process settings of an entry instance. docs/settings.md lists them.
 type Settings struct {
-	Instance   model.InstanceID `validate:"required,excludesall=~/"`
-	DataCentre model.DataCentre `validate:"required"`
+	Instance   model.InstanceID `validate:"required,excludesall=~/" usage:"name of the instance; unique, the same over restarts"`
+	DataCentre model.DataCentre `validate:"required" usage:"data centre of the instance"`
 	// CallerAddress, PeerAddress and OperatorAddress are host:port with an IP number.
-	CallerAddress   string `validate:"required,hostname_port"`
-	PeerAddress     string `validate:"required,hostname_port"`
-	OperatorAddress string `validate:"required,hostname_port"`
+	CallerAddress   string `validate:"required,hostname_port" usage:"host:port to listen on for callers and trainers; a numeric IP address that they can reach"`
+	PeerAddress     string `validate:"required,hostname_port" usage:"host:port to listen on for other entry instances; a numeric IP address that they can reach"`
+	OperatorAddress string `validate:"required,hostname_port" usage:"host:port to listen on for operators"`
 	// LogAddress and ListAddress are host:port of the platform's log and instance list.
-	LogAddress  string `validate:"required,hostname_port"`
-	ListAddress string `validate:"required,hostname_port"`
+	LogAddress  string `validate:"required,hostname_port" usage:"host:port of the platform's log"`
+	ListAddress string `validate:"required,hostname_port" usage:"host:port of the platform's instance list"`
 	// Register makes the instance write its own row to the instance list; platforms that list instances by themselves
 	// don't need it.
-	Register bool
+	Register bool `usage:"true: write the own row to the instance list"`
 	// Policy names the choice of endpoints; anything but the default is for measurements.
-	Policy    string `validate:"omitempty,oneof=LeastExpectedWait LeastInFlight RoundRobin Random"`
-	LogLevel  string `validate:"oneof=debug info warning error"`
-	LogFormat string `validate:"oneof=json text"`
+	Policy    string `validate:"omitempty,oneof=LeastExpectedWait LeastInFlight RoundRobin Random" usage:"choice of endpoints; LeastExpectedWait when empty, the others are for measurements"`
+	LogLevel  string `validate:"oneof=debug info warning error" usage:"least level of the log lines: debug, info, warning or error"`
+	LogFormat string `validate:"oneof=json text" usage:"format of the log lines: json or text"`
 	TLS       TLSSettings
 	// AddressValidity is how long callers may keep an address answer, and how long a shutdown waits at least.
-	AddressValidity time.Duration `validate:"min=1s,max=5m"`
+	AddressValidity time.Duration `validate:"min=1s,max=5m" usage:"how long callers may keep an address answer"`
 	// ListPeriod is the time between two reads of the instance list.
-	ListPeriod time.Duration `validate:"min=100ms,max=1m"`
+	ListPeriod time.Duration `validate:"min=100ms,max=1m" usage:"time between two reads of the instance list"`
 	// LoadPeriod is the time between two reads of an endpoint's load.
-	LoadPeriod time.Duration `validate:"min=50ms,max=1m"`
+	LoadPeriod time.Duration `validate:"min=50ms,max=1m" usage:"time between two reads of an endpoint's load"`
 	// CachePeriod is the time between two reads of an engine's cache events.
-	CachePeriod time.Duration `validate:"min=50ms,max=1m"`
+	CachePeriod time.Duration `validate:"min=50ms,max=1m" usage:"time between two reads of an engine's cache events"`
 	// SlowPollPeriod is how often the log is read by an instance that doesn't follow it continuously.
-	SlowPollPeriod time.Duration `validate:"min=1s,max=5m"`
+	SlowPollPeriod time.Duration `validate:"min=1s,max=5m" usage:"time between two reads of the log by an instance that doesn't follow it continuously"`
 	// StallTimeout ends a stream without a chunk for this long. It must exceed the time for which engines stop generating
 	// while they load weights.
-	StallTimeout time.Duration `validate:"min=1s,max=10m"`
+	StallTimeout time.Duration `validate:"min=1s,max=10m" usage:"time without a chunk that ends a stream"`
 	// ShutdownTimeout bounds the wait for requests in flight once the address answers have run out.
-	ShutdownTimeout time.Duration `validate:"min=1s,max=1h"`
+	ShutdownTimeout time.Duration `validate:"min=1s,max=1h" usage:"bound of a shutdown's wait for requests in flight"`
 	// MaxBodyBytes bounds the body of a caller's request.
-	MaxBodyBytes int64 `validate:"min=1024,max=1073741824"`
+	MaxBodyBytes int64 `validate:"min=1024,max=1073741824" usage:"bound of a request's body, in bytes"`
 	// HeaderTimeout bounds the time that a caller may take to send the request's header.
-	HeaderTimeout time.Duration `validate:"min=1s,max=1m"`
+	HeaderTimeout time.Duration `validate:"min=1s,max=1m" usage:"time for sending a request's header"`
 	// BodyTimeout bounds the time that a caller may take to send the whole request.
-	BodyTimeout time.Duration `validate:"min=1s,max=10m"`
+	BodyTimeout time.Duration `validate:"min=1s,max=10m" usage:"time for sending a request's body"`
 	// MaxTimeout bounds the timeout that a caller may ask for.
-	MaxTimeout time.Duration `validate:"min=1s,max=24h"`
+	MaxTimeout time.Duration `validate:"min=1s,max=24h" usage:"highest timeout that a caller may ask for"`
 }
 
 // TLSSettings name the files for TLS on the callers' and operators' listeners; empty for plain HTTP.
 type TLSSettings struct {
-	CertificateFile string `validate:"required_with=KeyFile"`
-	KeyFile         string `validate:"required_with=CertificateFile"`
+	CertificateFile string `validate:"required_with=KeyFile" usage:"PEM certificate for callers and operators; empty for plain HTTP"`
+	KeyFile         string `validate:"required_with=CertificateFile" usage:"PEM key of the certificate"`
+}
+
+// Check returns the problems that concern more than the form of a value. Other instances and callers connect to the
+// addresses as they are written, so a name or an address of all interfaces would be of no use to them.
+func (s Settings) Check() error {
+	var problems jujubesetting.ErrSettings
+	for _, one := range []struct{ key, address string }{
+		{"CallerAddress", s.CallerAddress},
+		{"PeerAddress", s.PeerAddress},
+	} {
+		address, err := netip.ParseAddrPort(one.address)
+		if err != nil || address.Addr().IsUnspecified() {
+			problems = append(problems, jujubesetting.ErrSetting{
+				Source: "settings", Key: one.key, Reason: one.address + " must have a numeric IP address that others can reach",
+			})
+		}
+	}
+	if len(problems) > 0 {
+		return problems
+	}
+	return nil
 }
 
 // DefaultSettings returns the defaults; the identity and the addresses have none.
