jujubeentry: refuse as NotReady before the first document

Cause: an instance that had just started, or found no document, knew no model, service or trainer and answered UnknownModel, UnknownService or UnknownTrainer (404, NotRun, no retry-after). Callers must take that for final, although the next instance would have served them.

Ruled out: refusing in admit while IsReady is false: an instance that is leaving isn't ready either and must serve. Pulls stay as they were: UnknownPart already sends the trainer elsewhere.

Before and after: TestNotReady failed for generate, service calls, steps and weights with 404 and passes with 503 NotReady, RetryAfter 1s.

--- /dev/null
+++ b/entry/routers/jujubeserver/server_test.go
@@ -0,0 +1,60 @@
+package jujubeserver_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/entry/routers/jujubeserver"
+	"jujubepier.example/entry/services/jujubeentry"
+)
+
+// startAlone starts an instance whose log and list can't be reached.
+func startAlone(t *testing.T) *jujubeserver.Server {
+	t.Helper()
+	settings := jujubeentry.DefaultSettings()
+	settings.Instance, settings.DataCentre = "alone", "a"
+	settings.CallerAddress, settings.PeerAddress, settings.OperatorAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	settings.LogAddress, settings.ListAddress = "127.0.0.1:1", "127.0.0.1:1"
+	logger, err := jujubeevent.NewLogger(io.Discard, "error", "json")
+	assert.NilError(t, err)
+	server, kill, err := jujubeserver.Start(context.Background(), settings, logger)
+	assert.NilError(t, err)
+	t.Cleanup(kill)
+	return server
+}
+
+// Guards against an instance without a configuration that tells callers that their model, service or trainer doesn't
+// exist: they would take that answer for final instead of asking another instance.
+func TestNotReady(t *testing.T) {
+	server := startAlone(t)
+	for _, test := range []struct{ method, path, body string }{
+		{http.MethodGet, "/v1/addresses", ""},
+		{http.MethodPost, "/v1/generate", `{"ID":"1","Caller":"c","Model":"m","Prompt":"p","MaxTokens":1,"Timeout":"1s"}`},
+		{http.MethodGet, "/v1/services/s/path", ""},
+		{http.MethodPost, "/v1/services/s/path", "body"},
+		{http.MethodPost, "/v1/steps", `{"Key":{"Trainer":"t"},"Attempt":1,"Groups":[{"Prompt":"p","Samples":1}],"MaxTokens":1,"Timeout":"1s"}`},
+		{http.MethodPost, "/v1/weights", `{"Trainer":"t","Model":"m","Version":1}`},
+	} {
+		request, err := http.NewRequest(test.method, "http://"+server.Settings.CallerAddress+test.path, strings.NewReader(test.body))
+		assert.NilError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		var refusal model.Refusal
+		err = json.NewDecoder(response.Body).Decode(&refusal)
+		assert.NilError(t, err, test.path)
+		assert.NilError(t, response.Body.Close())
+		assert.Check(t, response.StatusCode == http.StatusServiceUnavailable, "%s: %d", test.path, response.StatusCode)
+		assert.Check(t, refusal.Code == jujubeerror.CodeNotReady && refusal.Ran == model.RanNo &&
+			refusal.RetryAfter.Std() == time.Second, "%s: %+v", test.path, refusal)
+	}
+}
--- a/entry/services/jujubeentry/address.go
+++ b/entry/services/jujubeentry/address.go
@@ -23,15 +23,31 @@
 	s.mu.Unlock()
 	addresses := s.rankAddresses(members, caller, dataCentre)
 	if len(addresses) == 0 || (!ready && !s.isLeaving()) {
-		return model.AddressAnswer{}, jujubeerror.ErrRefused{
-			Code: jujubeerror.CodeNotReady, Ran: model.RanNo, RetryAfter: time.Second, Message: "no configuration is known yet",
-		}
+		return model.AddressAnswer{}, errNotReady()
 	}
 	return model.AddressAnswer{
 		Addresses: addresses, ValidFor: model.Duration(s.settings.AddressValidity), StepParts: len(addresses),
 	}, nil
 }
 
+func errNotReady() error {
+	return jujubeerror.ErrRefused{
+		Code: jujubeerror.CodeNotReady, Ran: model.RanNo, RetryAfter: time.Second, Message: "no configuration is known yet",
+	}
+}
+
+// readLimits returns the limits in force. Without a configuration no name is known, which doesn't mean that it doesn't
+// exist, so the request is refused as one to repeat elsewhere.
+func (s *Service) readLimits() (model.Limits, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limits := s.core.Limits()
+	if limits.Revision == 0 {
+		return limits, errNotReady()
+	}
+	return limits, nil
+}
+
 // rankAddresses orders the instances for a caller: those in its data centre first, and within a data centre by a hash
 // of caller and instance, so that callers spread evenly and a caller's order changes little when one instance goes.
 func (s *Service) rankAddresses(members []model.Member, caller model.CallerID, dataCentre model.DataCentre) []model.EntryAddress {
--- a/entry/services/jujubeentry/call.go
+++ b/entry/services/jujubeentry/call.go
@@ -79,9 +79,11 @@
 }
 
 func (s *Service) checkCall(call *Call) (model.ServiceLimits, error) {
-	s.mu.Lock()
-	limits, known := s.core.Limits().Services[call.Service]
-	s.mu.Unlock()
+	all, err := s.readLimits()
+	if err != nil {
+		return model.ServiceLimits{}, err
+	}
+	limits, known := all.Services[call.Service]
 	if !known {
 		return limits, jujubeerror.ErrRefused{
 			Code: jujubeerror.CodeUnknownService, Ran: model.RanNo, Message: "no service " + string(call.Service),
--- a/entry/services/jujubeentry/generate.go
+++ b/entry/services/jujubeentry/generate.go
@@ -72,10 +72,11 @@
 	case timeout > s.settings.MaxTimeout:
 		return refuse("Timeout is above " + s.settings.MaxTimeout.String())
 	}
-	s.mu.Lock()
-	_, known := s.core.Limits().Models[request.Model]
-	s.mu.Unlock()
-	if !known {
+	limits, err := s.readLimits()
+	if err != nil {
+		return 0, err
+	}
+	if _, known := limits.Models[request.Model]; !known {
 		return 0, jujubeerror.ErrRefused{Code: jujubeerror.CodeUnknownModel, Ran: model.RanNo, Message: "no model " + string(request.Model)}
 	}
 	body := model.NewFingerprint(string(request.Model), request.Prompt)
--- a/entry/services/jujubeentry/status.go
+++ b/entry/services/jujubeentry/status.go
@@ -59,9 +59,10 @@
 
 // AnnounceWeights takes a trainer's word that new weights are in the store.
 func (s *Service) AnnounceWeights(announced model.WeightsAnnounced) error {
-	s.mu.Lock()
-	limits := s.core.Limits()
-	s.mu.Unlock()
+	limits, err := s.readLimits()
+	if err != nil {
+		return err
+	}
 	trainer, known := limits.Trainers[announced.Trainer]
 	switch {
 	case !known:
--- a/entry/services/jujubeentry/steps.go
+++ b/entry/services/jujubeentry/steps.go
@@ -27,6 +27,9 @@
 		return model.StepAccepted{}, err
 	}
 	defer done()
+	if _, err := s.readLimits(); err != nil {
+		return model.StepAccepted{}, err
+	}
 	var held []jujubecore.StreamsHeld
 	if part.Resubmitted {
 		held = s.searchStreams(ctx, part.Key)
