jujubeentry, jujubepublish: say what is wrong with a key or a log

Cause: refusals of keys read "key: Conflict" or "key: Unknown", a malformed key was told to be replaced without saying how, a lifted quarantine was logged as a decimal number that jujubectl doesn't print, and an emptied log was described as retaining records 1 to 0.

Conclusion: messages only.

--- a/ctl/services/jujubepublish/state.go
+++ b/ctl/services/jujubepublish/state.go
@@ -35,6 +35,10 @@
 
 // Error says what is missing.
 func (e ErrStateUnknown) Error() string {
+	if e.First >= e.Next {
+		return fmt.Sprintf("the log retains no record, and %d have expired; an instance that knows the configuration appends "+
+			"a checkpoint within %s, and when none does, jujubectl restore puts a document in force", e.Next, jujubeconfig.CheckpointInterval)
+	}
 	return fmt.Sprintf("the log retains records %d to %d, without a checkpoint that covers the earlier ones; "+
 		"an instance that knows the configuration appends one within %s", e.First, e.Next-1, jujubeconfig.CheckpointInterval)
 }
--- a/entry/services/jujubeentry/once.go
+++ b/entry/services/jujubeentry/once.go
@@ -161,13 +161,15 @@
 		return answer, errors.Wrap(err, "decode the first answer")
 	}
 	refused := jujubeerror.ErrRefused{
-		Code: decision.Code, Ran: model.RanUnknown, RetryAfter: decision.RetryAfter,
-		Message: "key: " + string(decision.Kind),
+		Code: decision.Code, Ran: model.RanUnknown, RetryAfter: decision.RetryAfter, Message: describeKey(decision.Code),
 	}
 	switch decision.Kind {
 	case jujubeclaim.Refuse:
 		refused.Ran = model.RanNo
 		refused.Message = "the request was not run; use a new key to send it again"
+		if decision.Code == jujubeerror.CodeBadRequest {
+			refused.Message = "the Idempotency-Key must be a key prefix of an address answer, a tilde and the caller's own part; the request was not run"
+		}
 	case jujubeclaim.Repeat:
 		refused.Ran, refused.Code = outcome.Ran, outcome.Code
 		refused.Message = "outcome of the first copy; its answer was too large to be kept or never came"
@@ -186,6 +188,22 @@
 	return CallAnswer{}, refused
 }
 
+// describeKey says why the outcome of a key isn't told.
+func describeKey(code string) string {
+	switch code {
+	case jujubeerror.CodeKeyConflict:
+		return "the key was used for a request with another method, path or body"
+	case jujubeerror.CodeKeyExpired:
+		return "the key's prefix is no longer valid, so the outcome can't be told; a first copy needs a new key"
+	case jujubeerror.CodeKeyOwnerGone:
+		return "the instance that issued the key is not known to run, so the outcome is unknown"
+	case jujubeerror.CodeOverloaded:
+		return "the instance holds as many keys as it can; repeat with the same key"
+	default:
+		return "the outcome of the key is not known yet; repeat with the same key"
+	}
+}
+
 // forward sends the call to the instance that issued its key. Without an answer the outcome is unknown: an earlier copy
 // may have run there.
 func (s *Service) forward(ctx context.Context, call Call, owner model.Member) (CallAnswer, error) {
--- a/entry/services/jujubeentry/status.go
+++ b/entry/services/jujubeentry/status.go
@@ -1,6 +1,7 @@
 package jujubeentry
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,7 +46,10 @@
 // LiftQuarantine clears a fingerprint on all instances.
 func (s *Service) LiftQuarantine(fingerprint model.Fingerprint) {
 	s.apply(jujubecore.QuarantineLifted{Fingerprint: fingerprint})
-	s.log.Write(jujubeevent.QuarantineLifted, func() logrus.Fields { return logrus.Fields{"Fingerprint": fingerprint} })
+	s.log.Write(jujubeevent.QuarantineLifted, func() logrus.Fields {
+		// As jujubectl quarantine list prints it.
+		return logrus.Fields{"Fingerprint": fmt.Sprintf("0x%016x", uint64(fingerprint))}
+	})
 }
 
 // SetLogLevel changes the level of the log lines that are written.
