jujubestep: don't repeat a group that has become too old

Cause: a group that was handed out was repeated unchanged until the cursor confirmed it. When the answer was lost and the trainer asked again with a version for which the group is too old, it got samples beyond the staleness bound (R2). Ruled out: letting the trainer drop them; it could not ask for the group again in the same attempt. Taking groups back that the trainer has; its cursor says that it hasn't, and it accepts only the answer to its latest pull. Before: the trace R2-lost-answer-then-newer-version delivers labels of version 1 at version 3 with bound 1; a random test of three instances found it. After: the group is discarded and generated again; the answers of pulls at the same version are repeated as before.

--- a/core/services/jujubestep/part.go
+++ b/core/services/jujubestep/part.go
@@ -26,7 +26,8 @@
 	groups []*group
 	total  int
 	// handed are the groups at cursor positions [confirmed, confirmed+len(handed)). Neither their order nor their
-	// content ever changes: the trainer may have taken them.
+	// content changes, because the trainer may have taken them, until a pull whose cursor says that it hasn't finds some
+	// of them too old.
 	handed    []*group
 	confirmed int
 	failed    []FailedGroup
--- a/core/services/jujubestep/pull.go
+++ b/core/services/jujubestep/pull.go
@@ -36,6 +36,11 @@
 	}
 	s.SetTrainerVersion(now, p.key.Trainer, pull.Version)
 	s.confirm(p, pull.Cursor)
+	if s.recall(p); p.open() > 0 && !p.ended.IsZero() {
+		p.expired = true
+		s.end(now, p, CauseExpired, false)
+		return Delivery{}, refuse(jujubeerror.CodeDeadline, p.ranState(), 0, "groups of part %s became too old after its deadline", key)
+	}
 	if len(p.handed) == 0 {
 		s.handOut(p, pull.MaxGroups)
 	}
@@ -69,6 +74,23 @@
 	p.confirmed = cursor
 }
 
+// recall takes back groups whose answer was lost and that have become too old since. The cursor says that the trainer
+// hasn't taken them.
+func (s *Steps) recall(p *part) {
+	p.handed = slices.DeleteFunc(p.handed, func(g *group) bool {
+		if g.oldest() >= p.floor {
+			return false
+		}
+		g.state = groupOpen
+		for _, sm := range g.samples {
+			if sm.winner.oldest < p.floor {
+				s.discard(p, sm.winner, CauseStale)
+			}
+		}
+		return true
+	})
+}
+
 // handOut fixes the next places of the cursor order. Groups with the oldest weights come first, because they are the
 // next to become too old.
 func (s *Steps) handOut(p *part, limit int) {
