jujubebench: measure trainers, one hop and an overload

The emulated store of a site takes a tenth of its time like the engines: with 2 s for a fetch a rollout to ten engines, two at a time, took longer than two steps.

--- /dev/null
+++ b/load/cmd/measure.go
@@ -0,0 +1,76 @@
+package jujubecommand
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"jujubepier.example/load/services/jujubebench"
+	"jujubepier.example/load/services/jujubesite"
+)
+
+func newHop() *cli.Command {
+	return &cli.Command{
+		Name:  "hop",
+		Usage: "compare calls through one entry instance with the same calls straight to the endpoint",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "document", Value: "examples/vatuwaqa.yaml", Usage: "environment document"},
+			&cli.IntFlag{Name: "calls", Value: 1000, Usage: "calls of each kind on each path"},
+			&cli.IntFlag{Name: "repeat", Value: 5, Usage: "repetitions"},
+			&cli.IntFlag{Name: "tokens", Value: 16, Usage: "tokens of a generation"},
+			jsonFlag(),
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			document, err := jujubesite.ReadDocument(command.String("document"))
+			if err != nil {
+				return err
+			}
+			report, err := jujubebench.MeasureHop(ctx, jujubebench.HopOptions{
+				Document: document, Calls: command.Int("calls"), Repeat: command.Int("repeat"), Tokens: command.Int("tokens"),
+			})
+			if err != nil {
+				return err
+			}
+			return writeReport(command, report)
+		},
+	}
+}
+
+func newOverload() *cli.Command {
+	return &cli.Command{
+		Name:  "overload",
+		Usage: "send requests above the capacity of a site and measure its recovery",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "document", Value: "examples/vatuwaqa.yaml", Usage: "environment document"},
+			&cli.StringFlag{Name: "repeats", Value: "never,asked,hasty", Usage: "what callers do after a refusal"},
+			&cli.IntFlag{Name: "repeat", Value: 1, Usage: "repetitions"},
+			&cli.DurationFlag{Name: "before", Value: 10 * time.Second, Usage: "time before the overload"},
+			&cli.DurationFlag{Name: "overload", Value: 30 * time.Second, Usage: "time of the overload"},
+			&cli.DurationFlag{Name: "after", Value: 15 * time.Second, Usage: "time after the overload"},
+			&cli.FloatFlag{Name: "normal", Value: 0.7, Usage: "rate outside the overload, as a share of the capacity"},
+			&cli.FloatFlag{Name: "factor", Value: 2, Usage: "rate of the overload, as a share of the capacity"},
+			&cli.DurationFlag{Name: "patience", Value: 5 * time.Second, Usage: "time in which a caller wants its answer"},
+			jsonFlag(),
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			document, err := jujubesite.ReadDocument(command.String("document"))
+			if err != nil {
+				return err
+			}
+			report, err := jujubebench.MeasureOverload(ctx, jujubebench.OverloadOptions{
+				Document: document, Repeats: strings.Split(command.String("repeats"), ","), Repeat: command.Int("repeat"),
+				Before: command.Duration("before"), Overload: command.Duration("overload"), After: command.Duration("after"),
+				Normal: command.Float("normal"), Factor: command.Float("factor"), Patience: command.Duration("patience"),
+			}, func(figure jujubebench.OverloadFigure) {
+				fmt.Fprintf(command.Root().ErrWriter, "repeats %s, repetition %d: recovery %s\n", figure.Repeats, figure.Repetition, figure.Recovery)
+			})
+			if err != nil {
+				return err
+			}
+			return writeReport(command, report)
+		},
+	}
+}
--- a/load/cmd/root.go
+++ b/load/cmd/root.go
@@ -7,6 +7,6 @@
 func New() *cli.Command {
 	return &cli.Command{
 		Name: "jujubeload", Usage: "emulate trainers and callers, and measure", EnableShellCompletion: true,
-		Commands: []*cli.Command{newDemo(), newTrain()},
+		Commands: []*cli.Command{newDemo(), newTrain(), newBench(), newHop(), newOverload()},
 	}
 }
--- /dev/null
+++ b/load/services/jujubebench/fault.go
@@ -0,0 +1,114 @@
+package jujubebench
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jujubepier.example/load/services/jujubesite"
+	"jujubepier.example/load/services/jujubetrainer"
+	"jujubepier.example/standin/modules/jujubefault"
+	"jujubepier.example/standin/services/jujubeengine"
+	"jujubepier.example/standin/services/jujubelog"
+)
+
+// Names of the fault plans.
+const (
+	FaultsNone     = "none"
+	FaultsStandard = "standard"
+	// FaultsKill kills one entry instance only.
+	FaultsKill = "kill"
+)
+
+// The engines and the entry instance that faults hit. The instance isn't the first one, which leads the rollout: that
+// case costs the takeover of the lease in addition.
+const (
+	crashedEngine = 3
+	failingEngine = 5
+	killedEntry   = 4
+	logOutage     = 5 * time.Second
+)
+
+// fault is done once when the first trainer has got the share of a step's samples.
+type fault struct {
+	step   int64
+	share  float64
+	inject func(i *injector)
+}
+
+// planFaults returns the faults of a plan, at fixed points of the run.
+func planFaults(name string) ([]fault, error) {
+	kill := fault{3, 0.25, func(i *injector) { i.kill(killedEntry) }}
+	switch name {
+	case FaultsNone:
+		return nil, nil
+	case FaultsKill:
+		kill.step = 2
+		return []fault{kill}, nil
+	case FaultsStandard:
+		return []fault{
+			{2, 0.25, func(i *injector) { i.site.Engines[crashedEngine].Crash() }},
+			{2, 0.5, func(i *injector) {
+				i.site.Engines[failingEngine].SetFaults(jujubeengine.Faults{FailSwaps: 1})
+			}},
+			kill,
+			{3, 0.5, func(i *injector) {
+				i.site.Log.SetFaults(jujubelog.Faults{Outage: jujubefault.OutageUnavailable})
+				defer i.site.Log.SetFaults(jujubelog.Faults{})
+				select {
+				case <-i.ctx.Done():
+				case <-time.After(logOutage):
+				}
+			}},
+		}, nil
+	}
+	return nil, errors.Errorf("unknown faults %q", name)
+}
+
+// injector does the faults of a run.
+type injector struct {
+	ctx  context.Context
+	site *jujubesite.Site
+
+	mu      sync.Mutex
+	faults  []fault
+	running sync.WaitGroup
+	// killed holds the metrics of killed instances, which can't be read afterwards.
+	killed map[int]string
+}
+
+func newInjector(ctx context.Context, site *jujubesite.Site, faults []fault) *injector {
+	return &injector{ctx: ctx, site: site, faults: faults, killed: make(map[int]string)}
+}
+
+// observe begins the faults that are due. It doesn't wait for them, because the trainer holds its lock.
+func (i *injector) observe(progress jujubetrainer.Progress) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	share := float64(progress.Delivered) / float64(progress.Wanted)
+	for len(i.faults) > 0 {
+		next := i.faults[0]
+		if progress.Step < next.step || progress.Step == next.step && share < next.share {
+			return
+		}
+		i.faults = i.faults[1:]
+		i.running.Add(1)
+		go func() {
+			defer i.running.Done()
+			next.inject(i)
+		}()
+	}
+}
+
+func (i *injector) wait() { i.running.Wait() }
+
+// kill keeps an instance's metrics and ends it.
+func (i *injector) kill(index int) {
+	text := metricsOf(i.site.Entries[index])
+	i.mu.Lock()
+	i.killed[index] = text
+	i.mu.Unlock()
+	i.site.KillEntry(index)
+}
--- a/load/services/jujubesite/site.go
+++ b/load/services/jujubesite/site.go
@@ -79,9 +79,11 @@
 	engine.MedianTokens, engine.SigmaTokens = 120, 0.8
 	engine.SwapTime = 300 * time.Millisecond
 	engine.LoadLag = 100 * time.Millisecond
+	store := jujubestore.DefaultSettings()
+	store.BytesPerSecond *= 10
 	return Settings{
 		Scorer: "scorer", Scorers: 2, Entries: 9, Document: document, Engine: engine,
-		Log: jujubelog.DefaultSettings(), Store: jujubestore.DefaultSettings(), List: jujubelist.DefaultSettings(),
+		Log: jujubelog.DefaultSettings(), Store: store, List: jujubelist.DefaultSettings(),
 		AddressValidity: 20 * time.Second, LogLevel: "info",
 	}
 }
--- a/load/services/jujubetrainer/collection.go
+++ b/load/services/jujubetrainer/collection.go
@@ -209,6 +209,7 @@
 func (c *collection) record(pull model.Pull, sample model.Sample) {
 	c.result.Samples++
 	c.result.Tokens += sample.Tokens
+	c.result.Longest = max(c.result.Longest, sample.Tokens)
 	c.result.Ages = append(c.result.Ages, int(pull.Version-oldestVersion(sample)))
 	if len(sample.Labels) > 1 {
 		c.result.Mixed++
--- a/load/services/jujubetrainer/trainer.go
+++ b/load/services/jujubetrainer/trainer.go
@@ -61,7 +61,9 @@
 	Idle     time.Duration
 	Samples  int
 	Tokens   int
-	Failed   int
+	// Longest is the number of tokens of the longest sample.
+	Longest int
+	Failed  int
 	// Resubmits counts the parts that were sent again to another instance.
 	Resubmits int
 	// Ages holds the age of each sample, in weight versions, when it was taken.
