--- a/core/modules/jujubeevent/event.go
+++ b/core/modules/jujubeevent/event.go
@@ -20,6 +20,9 @@
 	Meaning string
 }
 
+// timeFormat has milliseconds, because many decisions are made within a second.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger that writes JSON lines, or text when format is "text".
 func NewLogger(output io.Writer, level, format string) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
@@ -29,9 +32,9 @@
 	logger := logrus.New()
 	logger.SetOutput(output)
 	logger.SetLevel(parsed)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	if format == "text" {
-		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true})
+		logger.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: timeFormat})
 	}
 	return logger, nil
 }
