jujubeentry: count the held streams and the requests in service

Cause: nothing showed whether texts of finished steps are dropped, or why a shutdown waits. Ruled out: a test hook without a metric; operators need the same numbers. Before: not visible. After: two gauges; the site test waits until no instance holds a stream once the trainer has confirmed its groups.

--- a/entry/services/jujubeentry/metrics.go
+++ b/entry/services/jujubeentry/metrics.go
@@ -27,6 +27,8 @@
 		}
 		return 0
 	})
+	set.NewGauge("jujube_streams_held", func() float64 { return float64(s.HeldStreams()) })
+	set.NewGauge("jujube_requests_in_service", func() float64 { return float64(s.serving.Load()) })
 	set.NewGauge("jujube_peer_calls_total", func() float64 { return float64(s.PeerTraffic().Calls) })
 	set.NewGauge("jujube_peer_sent_bytes_total", func() float64 { return float64(s.PeerTraffic().Sent) })
 	set.NewGauge("jujube_peer_received_bytes_total", func() float64 { return float64(s.PeerTraffic().Received) })
--- a/entry/services/jujubeentry/streams.go
+++ b/entry/services/jujubeentry/streams.go
@@ -50,6 +50,13 @@
 	return row.text.String(), true
 }
 
+// HeldStreams counts the streams of step parts whose text is kept.
+func (s *Service) HeldStreams() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.streams.rows)
+}
+
 // beginStream runs a stream of a step part. The caller holds mu.
 func (s *Service) beginStream(run jujubecore.RunStream) {
 	ctx, cancel := context.WithDeadline(s.tomb.Context(nil), run.Deadline)
--- a/load/services/jujubesite/site_test.go
+++ b/load/services/jujubesite/site_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeclient"
@@ -41,6 +42,15 @@
 	summary := jujubetrainer.Summarize(results)
 	assert.Equal(t, summary.Samples, 2*6*4)
 	assert.Equal(t, summary.Failed, 0)
+	// Guards against texts that are kept for good.
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, entry := range site.Entries {
+			if held := entry.Service.HeldStreams(); held > 0 {
+				return poll.Continue("%s holds %d streams", entry.Settings.Instance, held)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Minute))
 }
 
 // Guards against a caller that gets a part of its answer, or another caller's.
