--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -40,6 +40,7 @@
 	Route(now time.Time, request jujuberouter.Request) jujuberouter.Decision
 	Finish(now time.Time, id model.RequestID, outcome jujuberouter.Outcome) []jujuberouter.Decision
 	Cancel(now time.Time, id model.RequestID) []jujuberouter.Decision
+	SetExclude(id model.RequestID, exclude []model.EndpointID)
 	Tick(now time.Time) []jujuberouter.Decision
 	Endpoints(now time.Time) []jujuberouter.EndpointRow
 }
@@ -212,6 +213,9 @@
 			return c.applyConfig(now)
 		}
 	case LeaseRead:
+		if len(e.Read.Records) == 0 && e.Read.First == e.Read.Next {
+			c.lease.Skip(e.Read.Next)
+		}
 		for _, record := range e.Read.Records {
 			c.lease.Apply(record)
 		}
--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -7,6 +7,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubedocument"
 	"jujubepier.example/core/services/jujubelease"
+	"jujubepier.example/core/services/jujubeweight"
 )
 
 // fetchPause is the least time between two reads of a peer's configuration.
@@ -35,6 +36,10 @@
 	c.router.SetLimits(c.limits)
 	c.steps.SetLimits(c.limits)
 	c.rollout.SetLimits(c.limits)
+	for name, version := range c.versions.All() {
+		// The rollout passes over announcements of models that it doesn't know.
+		c.rollout.Announce(now, name, version)
+	}
 	c.members.Publish(now, configRumour(state.Revision))
 	return []Action{ConfigApplied{Revision: state.Revision, Digest: state.Digest}}
 }
@@ -99,6 +104,10 @@
 // holder goes on, and if it is dead the lowest-ranked instance takes over with the highest fence known. Orders are
 // absolute and versions only grow, so two orderers cost at most some more engines swapping at once.
 func (c *Core) isLeading(state jujubelease.State) bool {
+	if state.Degraded && c.fence > state.Fence+1 {
+		// Only this instance has lost the log: a peer has claimed the lease, and c.fence is that peer's.
+		return false
+	}
 	if state.Held || !c.logAway || state.Degraded {
 		return state.Held || state.Degraded
 	}
@@ -137,12 +146,19 @@
 	return actions
 }
 
+// orderError tells an engine's refusal from a lost answer, after which the engine may have taken the order.
+func orderError(answered OrderAnswered) error {
+	switch {
+	case answered.Refusal.Code != "":
+		return jujubeweight.ErrOrder{EngineError: answered.Refusal}
+	case answered.Lost:
+		return ErrOrderLost{Endpoint: answered.Endpoint}
+	}
+	return nil
+}
+
 func (c *Core) applyOrderAnswered(now time.Time, answered OrderAnswered) {
-	var err error
-	if answered.Code != "" {
-		err = orderError(answered.Code)
-	}
-	c.rollout.Result(now, answered.Endpoint, answered.Result, err)
+	c.rollout.Result(now, answered.Endpoint, answered.Result, orderError(answered))
 	if answered.Result.Report.Endpoint != "" {
 		c.applyLoad(now, answered.Result.Report)
 	}
