jujubecore: spread the attempt of a step part only when it was resubmitted

Cause: each accepted part was a rumour to all instances. 4 trainers whose steps take two minutes and are split over 370 instances make 12 of them a second. The rumours' table, 8,192 rows that last up to 40 minutes, would be full within 12 minutes and refuse the rumours of new members and of leaving endpoints.

Ruled out: a shorter expiry, because a paused former owner must still learn of its successor; splitting a step over fewer instances, which raises the cost of an owner's death.

Conclusion: only a resubmitted part has a former owner to stop, and these come with the deaths of instances.

--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -25,7 +25,11 @@
 		accepted.Resumed += len(held.Streams)
 	}
 	c.steps.ResumeDone(now, part.Key)
-	c.members.Publish(now, attemptRumour(part.Key, part.Attempt))
+	if part.Resubmitted {
+		// A part that was never sent elsewhere has no former owner to stop. Its rumour would cost more than all other
+		// control traffic: a step has as many parts as there are instances, and each rumour goes to all of them.
+		c.members.Publish(now, attemptRumour(part.Key, part.Attempt))
+	}
 	c.learnTrainerVersion(now, part.Key.Trainer, part.Version)
 	return []Action{PartAnswered{Accepted: accepted}}
 }
--- a/load/services/jujubeslope/members.go
+++ b/load/services/jujubeslope/members.go
@@ -143,6 +143,27 @@
 	}
 }
 
+// submit lets each core accept a step part in a period, as with 4 trainers whose steps take two minutes and are split
+// over all instances.
+func (n *network) submit(ctx context.Context, duration time.Duration) error {
+	const period = 30 * time.Second
+	begin, submitted := n.now, 0
+	for n.now.Sub(begin) < duration {
+		for due := int(float64(len(n.cores)) * n.now.Sub(begin).Seconds() / period.Seconds()); submitted < due; submitted++ {
+			part := model.StepPart{
+				Key: model.PartKey{Trainer: trainerName, Step: 1, Part: submitted}, Attempt: 1, Version: 1, MaxTokens: 8,
+				Groups: []model.GroupRequest{{Prompt: "prompt", Samples: 1}}, Timeout: model.Duration(time.Minute),
+			}
+			core := n.cores[submitted%len(n.cores)]
+			n.act(core, core.Apply(n.now, jujubecore.PartSubmitted{Part: part}))
+		}
+		if err := n.run(ctx, jujubecore.TickPeriod); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // studyMembers measures cores that only keep the membership.
 func studyMembers(ctx context.Context, report *Report) error {
 	const (
@@ -172,6 +193,12 @@
 			took, err := net.change(ctx)
 			report.add(memberAxis, count, "configuration: read by followers until in force everywhere", "s", took.Seconds())
 			report.add(memberAxis, count, "configuration: reads from peers by a node", "reads", float64(net.fetches)/float64(count))
+			if err != nil {
+				return err
+			}
+			net.bytes = 0
+			err = net.submit(ctx, duration)
+			report.add(memberAxis, count, "membership sent by a node that takes a step part each 30 s", "B/s", float64(net.bytes)/each)
 			return err
 		})
 		if err != nil {
