jujubecore: route a cleared suspect only once

Cause: a request that waited for the steward kept its time to ask again when its suspicion was cleared and it went into the router's queue. At that time it was routed a second time, refused with Conflict and dropped from the table; the router later dispatched the queued copy for nobody and counted it as in flight for good. A repeated grant did the same. Ruled out: the router's cancellation; the request was never cancelled.

--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -52,6 +52,7 @@
 	if !row.granted {
 		row.request.Exclude = append(row.request.Exclude, c.crowded(now, row)...)
 	}
+	row.askAgain = time.Time{}
 	c.requests.Put(row.request.ID, row)
 	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, row.request)})
 }
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -87,15 +87,14 @@
 
 func (c *Core) applyGranted(now time.Time, granted SuspectGranted) []Action {
 	row, known := c.requests.Get(granted.ID)
-	if !known || row.endpoint != "" {
-		return nil
+	if !known || row.endpoint != "" || row.askAgain.IsZero() {
+		return nil // the question was repeated, or isn't asked any more
 	}
 	if !granted.OK {
 		row.askAgain = now.Add(max(granted.RetryAfter, suspectRetry))
 		c.requests.Put(granted.ID, row)
 		return nil
 	}
-	row.askAgain = time.Time{}
 	row.granted = true
 	row.request.Only = []model.EndpointID{granted.Endpoint}
 	return c.route(now, row)
