jujubecore: don't walk all endpoints, requests or members each time

Cause: four walks grew with the size of the environment. Each request whose content runs and has never completed, as all samples of a group but the first, listed all endpoints to exclude; each start of a stream copied the rows of all endpoints to find a newer version; each tick walked all requests for those that ask the steward; and each tick copied the members five times. Now such a request names the endpoint it may use, the router looks at the watched engines of the model, the requests that ask are listed, and the members are copied when they change. The restriction to the endpoint of the other run is no longer kept in the row, so that it doesn't outlive that run and the steward isn't told to exclude healthy endpoints. Ruled out: a cache of the router's rows; they change with each request.

--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -42,6 +42,7 @@
 	Cancel(now time.Time, id model.RequestID) []jujuberouter.Decision
 	Tick(now time.Time) []jujuberouter.Decision
 	Endpoints(now time.Time) []jujuberouter.EndpointRow
+	HasVersion(name model.ModelName, version model.WeightVersion) bool
 }
 
 // Options configures a Core.
@@ -80,15 +81,19 @@
 	suspectSince map[model.Fingerprint]time.Time
 	claims       *jujubeclaim.Claims
 	members      *jujubemember.Members
-	lease        *jujubelease.Lease
-	steps        *jujubestep.Steps
-	rollout      *jujubeweight.Rollout
-	fold         *jujubeconfig.Fold
+	// membersAt is the revision of members that claims know.
+	membersAt int
+	lease     *jujubelease.Lease
+	steps     *jujubestep.Steps
+	rollout   *jujubeweight.Rollout
+	fold      *jujubeconfig.Fold
 
 	// endpoints holds the latest row of each endpoint of the instance list.
 	endpoints *jujubetable.Table[model.EndpointID, endpointRow]
 	// requests holds each request from its arrival until its end or refusal.
 	requests *jujubetable.Table[model.RequestID, requestRow]
+	// asking holds at least the requests that wait for the steward.
+	asking *jujubetable.Table[model.RequestID, struct{}]
 	// versions only grow.
 	versions *jujubetable.Table[model.ModelName, model.WeightVersion]
 	limits   model.Limits
@@ -127,6 +132,7 @@
 		fold:         jujubeconfig.NewFold(),
 		endpoints:    jujubetable.New[model.EndpointID, endpointRow](),
 		requests:     jujubetable.New[model.RequestID, requestRow](),
+		asking:       jujubetable.New[model.RequestID, struct{}](),
 		suspectSince: make(map[model.Fingerprint]time.Time),
 		versions:     jujubetable.New[model.ModelName, model.WeightVersion](),
 		random:       random,
--- a/core/services/jujubecore/members.go
+++ b/core/services/jujubecore/members.go
@@ -76,8 +76,11 @@
 // can't see the other half, each half still keeps to its share.
 func (c *Core) refreshMembers() []Action {
 	live := c.members.Live()
-	for _, member := range live {
-		c.claims.SetIncarnation(member.ID, member.Incarnation)
+	if revision := c.members.Revision(); c.membersAt != revision {
+		c.membersAt = revision
+		for _, member := range live {
+			c.claims.SetIncarnation(member.ID, member.Incarnation)
+		}
 	}
 	c.router.SetMembers(max(len(live), c.listed, 1), c.rank())
 	return nil
--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -1,6 +1,7 @@
 package jujubecore
 
 import (
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -49,27 +50,32 @@
 }
 
 func (c *Core) route(now time.Time, row requestRow) []Action {
-	if !row.granted {
-		row.request.Exclude = append(row.request.Exclude, c.crowded(now, row)...)
-	}
 	row.askAgain = time.Time{}
 	c.requests.Put(row.request.ID, row)
-	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, row.request)})
+	request := row.request
+	if !row.granted {
+		request.Only, request.Exclude = c.confine(request)
+	}
+	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, request)})
 }
 
-// crowded lists the endpoints that content which has never completed must not be sent to, because it already runs on
-// another one.
-func (c *Core) crowded(now time.Time, row requestRow) []model.EndpointID {
-	if !c.quarantine.IsRunning(row.fingerprint) {
-		return nil
+// confine restricts content that has never completed to the endpoint on which it already runs. The row keeps its own
+// restrictions, as these end with the other run.
+func (c *Core) confine(request jujuberouter.Request) (only, exclude []model.EndpointID) {
+	running := c.quarantine.RunningOn(request.Fingerprint)
+	if len(running) == 0 {
+		return request.Only, request.Exclude
+	}
+	if len(request.Only) == 0 {
+		return running, request.Exclude
 	}
-	var excluded []model.EndpointID
-	for id, endpoint := range c.endpoints.All() {
-		if endpoint.endpoint.Kind == row.request.Kind && !c.quarantine.Admit(now, row.fingerprint, id) {
-			excluded = append(excluded, id)
+	exclude = slices.Clone(request.Exclude)
+	for _, id := range request.Only {
+		if !slices.Contains(running, id) {
+			exclude = append(exclude, id)
 		}
 	}
-	return excluded
+	return request.Only, exclude
 }
 
 // routed turns the router's decisions into actions.
--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -69,7 +69,7 @@
 	request := jujuberouter.Request{
 		ID: model.RequestID(start.Stream), Kind: model.KindEngine, Model: start.Model, Trainer: start.Part.Trainer,
 		Priority: model.PriorityTrainer, Arrived: now, Deadline: start.Deadline, Prefix: model.HashPrefix(start.Prompt),
-		Tokens: start.MaxTokens, MinVersion: c.minVersion(now, start), Exclude: start.Avoid,
+		Tokens: start.MaxTokens, MinVersion: c.minVersion(start), Exclude: start.Avoid,
 		Fingerprint: model.NewFingerprint("generate", string(start.Model), start.Prompt),
 	}
 	if start.Endpoint != "" {
@@ -109,14 +109,9 @@
 }
 
 // minVersion prefers engines that are a version newer than needed, so that the sample survives the trainer's next step.
-func (c *Core) minVersion(now time.Time, start jujubestep.StartStream) model.WeightVersion {
-	if start.PreferVersion <= start.MinVersion {
-		return start.MinVersion
-	}
-	for _, view := range c.router.Endpoints(now) {
-		if view.Watched && view.Endpoint.Model == start.Model && view.Load.Version >= start.PreferVersion {
-			return start.PreferVersion
-		}
+func (c *Core) minVersion(start jujubestep.StartStream) model.WeightVersion {
+	if start.PreferVersion > start.MinVersion && c.router.HasVersion(start.Model, start.PreferVersion) {
+		return start.PreferVersion
 	}
 	return start.MinVersion
 }
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -45,6 +45,7 @@
 	}
 	row.steward, row.askAgain = c.steward(), now.Add(askTimeout)
 	c.requests.Put(row.request.ID, row)
+	c.asking.Put(row.request.ID, struct{}{})
 	ask := SuspectAsked{
 		Fingerprint: row.fingerprint, Kind: row.request.Kind, Model: row.request.Model, Service: row.request.Service,
 		Exclude: row.request.Exclude, Until: row.request.Deadline, Known: c.quarantine.RumoursOf(now, row.fingerprint),
@@ -147,8 +148,11 @@
 func (c *Core) tickSuspects(now time.Time) []Action {
 	c.expireGrants(now)
 	actions := c.stopSuspects(now)
-	for _, row := range c.requests.All() {
-		if row.endpoint == "" && !row.askAgain.IsZero() && !now.Before(row.askAgain) {
+	for id := range c.asking.All() {
+		row, known := c.requests.Get(id)
+		if !known || row.askAgain.IsZero() {
+			c.asking.Delete(id)
+		} else if !now.Before(row.askAgain) {
 			actions = append(actions, c.place(now, row)...)
 		}
 	}
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -1,6 +1,7 @@
 package jujubecore
 
 import (
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -21,7 +22,7 @@
 func (c *Core) ConfigState() jujubeconfig.State { return c.fold.State() }
 
 // Members returns the live entry instances, in the order of their ids.
-func (c *Core) Members() []model.Member { return c.members.Live() }
+func (c *Core) Members() []model.Member { return slices.Clone(c.members.Live()) }
 
 // KeyPrefix returns the prefix for new idempotency keys of this instance.
 func (c *Core) KeyPrefix(now time.Time) string { return c.claims.KeyPrefix(now) }
@@ -100,7 +101,7 @@
 	lease := c.lease.State(now)
 	return model.Status{
 		Instance: c.self.ID, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
-		Ready: c.IsReady(), Leaving: c.leaving, Members: c.members.Live(), Endpoints: c.endpointStatuses(now),
+		Ready: c.IsReady(), Leaving: c.leaving, Members: c.Members(), Endpoints: c.endpointStatuses(now),
 		Config: model.ConfigStatus{
 			Known: c.applied > 0, Revision: c.applied, Through: state.Through, Digest: state.Digest, InForceAt: c.appliedAt,
 		},
--- a/core/services/jujubemember/member.go
+++ b/core/services/jujubemember/member.go
@@ -24,8 +24,11 @@
 	byAddress map[string]model.InstanceID
 	// suspects maps each suspected member to the time from which it is dead.
 	suspects *jujubetable.Table[model.InstanceID, time.Time]
-	// targets are the peers that aren't dead, sorted; nil after a change.
+	// targets are the peers that aren't dead, sorted, and live is the result of Live; nil after a change.
 	targets []model.InstanceID
+	live    []model.Member
+	// revision counts the changes of peers.
+	revision int
 	// ring is the rest of the current round of probes.
 	ring    []model.InstanceID
 	pending *jujubetable.Table[model.InstanceID, probe]
@@ -83,15 +86,27 @@
 	}
 }
 
-// Live returns the members that aren't dead, in the order of their ids.
+// Live returns the members that aren't dead, in the order of their ids. The caller must not change the slice, which is
+// kept until a member changes: it is read several times a tick, and at the target size it has 370 entries.
 func (m *Members) Live() []model.Member {
-	live := make([]model.Member, 0, m.peers.Len())
+	if m.live != nil {
+		return m.live
+	}
+	m.live = make([]model.Member, 0, m.peers.Len())
 	for id, member := range m.peers.All() {
 		if id == m.self.ID || member.State != model.MemberDead {
-			live = append(live, member)
+			m.live = append(m.live, member)
 		}
 	}
-	return live
+	return m.live
+}
+
+// Revision grows with each change of a member.
+func (m *Members) Revision() int { return m.revision }
+
+func (m *Members) changed() {
+	m.targets, m.live = nil, nil
+	m.revision++
 }
 
 // Known returns every known member with its state, in the order of their ids.
@@ -133,6 +148,7 @@
 	rumour := newMemberRumour(m.self, m.own)
 	m.self.State, m.self.Refutation = m.own.state(), m.own.refutation
 	m.peers.Put(m.self.ID, m.self)
+	m.changed()
 	m.byAddress[m.self.PeerAddress] = m.self.ID
 	m.hot = append(m.hot, m.table.put(now, rumour, false, m.settings.Forwards))
 }
@@ -178,7 +194,7 @@
 		m.hot = append(m.hot, e)
 	}
 	m.peers.Put(member.ID, member)
-	m.targets = nil
+	m.changed()
 	if parseStanding(rumour.Version).rank == rankSuspect {
 		m.suspects.Put(member.ID, now.Add(m.settings.SuspectFor))
 	} else {
--- a/core/services/jujubemember/probe.go
+++ b/core/services/jujubemember/probe.go
@@ -245,5 +245,5 @@
 	}
 	m.table.remove(e)
 	m.peers.Delete(id)
-	m.targets = nil
+	m.changed()
 }
--- a/core/services/jujubequarantine/quarantine.go
+++ b/core/services/jujubequarantine/quarantine.go
@@ -176,6 +176,16 @@
 	return !q.completed[f] && len(q.running[f]) > 0
 }
 
+// RunningOn returns the endpoints on which this instance runs a fingerprint that has never completed.
+func (q *Quarantine) RunningOn(f model.Fingerprint) []model.EndpointID {
+	if !q.IsRunning(f) {
+		return nil
+	}
+	endpoints := slices.Clone(q.running[f])
+	slices.Sort(endpoints)
+	return slices.Compact(endpoints)
+}
+
 // AdmitSuspect lets a suspect start when it runs nowhere else and no other suspect runs on the endpoint. Two suspects on
 // one endpoint would both be blamed for the crash of one of them.
 func (q *Quarantine) AdmitSuspect(now time.Time, f model.Fingerprint, endpoint model.EndpointID) bool {
--- a/core/services/jujuberouter/view.go
+++ b/core/services/jujuberouter/view.go
@@ -1,6 +1,7 @@
 package jujuberouter
 
 import (
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -54,6 +55,16 @@
 	return rows
 }
 
+// HasVersion tells whether a watched engine of a model serves a version or a later one.
+func (r *Router[P]) HasVersion(name model.ModelName, version model.WeightVersion) bool {
+	p, ok := r.pools[poolKey(model.KindEngine, name, "")]
+	if !ok {
+		return false
+	}
+	r.refresh(p)
+	return slices.ContainsFunc(p.watched, func(e *row) bool { return e.load.Version >= version })
+}
+
 // QueueLength returns the number of waiting requests.
 func (r *Router[P]) QueueLength() int { return r.queued }
 
