jujubetrace: lose answers on a cut connection

Cause: a cut was applied to messages only; the answer to a message that had arrived was always delivered, so that a lost answer couldn't be recorded. A question to the steward that got no answer also ended differently than in the program, which counts it as refused. Before: an answer arrives 1 ms after a cut begins. After: the sender learns that its message failed.

--- a/core/services/jujubetrace/replay.go
+++ b/core/services/jujubetrace/replay.go
@@ -204,7 +204,7 @@
 		case jujubecore.SendPeer:
 			r.call(at, n, a.To, jujubecore.PeerReceived{Message: a.Message}, jujubecore.PeerFailed{Instance: a.To})
 		case jujubecore.AskSuspect:
-			r.callFor(at, n, a.Steward.ID, a.Ask, nil, a.ID)
+			r.callFor(at, n, a.Steward.ID, a.Ask, jujubecore.SuspectGranted{ID: a.ID}, a.ID)
 		case jujubecore.ReleaseSuspect:
 			r.call(at, n, a.Steward.ID, a.Release, nil)
 		case jujubecore.FetchConfig:
@@ -234,22 +234,27 @@
 	r.callFor(at, from, to, event, failed, "")
 }
 
-// callFor delivers a message after the delay and its answer after another one. Without a connection, and when either side
-// was restarted meanwhile, the sender gets failed instead.
+// callFor delivers a message after the delay and its answer after another one. Without a connection, and when the receiver
+// is paused, the sender gets failed instead. A sender that was restarted meanwhile gets nothing.
 func (r *replay) callFor(at time.Duration, from *node, to model.InstanceID, event, failed jujubecore.Event, id model.RequestID) {
-	sender := from.core
-	back := func(after time.Duration, event jujubecore.Event) {
-		if event == nil {
-			return
-		}
-		r.add(after, rankDelivery, func(at time.Duration) error {
-			if from.core == sender {
+	delay, sender := r.trace.Header.Delay.Std(), from.core
+	back := func(at time.Duration, event jujubecore.Event) {
+		r.add(at, rankDelivery, func(at time.Duration) error {
+			if event != nil && from.core == sender {
 				r.apply(at, from, event, nil)
 			}
 			return nil
 		})
 	}
-	delay := r.trace.Header.Delay.Std()
+	reply := func(arrived time.Duration, event jujubecore.Event) {
+		r.add(arrived+delay, rankDelivery, func(now time.Duration) error {
+			if r.isCut(now, from.settings.ID, to) {
+				now, event = max(now, at+callTimeout), failed
+			}
+			back(now, event)
+			return nil
+		})
+	}
 	r.add(at+delay, rankDelivery, func(arrived time.Duration) error {
 		receiver := r.nodes[to]
 		if receiver == nil || r.isCut(arrived, from.settings.ID, to) || arrived < receiver.pausedUntil {
@@ -259,9 +264,9 @@
 		r.apply(arrived, receiver, event, func(action jujubecore.Action) {
 			switch answer := action.(type) {
 			case jujubecore.PeerReply:
-				back(arrived+delay, jujubecore.PeerAnswered{Message: answer.Message})
+				reply(arrived, jujubecore.PeerAnswered{Message: answer.Message})
 			case jujubecore.SuspectAnswered:
-				back(arrived+delay, jujubecore.SuspectGranted{ID: id, SuspectAnswered: answer})
+				reply(arrived, jujubecore.SuspectGranted{ID: id, SuspectAnswered: answer})
 			}
 		})
 		return nil
