jujubecore: repeat a steward's grant whose answer was lost

Cause: the steward took a granted suspect as running. A question now names the attempt, and its repeat gets the same endpoint. Ruled out: granting any second question for the same content; that would run two copies of a suspect.

--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -91,6 +91,8 @@
 // SuspectAsked says that another instance wants to run a suspect request and asks this one, the steward.
 type SuspectAsked struct {
 	event
+	// Attempt names the attempt over all instances, so that a repeated question gets the same answer.
+	Attempt     string
 	Fingerprint model.Fingerprint
 	Model       model.ModelName
 	Service     model.ServiceName
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -23,6 +23,7 @@
 
 // grant reserves an endpoint for one suspect.
 type grant struct {
+	attempt     string
 	fingerprint model.Fingerprint
 	endpoint    model.EndpointID
 	until       time.Time
@@ -47,6 +48,7 @@
 	c.requests.Put(row.request.ID, row)
 	c.asking.Put(row.request.ID, struct{}{})
 	ask := SuspectAsked{
+		Attempt:     string(c.self.ID) + "~" + c.self.Incarnation.String() + "/" + string(row.request.ID),
 		Fingerprint: row.fingerprint, Kind: row.request.Kind, Model: row.request.Model, Service: row.request.Service,
 		Exclude: row.request.Exclude, Until: row.request.Deadline, Known: c.quarantine.RumoursOf(now, row.fingerprint),
 	}
@@ -64,6 +66,9 @@
 	if c.steward().ID != c.self.ID || !c.isSettled(now, ask.Fingerprint) {
 		return SuspectAnswered{RetryAfter: suspectRetry}
 	}
+	if endpoint, granted := c.granted(now, ask.Attempt); granted {
+		return SuspectAnswered{OK: true, Endpoint: endpoint}
+	}
 	views := c.router.Endpoints(now)
 	slices.SortStableFunc(views, func(a, b jujuberouter.EndpointRow) int {
 		return (a.Load.Running + a.Load.Waiting) - (b.Load.Running + b.Load.Waiting)
@@ -75,13 +80,28 @@
 		}
 		if c.quarantine.AdmitSuspect(now, ask.Fingerprint, view.Endpoint.ID) {
 			c.quarantine.Begin(now, ask.Fingerprint, view.Endpoint.ID)
-			c.grants = append(c.grants, grant{ask.Fingerprint, view.Endpoint.ID, ask.Until})
+			c.grants = append(c.grants, grant{ask.Attempt, ask.Fingerprint, view.Endpoint.ID, ask.Until})
 			return SuspectAnswered{OK: true, Endpoint: view.Endpoint.ID}
 		}
 	}
 	return SuspectAnswered{RetryAfter: suspectRetry}
 }
 
+// granted finds the grant of an attempt whose answer was lost. Without a repeat of it the suspect would count as running
+// until its deadline. A grant of an endpoint that is gone is released.
+func (c *Core) granted(now time.Time, attempt string) (model.EndpointID, bool) {
+	at := slices.IndexFunc(c.grants, func(g grant) bool { return attempt != "" && g.attempt == attempt })
+	if at < 0 {
+		return "", false
+	}
+	g := c.grants[at]
+	if row, _ := c.endpoints.Get(g.endpoint); !row.isUsable() || row.isLeaving() {
+		c.releaseSuspect(now, SuspectReleased{Fingerprint: g.fingerprint, Endpoint: g.endpoint})
+		return "", false
+	}
+	return g.endpoint, true
+}
+
 func (*Core) serves(endpoint model.Endpoint, ask SuspectAsked) bool {
 	return endpoint.Kind == ask.Kind && endpoint.Model == ask.Model && endpoint.Service == ask.Service
 }
