jujubecore: report an unusable document once, and the digest in force

Cause: after an accepted change whose document can't be used, each read of the log parsed it again and reported the failure again, and the status named the digest of that document next to the revision in force. Ruled out: passing over such a change in the fold; programs of different versions would then disagree about revisions.

--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -97,8 +97,11 @@
 	// versions only grow.
 	versions *jujubetable.Table[model.ModelName, model.WeightVersion]
 	limits   model.Limits
-	// applied is the revision that is in force; it never goes back.
-	applied int64
+	// applied is the revision that is in force, with its digest; it never goes back.
+	applied       int64
+	appliedDigest string
+	// unusable is the highest revision whose document couldn't be used.
+	unusable int64
 	// appliedAt is when it was put in force.
 	appliedAt time.Time
 	// wanted is the highest revision that a rumour named.
--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -22,17 +22,18 @@
 // applyConfig puts the folded revision in force if it is newer than the present one.
 func (c *Core) applyConfig(now time.Time) []Action {
 	state := c.fold.State()
-	if !state.InForce() || state.Revision <= c.applied {
+	if !state.InForce() || state.Revision <= max(c.applied, c.unusable) {
 		return nil
 	}
 	document, err := jujubedocument.Parse("revision", []byte(state.Document))
 	if err != nil {
 		// The publisher checks a document before it publishes; another program may not.
+		c.unusable = state.Revision
 		return []Action{ConfigApplied{Revision: state.Revision, Digest: state.Digest, Err: err}}
 	}
 	c.limits = document.Limits()
 	c.limits.Revision = state.Revision
-	c.applied, c.appliedAt = state.Revision, now
+	c.applied, c.appliedDigest, c.appliedAt = state.Revision, state.Digest, now
 	c.wanted = max(c.wanted, state.Revision)
 	c.router.SetLimits(c.limits)
 	c.steps.SetLimits(c.limits)
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -103,7 +103,7 @@
 		Instance: c.self.ID, Incarnation: c.self.Incarnation, DataCentre: c.self.DataCentre,
 		Ready: c.IsReady(), Leaving: c.leaving, Members: c.Members(), Endpoints: c.endpointStatuses(now),
 		Config: model.ConfigStatus{
-			Known: c.applied > 0, Revision: c.applied, Through: state.Through, Digest: state.Digest, InForceAt: c.appliedAt,
+			Known: c.applied > 0, Revision: c.applied, Through: state.Through, Digest: c.appliedDigest, InForceAt: c.appliedAt,
 		},
 		Rollouts: c.rolloutStatuses(), Parts: c.steps.Parts(), Quarantine: c.quarantineStatuses(),
 		Lease:        model.LeaseStatus{Holder: lease.Holder, Fence: c.fence, Held: c.leading},
