--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -40,9 +40,10 @@
 	Route(now time.Time, request jujuberouter.Request) jujuberouter.Decision
 	Finish(now time.Time, id model.RequestID, outcome jujuberouter.Outcome) []jujuberouter.Decision
 	Cancel(now time.Time, id model.RequestID) []jujuberouter.Decision
-	SetExclude(id model.RequestID, exclude []model.EndpointID)
+	SetChoice(id model.RequestID, only, exclude []model.EndpointID)
 	Tick(now time.Time) []jujuberouter.Decision
 	Endpoints(now time.Time) []jujuberouter.EndpointRow
+	HasVersion(name model.ModelName, version model.WeightVersion) bool
 }
 
 // Options configures a Core.
@@ -75,6 +76,8 @@
 	self       model.Member
 	router     router
 	quarantine *jujubequarantine.Quarantine
+	// confined lists the waiting requests whose content runs on one endpoint and has never completed.
+	confined map[model.Fingerprint][]model.RequestID
 	// grants lists the suspects that run on this steward's word.
 	grants []grant
 	// suspectSince is when this steward first heard of a suspect.
@@ -90,11 +93,16 @@
 	endpoints *jujubetable.Table[model.EndpointID, endpointRow]
 	// requests holds each request from its arrival until its end or refusal.
 	requests *jujubetable.Table[model.RequestID, requestRow]
+	// asking holds at least the requests that wait for the steward.
+	asking *jujubetable.Table[model.RequestID, struct{}]
 	// versions only grow.
 	versions *jujubetable.Table[model.ModelName, model.WeightVersion]
 	limits   model.Limits
-	// applied is the revision that is in force; it never goes back.
-	applied int64
+	// applied is the revision that is in force, with its digest; it never goes back.
+	applied       int64
+	appliedDigest string
+	// unusable is the highest revision whose document couldn't be used.
+	unusable int64
 	// appliedAt is when it was put in force.
 	appliedAt time.Time
 	// wanted is the highest revision that a rumour named.
@@ -131,6 +139,8 @@
 		fold:         jujubeconfig.NewFold(),
 		endpoints:    jujubetable.New[model.EndpointID, endpointRow](),
 		requests:     jujubetable.New[model.RequestID, requestRow](),
+		asking:       jujubetable.New[model.RequestID, struct{}](),
+		confined:     make(map[model.Fingerprint][]model.RequestID),
 		suspectSince: make(map[model.Fingerprint]time.Time),
 		versions:     jujubetable.New[model.ModelName, model.WeightVersion](),
 		random:       random,
--- a/core/services/jujubemember/member.go
+++ b/core/services/jujubemember/member.go
@@ -25,7 +25,7 @@
 	byAddress map[string]model.InstanceID
 	// suspects maps each suspected member to the time from which it is dead.
 	suspects *jujubetable.Table[model.InstanceID, time.Time]
-	// targets are the peers that aren't dead, sorted; nil after a change.
+	// targets are the peers that aren't dead, sorted, and live is the result of Live; nil after a change.
 	targets []model.InstanceID
 	// live is the answer of Live; nil after a change. It is replaced and never written to, so that callers may keep it.
 	live []model.Member
