jujubecore: say KeyOwnerGone for a key whose owner is not alive

Cause: a key whose owner was known and not alive was turned from Forward into Unknown without a code, so that the caller was told InProgress with no retry-after time: that an earlier copy was still running.

Ruled out: a copy that really runs: the owner's process had been killed.

Before: in the process test, repeats of a killed instance's keys through another instance were told InProgress for 3 minutes, the test's limit. After: KeyOwnerGone with Unknown and a retry-after time of 1 s; the test passes.

Conclusion: matches docs/errors.md; Ran was Unknown before and after.

--- a/core/services/jujubecore/keys.go
+++ b/core/services/jujubecore/keys.go
@@ -4,9 +4,13 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/services/jujubeclaim"
 )
 
+// ownerRetry is when a caller may ask again about a key whose owner isn't seen alive.
+const ownerRetry = time.Second
+
 // decideKey tells what to do with a non-idempotent request. One that has to be forwarded to an instance that isn't
 // alive is answered Unknown.
 func (c *Core) decideKey(now time.Time, presented KeyPresented) KeyDecided {
@@ -19,7 +23,8 @@
 			return KeyDecided{Decision: decision, Owner: member}
 		}
 	}
-	decision.Kind = jujubeclaim.Unknown
+	// The owner may be back later: it can be paused or cut off.
+	decision.Kind, decision.Code, decision.RetryAfter = jujubeclaim.Unknown, jujubeerror.CodeKeyOwnerGone, ownerRetry
 	return KeyDecided{Decision: decision}
 }
 
