jujubequarantine: tell when a quarantine ends

Ruled out: a loss on the way: docs/errors.md said "never" as well.

Before: the process test waited 3 minutes, its limit, for a refusal with a retry-after time; each of some 8,500 had 0s.

--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -45,7 +45,7 @@
 func (c *Core) place(now time.Time, row requestRow) []Action {
 	switch c.quarantine.Check(now, row.fingerprint) {
 	case jujubequarantine.Quarantined:
-		return c.decided(now, row, refuse(row.request.ID, jujubeerror.CodeQuarantined, 0))
+		return c.decided(now, row, refuse(row.request.ID, jujubeerror.CodeQuarantined, c.quarantine.RetryAfter(now, row.fingerprint)))
 	case jujubequarantine.Suspect:
 		return c.askSteward(now, row)
 	}
--- a/core/services/jujubequarantine/quarantine.go
+++ b/core/services/jujubequarantine/quarantine.go
@@ -149,6 +149,14 @@
 	return Clear
 }
 
+// RetryAfter is the time until a quarantine ends; zero when there is none.
+func (q *Quarantine) RetryAfter(now time.Time, f model.Fingerprint) time.Duration {
+	if v, ok := q.verdicts.Get(f); ok && v.isInForce(now) {
+		return v.until.Sub(now)
+	}
+	return 0
+}
+
 // Restricted tells whether a fingerprint is suspect, so that only the steward, the lowest-ranked live instance, may run
 // it. The instance that sends it there sends RumoursOf along, as the steward may not know of the crash yet.
 func (q *Quarantine) Restricted(now time.Time, f model.Fingerprint) (suspect bool) {
--- a/core/services/jujubequarantine/quarantine_test.go
+++ b/core/services/jujubequarantine/quarantine_test.go
@@ -135,6 +135,7 @@
 		c.deliver(t, true)
 		for _, q := range c.instances {
 			assert.Equal(t, q.Check(start, crasher) == quarantine.Quarantined, c.crashes == 2)
+			assert.Equal(t, q.RetryAfter(start, crasher) > 0, c.crashes == 2, "a quarantine without a time to come back")
 		}
 		lift := c.instances[1].Lift(start, crasher)
 		c.instances[0].ApplyRumour(start, lift)
