jujubecore: grant no suspect after its second crash

Cause: the steward didn't look at its own verdict when another instance asked for a suspect. Instances that had not heard of the second crash yet got grants in the milliseconds after it. A release could also reach the steward before the rumour of the crash that ended the run.

Ruled out: runs without a grant: the log shows that the steward, which ran the second crash itself, granted the content again 2 ms later.

A release now carries what its sender knows of the crashes; that part was not seen to fail on its own.

--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -115,6 +115,9 @@
 	Fingerprint model.Fingerprint
 	Endpoint    model.EndpointID
 	Completed   bool
+	// Known carries what the releasing instance knows of the crashes: the release may come before their rumours, and the
+	// steward must not grant the content again after its second crash.
+	Known []model.Rumour
 }
 
 // QuarantineLifted says that an operator has cleared a fingerprint.
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -6,6 +6,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/services/jujubequarantine"
 	"jujubepier.example/core/services/jujuberouter"
 )
 
@@ -60,7 +61,9 @@
 	for _, rumour := range ask.Known {
 		c.applyRumour(now, rumour)
 	}
-	if c.steward().ID != c.self.ID || !c.isSettled(now, ask.Fingerprint) {
+	// An instance that asks for quarantined content hasn't heard of the verdict yet; it refuses the request when it has.
+	isQuarantined := c.quarantine.Check(now, ask.Fingerprint) == jujubequarantine.Quarantined
+	if c.steward().ID != c.self.ID || isQuarantined || !c.isSettled(now, ask.Fingerprint) {
 		return SuspectAnswered{RetryAfter: suspectRetry}
 	}
 	views := c.router.Endpoints(now)
@@ -106,7 +109,10 @@
 	if !row.granted {
 		return nil
 	}
-	release := SuspectReleased{Fingerprint: row.fingerprint, Endpoint: row.request.Only[0], Completed: completed}
+	release := SuspectReleased{
+		Fingerprint: row.fingerprint, Endpoint: row.request.Only[0], Completed: completed,
+		Known: c.quarantine.RumoursOf(now, row.fingerprint),
+	}
 	if row.steward.ID == c.self.ID {
 		c.releaseSuspect(now, release)
 		return nil
@@ -115,6 +121,9 @@
 }
 
 func (c *Core) releaseSuspect(now time.Time, release SuspectReleased) {
+	for _, rumour := range release.Known {
+		c.applyRumour(now, rumour)
+	}
 	at := slices.IndexFunc(c.grants, func(g grant) bool {
 		return g.fingerprint == release.Fingerprint && g.endpoint == release.Endpoint
 	})
