jujubecore, jujubeentry: start, score and hand out without waiting for a tick

A step waited for the 50 ms tick three times: before its streams start, before a finished sample is scored, and before a waiting pull looks for groups again. The step tables now also run after a submit and after a stream that finished, and pulls are woken by these events as well as by the tick.

Ruled out: the trainer's own polling; its pulls wait at the instance.

--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -27,7 +27,8 @@
 	c.steps.ResumeDone(now, part.Key)
 	c.members.Publish(now, attemptRumour(part.Key, part.Attempt))
 	c.learnTrainerVersion(now, part.Key.Trainer, part.Version)
-	return []Action{PartAnswered{Accepted: accepted}}
+	// The step tables run at once and not only with the next tick, since a step's time is the sum of such waits.
+	return append([]Action{PartAnswered{Accepted: accepted}}, c.tickSteps(now)...)
 }
 
 func (c *Core) applyPulled(now time.Time, pull model.Pull) []Action {
@@ -134,9 +135,14 @@
 		end.Kind = jujubestep.EndFailed
 	}
 	c.steps.Ended(now, ended.Stream, end)
-	return c.finish(now, model.RequestID(ended.Stream), jujuberouter.Outcome{
+	actions := c.finish(now, model.RequestID(ended.Stream), jujuberouter.Outcome{
 		OK: ended.OK, Failed: ended.Broken, Tokens: ended.Tokens, Load: ended.Load,
 	})
+	if ended.OK {
+		// The sample is scored at once.
+		actions = append(actions, c.tickSteps(now)...)
+	}
+	return actions
 }
 
 func (c *Core) applyScored(now time.Time, scored SampleScored) {
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -141,8 +141,7 @@
 		}
 		s.mu.Lock()
 		s.begin(s.core.Tick(time.Now()))
-		close(s.wake)
-		s.wake = make(chan struct{})
+		s.wakePulls()
 		isReady := s.core.IsReady()
 		s.mu.Unlock()
 		if isReady && !ready {
@@ -152,12 +151,23 @@
 	}
 }
 
+// wakePulls lets the waiting pulls look for groups again. The caller holds mu.
+func (s *Service) wakePulls() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
 // apply gives the core an event, begins the actions that go elsewhere and returns all of them.
 func (s *Service) apply(event jujubecore.Event) []jujubecore.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	actions := s.core.Apply(time.Now(), event)
 	s.begin(actions)
+	switch event.(type) {
+	case jujubecore.SampleScored, jujubecore.StreamEnded:
+		// The last sample of a group may have come.
+		s.wakePulls()
+	}
 	return actions
 }
 
