--- a/load/services/jujubebench/overload.go
+++ b/load/services/jujubebench/overload.go
@@ -55,6 +55,10 @@
 	Normal float64
 	During float64
 	Worst  float64
+	// Seconds holds the share of each second's new requests that were answered in time.
+	Seconds []float64
+	// Broken counts tries that ended neither with an answer nor with a refusal.
+	Broken int
 	// GoodputDuring divides the answers in time per second of the overload by the capacity.
 	GoodputDuring float64
 	Requests      int
@@ -127,6 +131,7 @@
 	requests []overloadRequest
 	tries    int
 	late     int
+	broken   int
 	refusals *hdrhistogram.Histogram
 }
 
@@ -209,6 +214,8 @@
 			if took > left*9/10 {
 				o.late++
 			}
+		} else if err != nil {
+			o.broken++
 		}
 		o.mu.Unlock()
 		if err == nil {
@@ -249,13 +256,17 @@
 		Repeats: o.repeats, Requests: len(o.requests), Tries: o.tries, Refusals: o.refusals.TotalCount(),
 		RefusalP50:   time.Duration(o.refusals.ValueAtQuantile(50)) * time.Microsecond,
 		RefusalP99:   time.Duration(o.refusals.ValueAtQuantile(99)) * time.Microsecond,
-		LateRefusals: o.late, Recovery: -1, Worst: 1,
+		LateRefusals: o.late, Broken: o.broken, Recovery: -1, Worst: 1,
 	}
 	// The first seconds warm the instances' estimates up.
 	f.Normal, _ = share(begin/2, begin)
 	var answered int
 	f.During, answered = share(begin, end)
 	f.GoodputDuring = float64(answered) / o.options.Overload.Seconds() / capacity
+	for at := time.Duration(0); at+second <= end+o.options.After; at += second {
+		now, _ := share(at, at+second)
+		f.Seconds = append(f.Seconds, now)
+	}
 	recovered := false
 	for at := end; at+second <= end+o.options.After; at += second {
 		now, _ := share(at, at+second)
@@ -277,9 +288,9 @@
 	fmt.Fprintf(out, "capacity %.0f requests per second\n", r.Capacity)
 	for _, f := range r.Figures {
 		_, err := fmt.Fprintf(out, "repeats %s: recovery %s; answered in time: before %.3f, during %.3f (%.3f of the capacity), "+
-			"worst second after %.3f; requests %d, tries %d, refusals %d, p50 %s, p99 %s, late %d; pause %s\n",
+			"worst second after %.3f; requests %d, tries %d, refusals %d, p50 %s, p99 %s, late %d, broken %d; pause %s\n",
 			f.Repeats, f.Recovery, f.Normal, f.During, f.GoodputDuring, f.Worst, f.Requests, f.Tries, f.Refusals,
-			f.RefusalP50, f.RefusalP99, f.LateRefusals, f.Pause.Round(time.Millisecond))
+			f.RefusalP50, f.RefusalP99, f.LateRefusals, f.Broken, f.Pause.Round(time.Millisecond))
 		if err != nil {
 			return err
 		}
