jujuberouter: read held streams without waiting for a share

After an entry instance dies, the new owner of its step part resumes the streams that engines hold. Past the engine's grace time they would have been lost. Held streams are now dispatched at once and count in the shares, so that fewer new ones start.

Ruled out: the trainer's detection; it submitted again within 0.15 s. The rule of one endpoint for unproven content isn't touched: a held stream runs already.

--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -55,7 +55,7 @@
 func (c *Core) route(now time.Time, row requestRow) []Action {
 	request := row.request
 	row.isCrowded = false
-	if !row.granted {
+	if !row.granted && !row.request.Held {
 		crowded := c.crowded(now, row)
 		row.isCrowded = len(crowded) > 0
 		request.Exclude = slices.Concat(row.request.Exclude, crowded)
@@ -108,7 +108,8 @@
 	id := row.request.ID
 	switch decision.Kind {
 	case jujuberouter.Dispatch:
-		if !row.granted && !c.quarantine.Admit(now, row.fingerprint, decision.Endpoint) {
+		// A held stream runs on its endpoint already; reading it starts no copy, and its run is recorded below.
+		if !row.granted && !row.request.Held && !c.quarantine.Admit(now, row.fingerprint, decision.Endpoint) {
 			// The queue held the request while a copy of it started on another endpoint, or its content became suspect.
 			c.requests.Delete(id)
 			freed := c.router.Finish(now, id, jujuberouter.Outcome{})
--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -74,7 +74,7 @@
 		Fingerprint: model.NewFingerprint("generate", string(start.Model), start.Prompt),
 	}
 	if start.Endpoint != "" {
-		request.Only = []model.EndpointID{start.Endpoint}
+		request.Only, request.Held = []model.EndpointID{start.Endpoint}, start.Resume
 	}
 	return c.place(now, requestRow{request: request, fingerprint: request.Fingerprint, stream: &start})
 }
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -158,8 +158,8 @@
 			return
 		}
 		allowed++
-		shareless = shareless && e.limited && e.share == 0
-		if !e.hasRoom() || e.load.Version < request.MinVersion || healthy && e.isAside(now) {
+		shareless = shareless && e.limited && e.share == 0 && !request.Held
+		if !request.Held && (!e.hasRoom() || e.load.Version < request.MinVersion || healthy && e.isAside(now)) {
 			return
 		}
 		r.candidates = append(r.candidates, r.estimate(p, e, request.Prefix))
--- a/core/services/jujuberouter/request.go
+++ b/core/services/jujuberouter/request.go
@@ -39,6 +39,9 @@
 	// Only restricts the choice, also to endpoints that aren't watched.
 	Only        []model.EndpointID
 	Fingerprint model.Fingerprint
+	// Held is true for a stream that the endpoint in Only holds already. It occupies its place there whether this instance
+	// reads it or not, so neither the shares of the limits nor MinVersion hold it back; it counts in them.
+	Held bool
 	// Retry charges the request to the retry budget.
 	Retry bool
 }
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -116,7 +116,7 @@
 		return r.refuse(j, jujubeerror.CodeNoEndpoint, "no endpoint is known", retryElsewhere)
 	}
 	j.trainer, _ = r.trainers.Get(request.Trainer)
-	if t := j.trainer; t != nil && t.limited && t.share == 0 {
+	if t := j.trainer; t != nil && t.limited && t.share == 0 && !request.Held {
 		return r.refuseElsewhere(j, "other instances hold the trainer's limit")
 	}
 	if decision, refused := r.charge(now, j); refused {
@@ -126,7 +126,7 @@
 	if j.caller != nil {
 		j.caller.active++
 	}
-	if r.queued == 0 || !j.pool.mustQueue(j) {
+	if r.queued == 0 || request.Held || !j.pool.mustQueue(j) {
 		if decision := r.try(now, j); decision.Kind != Wait {
 			return decision
 		}
@@ -163,7 +163,7 @@
 		return r.refuseLate(now, j, 0, late)
 	}
 	r.candidates = r.candidates[:0]
-	if !j.trainer.hasRoom() {
+	if !j.trainer.hasRoom() && !j.request.Held {
 		return Decision{Kind: Wait}
 	}
 	allowed, shareless := r.collect(now, j.pool, &j.request)
--- a/core/services/jujuberouter/router_test.go
+++ b/core/services/jujuberouter/router_test.go
@@ -235,3 +235,40 @@
 	assert.Equal(t, watched["7"], 0)
 	assert.Assert(t, len(watched) > 90, "%d of 100 endpoints are watched by one of 20 instances", len(watched))
 }
+
+// Guards against streams of a dead instance that wait until the new owner's shares are free, while engines go on with
+// them and drop them when their grace time is over.
+func TestHeldStream(t *testing.T) {
+	r := newRouter(2, 1)
+	r.SetLimits(model.Limits{
+		Trainers: map[model.TrainerID]model.TrainerLimits{"a": {Share: 1, MaxInFlight: 1}},
+		Models:   map[model.ModelName]model.ModelLimits{"m": {MaxInFlightPerEndpoint: 1}},
+	})
+	first := r.Route(start, ask(0, model.PriorityTrainer, "a"))
+	assert.Equal(t, first.Kind, router.Dispatch)
+	assert.Equal(t, r.Route(start, ask(1, model.PriorityTrainer, "a")).Kind, router.Wait)
+	held := ask(2, model.PriorityTrainer, "a")
+	held.Only, held.Held, held.MinVersion = []model.EndpointID{first.Endpoint}, true, 7
+	decision := r.Route(start, held)
+	assert.Equal(t, decision.Kind, router.Dispatch)
+	assert.Equal(t, decision.Endpoint, first.Endpoint)
+	// It counts: the waiting request gets its turn only when both have ended.
+	assert.Equal(t, len(r.Finish(start, held.ID, router.Outcome{OK: true})), 0)
+	assert.Equal(t, len(r.Finish(start, "0", router.Outcome{OK: true})), 1)
+}
+
+// Guards against a waiting request that stays bound to one endpoint after the reason has gone.
+func TestSetExclude(t *testing.T) {
+	r := newRouter(2, 1)
+	busy := ask(0, model.PriorityTrainer, "a")
+	busy.Only = []model.EndpointID{"e000"}
+	assert.Equal(t, r.Route(start, busy).Kind, router.Dispatch)
+	waiting := ask(1, model.PriorityTrainer, "a")
+	waiting.Exclude = []model.EndpointID{"e001"}
+	assert.Equal(t, r.Route(start, waiting).Kind, router.Wait)
+	assert.Equal(t, len(r.Tick(start)), 0)
+	r.SetExclude(waiting.ID, nil)
+	decisions := r.Tick(start)
+	assert.Equal(t, len(decisions), 1)
+	assert.Equal(t, decisions[0].Endpoint, model.EndpointID("e001"))
+}
