--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -70,8 +70,7 @@
 	request := jujuberouter.Request{
 		ID: model.RequestID(start.Stream), Kind: model.KindEngine, Model: start.Model, Trainer: start.Part.Trainer,
 		Priority: model.PriorityTrainer, Arrived: now, Deadline: start.Deadline, Prefix: model.HashPrefix(start.Prompt),
-		Tokens: start.MaxTokens, MinVersion: start.MinVersion, PreferVersion: start.PreferVersion,
-		Exclude:     start.Avoid,
+		Tokens: start.MaxTokens, MinVersion: c.minVersion(now, start), Exclude: start.Avoid,
 		Fingerprint: model.NewFingerprint("generate", string(start.Model), start.Prompt),
 	}
 	if start.Endpoint != "" {
@@ -110,6 +109,19 @@
 	})
 }
 
+// minVersion prefers engines that are a version newer than needed, so that the sample survives the trainer's next step.
+func (c *Core) minVersion(now time.Time, start jujubestep.StartStream) model.WeightVersion {
+	if start.PreferVersion <= start.MinVersion {
+		return start.MinVersion
+	}
+	for _, view := range c.router.Endpoints(now) {
+		if view.Watched && view.Endpoint.Model == start.Model && view.Load.Version >= start.PreferVersion {
+			return start.PreferVersion
+		}
+	}
+	return start.MinVersion
+}
+
 func (c *Core) applyStreamEnded(now time.Time, ended StreamEnded) []Action {
 	end := jujubestep.StreamEnd{Tokens: ended.Tokens, Code: ended.Code, RetryAfter: ended.RetryAfter}
 	switch {
