--- a/core/services/jujuberouter/policy.go
+++ b/core/services/jujuberouter/policy.go
@@ -47,11 +47,19 @@
 
 // Choose returns the index of the endpoint with the least expected wait among those compared.
 func (LeastExpectedWait) Choose(candidates []Candidate, _ *Request, random *rand.Rand) int {
-	start := random.Intn(len(candidates))
-	best := start
+	best := random.Intn(len(candidates))
+	if len(candidates) > 1 {
+		second := random.Intn(len(candidates) - 1)
+		if second >= best {
+			second++
+		}
+		if candidates[second].isBetter(&candidates[best]) {
+			best = second
+		}
+	}
 	for i := range candidates {
-		if at := (start + i) % len(candidates); candidates[at].isBetter(&candidates[best]) {
-			best = at
+		if candidates[i].Cached && candidates[i].isBetter(&candidates[best]) {
+			best = i
 		}
 	}
 	return best
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -188,7 +188,7 @@
 func (r *Router[P]) estimate(p *pool, e *row, prefix uint64) Candidate {
 	c := Candidate{
 		Endpoint: e.endpoint.ID, Running: e.load.Running, Waiting: e.load.Waiting, InFlight: e.inFlight, row: e,
-		Occupied: (e.load.Running + e.load.Waiting + (len(e.recent)+e.inFlight)*p.scale) / 2,
+		Occupied: e.load.Running + e.load.Waiting + len(e.recent)*p.scale,
 	}
 	if over := c.Occupied - e.load.Slots + 1; e.load.Slots > 0 && over > 0 {
 		c.ExpectedWait = time.Duration(float64(over) * p.service / float64(e.load.Slots) * float64(time.Second))
