--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -109,24 +109,16 @@
 	})
 }
 
-// minVersion prefers engines that are a version newer than needed, so that the sample survives the trainer's next step,
-// once at least half of the engines are: early in a rollout the few new ones would have to take all streams.
+// minVersion prefers engines that are a version newer than needed, so that the sample survives the trainer's next step.
 func (c *Core) minVersion(now time.Time, start jujubestep.StartStream) model.WeightVersion {
 	if start.PreferVersion <= start.MinVersion {
 		return start.MinVersion
 	}
-	watched, newer := 0, 0
 	for _, view := range c.router.Endpoints(now) {
-		if view.Watched && view.Endpoint.Model == start.Model {
-			watched++
-			if view.Load.Version >= start.PreferVersion {
-				newer++
-			}
+		if view.Watched && view.Endpoint.Model == start.Model && view.Load.Version >= start.PreferVersion {
+			return start.PreferVersion
 		}
 	}
-	if newer > 0 && 2*newer >= watched {
-		return start.PreferVersion
-	}
 	return start.MinVersion
 }
 
