jujubecore, jujubeentry: read swapping engines more often

The leader learned of the end of a swap from the next read of the load, up to 500 ms late, and only then ordered the next engine: with swaps of 0.5 s the orders were 0.85 s apart. While an order is out the leader now reads that engine's load each 100 ms; at most MaxSwapping engines are read so.

Ruled out: the engines' lag of 100 ms, which stays.

--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -68,6 +68,9 @@
 	return endpoints
 }
 
+// IsSwapping tells whether this instance leads the rollout and waits for the engine's swap to end.
+func (c *Core) IsSwapping(id model.EndpointID) bool { return c.leading && c.rollout.IsOrdered(id) }
+
 // InFlightOn counts this instance's requests on an endpoint.
 func (c *Core) InFlightOn(id model.EndpointID) int {
 	count := 0
--- a/core/services/jujubeweight/rollout.go
+++ b/core/services/jujubeweight/rollout.go
@@ -136,6 +136,12 @@
 	}
 }
 
+// IsOrdered tells whether an order to an engine is out of which no report tells the outcome yet.
+func (w *Rollout) IsOrdered(id model.EndpointID) bool {
+	e, ok := w.engines.Get(id)
+	return ok && e.order != nil
+}
+
 // RemoveEndpoint forgets an engine.
 func (w *Rollout) RemoveEndpoint(id model.EndpointID) { w.engines.Delete(id) }
 
--- a/entry/services/jujubeentry/poll.go
+++ b/entry/services/jujubeentry/poll.go
@@ -108,7 +108,7 @@
 	}
 	var seq int64
 	nextCache := time.Now()
-	for sleep(ctx, s.loadPeriod()) {
+	for sleep(ctx, s.loadPeriod(endpoint.ID)) {
 		report, err := s.readLoad(ctx, endpoint.Address)
 		switch {
 		case err == nil:
@@ -129,14 +129,19 @@
 
 // loadPeriod is the time between two reads of one endpoint's load. With many instances each endpoint is read by many,
 // and the reads of one instance are bounded, so that they fit its share of the control traffic; loads also come with
-// each answer.
-func (s *Service) loadPeriod() time.Duration {
+// each answer. The leader of a rollout reads the few engines that swap more often, because the next order waits for the
+// end of a swap.
+func (s *Service) loadPeriod(id model.EndpointID) time.Duration {
 	const (
 		manyInstances = 16
+		swapPeriod    = 100 * time.Millisecond
 		readPause     = 250 * time.Millisecond
 	)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.core.IsSwapping(id) {
+		return min(s.settings.LoadPeriod, swapPeriod)
+	}
 	if len(s.core.Members()) <= manyInstances {
 		return s.settings.LoadPeriod
 	}
