--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -53,7 +53,7 @@
 	row.askAgain = time.Time{}
 	c.requests.Put(row.request.ID, row)
 	request := row.request
-	if !row.granted {
+	if !row.granted && !request.Held {
 		request.Only, request.Exclude = c.confine(request)
 	}
 	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, request)})
@@ -107,7 +107,8 @@
 	id := row.request.ID
 	switch decision.Kind {
 	case jujuberouter.Dispatch:
-		if !row.granted && !c.quarantine.Admit(now, row.fingerprint, decision.Endpoint) {
+		// A held stream runs on its endpoint already; reading it starts no copy, and its run is recorded below.
+		if !row.granted && !row.request.Held && !c.quarantine.Admit(now, row.fingerprint, decision.Endpoint) {
 			// The queue held the request while a copy of it started on another endpoint, or its content became suspect.
 			c.requests.Delete(id)
 			freed := c.router.Finish(now, id, jujuberouter.Outcome{})
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -102,6 +102,9 @@
 // Rank returns the place of this instance among the live ones.
 func (c *Core) Rank() int { return c.rank() }
 
+// IsSwapping tells whether this instance leads the rollout and waits for the engine's swap to end.
+func (c *Core) IsSwapping(id model.EndpointID) bool { return c.leading && c.rollout.IsOrdered(id) }
+
 // InFlightOn counts this instance's requests on an endpoint.
 func (c *Core) InFlightOn(id model.EndpointID) int {
 	count := 0
--- a/entry/services/jujubeentry/poll.go
+++ b/entry/services/jujubeentry/poll.go
@@ -137,15 +137,7 @@
 	offset := spread(string(endpoint.ID)+string(s.self.ID), s.settings.LoadPeriod)
 	var seq int64
 	nextCache := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-own.due:
-		}
-		if !sleep(ctx, offset) {
-			return
-		}
+	for s.waitDue(ctx, endpoint.ID, own, offset) {
 		report, err := s.readLoad(ctx, endpoint.Address)
 		switch {
 		case err == nil:
@@ -172,6 +164,25 @@
 	return len(s.core.Members()) <= manyInstances
 }
 
+// waitDue waits until the endpoint's load should be read, and tells whether the context is still alive. The leader of a
+// rollout reads the few engines that swap more often, because the next order waits for the end of a swap; with many
+// instances that would exceed its control traffic.
+func (s *Service) waitDue(ctx context.Context, id model.EndpointID, own *poller, offset time.Duration) bool {
+	const swapPeriod = 100 * time.Millisecond
+	s.mu.Lock()
+	swapping := s.core.IsSwapping(id) && len(s.core.Members()) <= manyInstances
+	s.mu.Unlock()
+	if swapping {
+		return sleep(ctx, min(s.settings.LoadPeriod, swapPeriod))
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-own.due:
+		return sleep(ctx, offset)
+	}
+}
+
 func (s *Service) hasWorkOn(id model.EndpointID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -143,8 +143,7 @@
 		}
 		s.mu.Lock()
 		s.begin(s.core.Tick(time.Now()))
-		close(s.wake)
-		s.wake = make(chan struct{})
+		s.wakePulls()
 		isReady, isReplaced := s.core.IsReady(), s.core.IsReplaced()
 		s.mu.Unlock()
 		if isReplaced {
@@ -168,12 +167,23 @@
 	return "instance " + string(e.Instance) + " runs elsewhere with a newer incarnation, or this machine's clock is behind"
 }
 
+// wakePulls lets the waiting pulls look for groups again. The caller holds mu.
+func (s *Service) wakePulls() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
 // apply gives the core an event, begins the actions that go elsewhere and returns all of them.
 func (s *Service) apply(event jujubecore.Event) []jujubecore.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	actions := s.core.Apply(time.Now(), event)
 	s.begin(actions)
+	switch event.(type) {
+	case jujubecore.SampleScored, jujubecore.StreamEnded:
+		// The last sample of a group may have come.
+		s.wakePulls()
+	}
 	return actions
 }
 
