jujubetrace: keep the steps of a replay in a heap

Cause: the steps were kept in a sorted slice, whose insertions take time in proportion to the ticks that are left.

--- a/core/services/jujubetrace/replay.go
+++ b/core/services/jujubetrace/replay.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"encoding/json"
 	"reflect"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,9 +33,27 @@
 
 // step is something that happens at an offset.
 type step struct {
-	at   time.Duration
-	rank int
-	run  func(at time.Duration) error
+	at     time.Duration
+	rank   int
+	number int
+	run    func(at time.Duration) error
+}
+
+// steps is a heap, because a recorded trace may have hundreds of thousands of ticks.
+type steps []step
+
+func (s steps) Len() int      { return len(s) }
+func (s steps) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *steps) Push(x any)   { *s = append(*s, x.(step)) }
+
+func (s steps) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(s[i].at, s[j].at), cmp.Compare(s[i].rank, s[j].rank), cmp.Compare(s[i].number, s[j].number)) < 0
+}
+
+func (s *steps) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
 }
 
 type link struct{ a, b model.InstanceID }
@@ -44,7 +62,8 @@
 	trace  *Trace
 	nodes  map[model.InstanceID]*node
 	order  []*node
-	steps  []step
+	steps  steps
+	added  int
 	cuts   map[link]time.Duration
 	checks []*check
 }
@@ -62,8 +81,7 @@
 	}
 	r.schedule()
 	for len(r.steps) > 0 {
-		next := r.steps[0]
-		r.steps = r.steps[1:]
+		next := heap.Pop(&r.steps).(step)
 		if err := next.run(next.at); err != nil {
 			return nil, err
 		}
@@ -146,14 +164,8 @@
 
 // add keeps the steps in the order of their time and rank; equal ones stay in the order of their addition.
 func (r *replay) add(at time.Duration, rank int, run func(time.Duration) error) {
-	later := func(s step, _ struct{}) int {
-		if s.at > at || s.at == at && s.rank > rank {
-			return 1
-		}
-		return -1
-	}
-	index, _ := slices.BinarySearchFunc(r.steps, struct{}{}, later)
-	r.steps = slices.Insert(r.steps, index, step{at, rank, run})
+	r.added++
+	heap.Push(&r.steps, step{at, rank, r.added, run})
 }
 
 func (r *replay) runLine(at time.Duration, line *Line) error {
