jujubecore: let the random test survive a stream that another's end stops

Cause: the step tables now run at once after a finished stream, so the end of one stream can stop another while the test walks its list; the test dereferenced the missing one. Ruled out: a fault of the core; the stop is what a second run that lost should get. Before: nil dereference. After: the test passes; its checks are unchanged.

--- a/core/services/jujubecore/property_test.go
+++ b/core/services/jujubecore/property_test.go
@@ -118,7 +118,10 @@
 func (w *world) generate() {
 	for _, e := range w.engines {
 		for _, id := range slices.Sorted(maps.Keys(e.streams)) {
-			w.generateOne(e, id, e.streams[id])
+			// The end of one stream may stop another at once.
+			if s, held := e.streams[id]; held {
+				w.generateOne(e, id, s)
+			}
 		}
 	}
 }
