jujubecore: hold a copy back while its content runs on a leaving endpoint

Cause: content that has never completed runs on one endpoint only. When that endpoint began to leave, a waiting copy was confined to an endpoint that takes no new work and was refused with NoEndpoint, although another was idle. Ruled out: starting the copy elsewhere at once, which is the second endpoint that the rule forbids. Also: the release of a suspect's grant is tried three times.

--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -93,7 +93,7 @@
 	endpoints *jujubetable.Table[model.EndpointID, endpointRow]
 	// requests holds each request from its arrival until its end or refusal.
 	requests *jujubetable.Table[model.RequestID, requestRow]
-	// asking holds at least the requests that wait for the steward.
+	// asking holds at least the requests that wait for the steward or were postponed.
 	asking *jujubetable.Table[model.RequestID, struct{}]
 	// versions only grow.
 	versions *jujubetable.Table[model.ModelName, model.WeightVersion]
--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -59,6 +59,20 @@
 	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, request)})
 }
 
+// isConfined tells whether a request was refused only because its content runs on an endpoint that takes no new work.
+func (c *Core) isConfined(now time.Time, row requestRow, decision jujuberouter.Decision) bool {
+	return decision.Code == jujubeerror.CodeNoEndpoint && !row.granted && now.Before(row.request.Deadline) &&
+		c.quarantine.IsRunning(row.fingerprint)
+}
+
+// postpone places a request again after a while.
+func (c *Core) postpone(now time.Time, row requestRow) []Action {
+	row.askAgain = now.Add(suspectRetry)
+	c.requests.Put(row.request.ID, row)
+	c.asking.Put(row.request.ID, struct{}{})
+	return nil
+}
+
 // spread lets the waiting requests of a content use all endpoints again, once the content has completed or runs nowhere.
 func (c *Core) spread(f model.Fingerprint) {
 	for _, id := range c.confined[f] {
@@ -120,6 +134,9 @@
 		c.requests.Put(id, row)
 		c.quarantine.Begin(now, row.fingerprint, decision.Endpoint)
 	case jujuberouter.Refuse:
+		if c.isConfined(now, row, decision) {
+			return c.postpone(now, row)
+		}
 		c.requests.Delete(id)
 		if row.stream != nil && len(row.stream.Avoid) > 0 && decision.Code == jujubeerror.CodeNoEndpoint && !row.granted {
 			// Engines that failed a sample are used when there is no other.
--- a/entry/services/jujubeentry/peers.go
+++ b/entry/services/jujubeentry/peers.go
@@ -22,6 +22,9 @@
 // peerTimeout bounds a small call to another instance. It is below the probe timeout of the membership protocol.
 const peerTimeout = 450 * time.Millisecond
 
+// releaseTries bounds the attempts to tell the steward that a suspect has ended.
+const releaseTries = 3
+
 // ForwardArgs carries a non-idempotent call to the instance that issued its key.
 type ForwardArgs struct {
 	Call        Call
@@ -277,10 +280,15 @@
 }
 
 func (s *Service) releaseSuspect(ctx context.Context, release jujubecore.ReleaseSuspect) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	// A grant that isn't released ends by itself after a time.
-	_ = s.peers.call(ctx, release.Steward.PeerAddress, "Peer.ReleaseSuspect", release.Release, &Empty{})
+	// A grant that isn't released keeps other suspects from its endpoint until the request's deadline.
+	for range releaseTries {
+		call, cancel := context.WithTimeout(ctx, peerTimeout)
+		err := s.peers.call(call, release.Steward.PeerAddress, "Peer.ReleaseSuspect", release.Release, &Empty{})
+		cancel()
+		if err == nil || !sleep(ctx, peerTimeout) {
+			return
+		}
+	}
 }
 
 // TakeRelease serves another instance's release of a grant.
