jujubeentry: say in the settings which periods grow

Cause: with more than 16 instances the instance list is read less often than ListPeriod says, and cache events are not read.

Ruled out: separate settings for large sites; the periods follow from the size.

Before and after: no change of behaviour; go test ./... in entry passes.

--- a/entry/services/jujubeentry/settings.go
+++ b/entry/services/jujubeentry/settings.go
@@ -33,11 +33,11 @@
 	AddressValidity time.Duration `validate:"min=1s,max=5m" usage:"how long callers may keep an address answer"`
 	// ListPeriod is the time between two reads of the instance list. It and the next two grow with many instances, so that
 	// the reads fit the control traffic; see ListPause and IsReadDue.
-	ListPeriod time.Duration `validate:"min=100ms,max=1m" usage:"time between two reads of the instance list"`
+	ListPeriod time.Duration `validate:"min=100ms,max=1m" usage:"time between two reads of the instance list; longer with more than 16 instances"`
 	// LoadPeriod is the time between two reads of an endpoint's load.
-	LoadPeriod time.Duration `validate:"min=50ms,max=1m" usage:"time between two reads of an endpoint's load"`
+	LoadPeriod time.Duration `validate:"min=50ms,max=1m" usage:"time between two reads of an endpoint's load; longer with more than 16 instances"`
 	// CachePeriod is the time between two reads of an engine's cache events.
-	CachePeriod time.Duration `validate:"min=50ms,max=1m" usage:"time between two reads of an engine's cache events"`
+	CachePeriod time.Duration `validate:"min=50ms,max=1m" usage:"time between two reads of an engine's cache events, which are not read with more than 16 instances"`
 	// SlowPollPeriod is how often the log is read by an instance that doesn't follow it continuously.
 	SlowPollPeriod time.Duration `validate:"min=1s,max=5m" usage:"time between two reads of the log by an instance that doesn't follow it continuously"`
 	// StallTimeout ends a stream without a chunk for this long. It must exceed the time for which engines stop generating
