jujubeslope: count the leader's reads in MaxSwapping

Cause: a leader that reads each engine every 2 s sees the end of a load up to 2 s late, and the engine counts as loading until then. With MaxSwapping from the store's rate and the time of a load alone, 600 engines are done late.

Ruled out: reading each second, which doubles the leader's bytes.

--- a/load/services/jujubeslope/rollout.go
+++ b/load/services/jujubeslope/rollout.go
@@ -21,9 +21,12 @@
 // storeRate is the rate of the weight store that the goal needs.
 func storeRate(engines int) float64 { return float64(engines) / (rolloutGoal - loadTime).Seconds() }
 
-// maxSwapping is the number of engines that load at once at that rate, and a third more.
+// readTime is how long the leader may not see the end of a load: until it reads the engine again.
+const readTime = 2 * time.Second
+
+// maxSwapping is the number of engines that load, or seem to, at once at that rate, and a third more.
 func maxSwapping(engines int) int {
-	return max(1, int(math.Ceil(storeRate(engines)*loadTime.Seconds()*1.3)))
+	return max(1, int(math.Ceil(storeRate(engines)*(loadTime+readTime).Seconds()*1.3)))
 }
 
 // studyRollout measures the time of a rollout at shares of the store's rate that the goal needs, and with the reports
