--- a/core/services/jujubecore/endpoints.go
+++ b/core/services/jujubecore/endpoints.go
@@ -146,6 +146,9 @@
 		return
 	}
 	c.publishAll(now, c.quarantine.Crashed(now, jujubequarantine.NewCrashID(row.endpoint.ID, incarnation), inFlight))
+	for _, f := range inFlight {
+		c.spread(f)
+	}
 }
 
 func (c *Core) applyLost(now time.Time, lost EndpointLost) []Action {
--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -91,6 +91,8 @@
 // SuspectAsked says that another instance wants to run a suspect request and asks this one, the steward.
 type SuspectAsked struct {
 	event
+	// Attempt names the attempt over all instances, so that a repeated question gets the same answer.
+	Attempt     string
 	Fingerprint model.Fingerprint
 	Model       model.ModelName
 	Service     model.ServiceName
@@ -115,6 +117,9 @@
 	Fingerprint model.Fingerprint
 	Endpoint    model.EndpointID
 	Completed   bool
+	// Known carries what the releasing instance knows of the crashes: the release may come before their rumours, and the
+	// steward must not grant the content again after its second crash.
+	Known []model.Rumour
 }
 
 // QuarantineLifted says that an operator has cleared a fingerprint.
--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -23,9 +23,6 @@
 	// steward is set while the request runs under a grant.
 	steward model.Member
 	granted bool
-	// isCrowded is true while the router keeps the waiting request from other endpoints than the one that runs its
-	// content. The request's own Exclude doesn't list these.
-	isCrowded bool
 	// askAgain is when the steward is asked again; zero when it need not be.
 	askAgain time.Time
 	// stream is set for a stream of a step part.
@@ -45,7 +42,7 @@
 func (c *Core) place(now time.Time, row requestRow) []Action {
 	switch c.quarantine.Check(now, row.fingerprint) {
 	case jujubequarantine.Quarantined:
-		return c.decided(now, row, refuse(row.request.ID, jujubeerror.CodeQuarantined, 0))
+		return c.decided(now, row, refuse(row.request.ID, jujubeerror.CodeQuarantined, c.quarantine.RetryAfter(now, row.fingerprint)))
 	case jujubequarantine.Suspect:
 		return c.askSteward(now, row)
 	}
@@ -53,41 +50,43 @@
 }
 
 func (c *Core) route(now time.Time, row requestRow) []Action {
+	row.askAgain = time.Time{}
+	c.requests.Put(row.request.ID, row)
 	request := row.request
-	row.isCrowded = false
 	if !row.granted {
-		crowded := c.crowded(now, row)
-		row.isCrowded = len(crowded) > 0
-		request.Exclude = slices.Concat(row.request.Exclude, crowded)
+		request.Only, request.Exclude = c.confine(request)
 	}
-	c.requests.Put(row.request.ID, row)
 	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, request)})
 }
 
 // spread lets the waiting requests of a content use all endpoints again, once the content has completed or runs nowhere.
 func (c *Core) spread(f model.Fingerprint) {
-	for id, row := range c.requests.All() {
-		if row.isCrowded && row.endpoint == "" && row.fingerprint == f {
-			row.isCrowded = false
-			c.requests.Put(id, row)
-			c.router.SetExclude(id, row.request.Exclude)
+	for _, id := range c.confined[f] {
+		if row, known := c.requests.Get(id); known && row.endpoint == "" {
+			c.router.SetChoice(id, row.request.Only, row.request.Exclude)
 		}
 	}
+	delete(c.confined, f)
 }
 
-// crowded lists the endpoints that content which has never completed must not be sent to, because it already runs on
-// another one.
-func (c *Core) crowded(now time.Time, row requestRow) []model.EndpointID {
-	if !c.quarantine.IsRunning(row.fingerprint) {
-		return nil
+// confine restricts content that has never completed to the endpoint on which it already runs. The row keeps its own
+// restrictions, as these end with the other run.
+func (c *Core) confine(request jujuberouter.Request) (only, exclude []model.EndpointID) {
+	running := c.quarantine.RunningOn(request.Fingerprint)
+	if len(running) == 0 {
+		return request.Only, request.Exclude
+	}
+	c.confined[request.Fingerprint] = append(c.confined[request.Fingerprint], request.ID)
+	if len(request.Only) == 0 {
+		return running, request.Exclude
 	}
-	var excluded []model.EndpointID
-	for id, endpoint := range c.endpoints.All() {
-		if endpoint.endpoint.Kind == row.request.Kind && !c.quarantine.Admit(now, row.fingerprint, id) {
-			excluded = append(excluded, id)
+	exclude = slices.Clone(request.Exclude)
+	for _, id := range request.Only {
+		if !slices.Contains(running, id) {
+			exclude = append(exclude, id)
 		}
 	}
-	return excluded
+	return request.Only, exclude
 }
 
 // routed turns the router's decisions into actions.
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -6,6 +6,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/services/jujubequarantine"
 	"jujubepier.example/core/services/jujuberouter"
 )
 
@@ -23,6 +24,7 @@
 
 // grant reserves an endpoint for one suspect.
 type grant struct {
+	attempt     string
 	fingerprint model.Fingerprint
 	endpoint    model.EndpointID
 	until       time.Time
@@ -45,7 +47,9 @@
 	}
 	row.steward, row.askAgain = c.steward(), now.Add(askTimeout)
 	c.requests.Put(row.request.ID, row)
+	c.asking.Put(row.request.ID, struct{}{})
 	ask := SuspectAsked{
+		Attempt:     string(c.self.ID) + "~" + c.self.Incarnation.String() + "/" + string(row.request.ID),
 		Fingerprint: row.fingerprint, Kind: row.request.Kind, Model: row.request.Model, Service: row.request.Service,
 		Exclude: row.request.Exclude, Until: row.request.Deadline, Known: c.quarantine.RumoursOf(now, row.fingerprint),
 	}
@@ -60,9 +64,14 @@
 	for _, rumour := range ask.Known {
 		c.applyRumour(now, rumour)
 	}
-	if c.steward().ID != c.self.ID || !c.isSettled(now, ask.Fingerprint) {
+	// An instance that asks for quarantined content hasn't heard of the verdict yet; it refuses the request when it has.
+	isQuarantined := c.quarantine.Check(now, ask.Fingerprint) == jujubequarantine.Quarantined
+	if c.steward().ID != c.self.ID || isQuarantined || !c.isSettled(now, ask.Fingerprint) {
 		return SuspectAnswered{RetryAfter: suspectRetry}
 	}
+	if endpoint, granted := c.granted(now, ask.Attempt); granted {
+		return SuspectAnswered{OK: true, Endpoint: endpoint}
+	}
 	views := c.router.Endpoints(now)
 	slices.SortStableFunc(views, func(a, b jujuberouter.EndpointRow) int {
 		return (a.Load.Running + a.Load.Waiting) - (b.Load.Running + b.Load.Waiting)
@@ -74,28 +83,42 @@
 		}
 		if c.quarantine.AdmitSuspect(now, ask.Fingerprint, view.Endpoint.ID) {
 			c.quarantine.Begin(now, ask.Fingerprint, view.Endpoint.ID)
-			c.grants = append(c.grants, grant{ask.Fingerprint, view.Endpoint.ID, ask.Until})
+			c.grants = append(c.grants, grant{ask.Attempt, ask.Fingerprint, view.Endpoint.ID, ask.Until})
 			return SuspectAnswered{OK: true, Endpoint: view.Endpoint.ID}
 		}
 	}
 	return SuspectAnswered{RetryAfter: suspectRetry}
 }
 
+// granted finds the grant of an attempt whose answer was lost. Without a repeat of it the suspect would count as running
+// until its deadline. A grant of an endpoint that is gone is released.
+func (c *Core) granted(now time.Time, attempt string) (model.EndpointID, bool) {
+	at := slices.IndexFunc(c.grants, func(g grant) bool { return attempt != "" && g.attempt == attempt })
+	if at < 0 {
+		return "", false
+	}
+	g := c.grants[at]
+	if row, _ := c.endpoints.Get(g.endpoint); !row.isUsable() || row.isLeaving() {
+		c.releaseSuspect(now, SuspectReleased{Fingerprint: g.fingerprint, Endpoint: g.endpoint})
+		return "", false
+	}
+	return g.endpoint, true
+}
+
 func (*Core) serves(endpoint model.Endpoint, ask SuspectAsked) bool {
 	return endpoint.Kind == ask.Kind && endpoint.Model == ask.Model && endpoint.Service == ask.Service
 }
 
 func (c *Core) applyGranted(now time.Time, granted SuspectGranted) []Action {
 	row, known := c.requests.Get(granted.ID)
-	if !known || row.endpoint != "" {
-		return nil
+	if !known || row.endpoint != "" || row.askAgain.IsZero() {
+		return nil // the question was repeated, or isn't asked any more
 	}
 	if !granted.OK {
 		row.askAgain = now.Add(max(granted.RetryAfter, suspectRetry))
 		c.requests.Put(granted.ID, row)
 		return nil
 	}
-	row.askAgain = time.Time{}
 	row.granted = true
 	row.request.Only = []model.EndpointID{granted.Endpoint}
 	return c.route(now, row)
@@ -106,7 +129,10 @@
 	if !row.granted {
 		return nil
 	}
-	release := SuspectReleased{Fingerprint: row.fingerprint, Endpoint: row.request.Only[0], Completed: completed}
+	release := SuspectReleased{
+		Fingerprint: row.fingerprint, Endpoint: row.request.Only[0], Completed: completed,
+		Known: c.quarantine.RumoursOf(now, row.fingerprint),
+	}
 	if row.steward.ID == c.self.ID {
 		c.releaseSuspect(now, release)
 		return nil
@@ -115,6 +141,9 @@
 }
 
 func (c *Core) releaseSuspect(now time.Time, release SuspectReleased) {
+	for _, rumour := range release.Known {
+		c.applyRumour(now, rumour)
+	}
 	at := slices.IndexFunc(c.grants, func(g grant) bool {
 		return g.fingerprint == release.Fingerprint && g.endpoint == release.Endpoint
 	})
@@ -148,8 +177,11 @@
 func (c *Core) tickSuspects(now time.Time) []Action {
 	c.expireGrants(now)
 	actions := c.stopSuspects(now)
-	for _, row := range c.requests.All() {
-		if row.endpoint == "" && !row.askAgain.IsZero() && !now.Before(row.askAgain) {
+	for id := range c.asking.All() {
+		row, known := c.requests.Get(id)
+		if !known || row.askAgain.IsZero() {
+			c.asking.Delete(id)
+		} else if !now.Before(row.askAgain) {
 			actions = append(actions, c.place(now, row)...)
 		}
 	}
--- a/core/services/jujubequarantine/quarantine.go
+++ b/core/services/jujubequarantine/quarantine.go
@@ -149,6 +149,14 @@
 	return Clear
 }
 
+// RetryAfter is the time until a quarantine ends; zero when there is none.
+func (q *Quarantine) RetryAfter(now time.Time, f model.Fingerprint) time.Duration {
+	if v, ok := q.verdicts.Get(f); ok && v.isInForce(now) {
+		return v.until.Sub(now)
+	}
+	return 0
+}
+
 // Restricted tells whether a fingerprint is suspect, so that only the steward, the lowest-ranked live instance, may run
 // it. The instance that sends it there sends RumoursOf along, as the steward may not know of the crash yet.
 func (q *Quarantine) Restricted(now time.Time, f model.Fingerprint) (suspect bool) {
@@ -176,6 +184,16 @@
 	return !q.completed[f] && len(q.running[f]) > 0
 }
 
+// RunningOn returns the endpoints on which this instance runs a fingerprint that has never completed.
+func (q *Quarantine) RunningOn(f model.Fingerprint) []model.EndpointID {
+	if !q.IsRunning(f) {
+		return nil
+	}
+	endpoints := slices.Clone(q.running[f])
+	slices.Sort(endpoints)
+	return slices.Compact(endpoints)
+}
+
 // AdmitSuspect lets a suspect start when it runs nowhere else and no other suspect runs on the endpoint. Two suspects on
 // one endpoint would both be blamed for the crash of one of them.
 func (q *Quarantine) AdmitSuspect(now time.Time, f model.Fingerprint, endpoint model.EndpointID) bool {
--- a/core/services/jujuberouter/finish.go
+++ b/core/services/jujuberouter/finish.go
@@ -155,11 +155,11 @@
 	return r.pumpAll(now, j)
 }
 
-// SetExclude replaces the endpoints that a waiting request must not use. The request keeps its place in the queue and is
-// charged to no limit again.
-func (r *Router[P]) SetExclude(id model.RequestID, exclude []model.EndpointID) {
+// SetChoice replaces the endpoints that a waiting request may and must not use. The request keeps its place in the queue
+// and is charged to no limit again.
+func (r *Router[P]) SetChoice(id model.RequestID, only, exclude []model.EndpointID) {
 	if j, ok := r.jobs[id]; ok && j.row == nil {
-		j.request.Exclude = exclude
+		j.request.Only, j.request.Exclude = only, exclude
 	}
 }
 
