--- a/load/services/jujubeslope/memory.go
+++ b/load/services/jujubeslope/memory.go
@@ -103,14 +103,15 @@
 		if now.Sub(start) > 200*1e9 {
 			return nil, fmt.Errorf("%d of %d samples finished", finished, size)
 		}
-		for _, action := range core.Tick(now) {
-			run, ok := action.(jujubecore.RunStream)
+		// Streams start with a submit, with a tick and with the end of another stream.
+		for actions = append(actions, core.Tick(now)...); len(actions) > 0; actions = actions[1:] {
+			run, ok := actions[0].(jujubecore.RunStream)
 			if !ok {
 				continue
 			}
 			finished++
 			core.Apply(now, jujubecore.StreamProgressed{Stream: run.Stream, From: 0, To: 1024, Version: 1})
-			core.Apply(now, jujubecore.StreamEnded{Stream: run.Stream, OK: true, Tokens: 1024})
+			actions = append(actions, core.Apply(now, jujubecore.StreamEnded{Stream: run.Stream, OK: true, Tokens: 1024})...)
 		}
 	}
 	return core, nil
