jujubeentry: write the four events that were listed only

Cause: the catalogue has LeaderChanged, MemberChanged, EndpointLeaving and RequestBlocked, and no code wrote them. Operators would have waited in vain for a line about a dead instance or a quarantined request.

Ruled out: new actions of the core, which would change the decision packages. The status is compared once a second instead, which misses a change that is undone within it.

Conclusion: each event of the catalogue is written.

--- a/entry/services/jujubeentry/begin.go
+++ b/entry/services/jujubeentry/begin.go
@@ -9,6 +9,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeclient"
+	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubecore"
 	"jujubepier.example/core/services/jujuberouter"
@@ -88,6 +89,9 @@
 		number = jujubeevent.RouteWaiting
 	case jujuberouter.Refuse:
 		number = jujubeevent.RouteRefused
+		if decision.Code == jujubeerror.CodeQuarantined {
+			number = jujubeevent.RequestBlocked
+		}
 	}
 	s.metrics.countDecision(decision)
 	s.log.Write(number, func() logrus.Fields {
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -111,6 +111,7 @@
 	s.tomb.Go(func() error { return s.tick(s.tomb.Context(nil)) })
 	s.tomb.Go(func() error { return s.pollList(s.tomb.Context(nil)) })
 	s.tomb.Go(func() error { return s.pollEndpoints(s.tomb.Context(nil)) })
+	s.tomb.Go(func() error { return s.watchStatus(s.tomb.Context(nil)) })
 	s.tomb.Go(func() error { return s.follow(s.tomb.Context(nil), model.StreamConfig) })
 	s.tomb.Go(func() error { return s.follow(s.tomb.Context(nil), model.StreamLease) })
 	s.log.Write(jujubeevent.InstanceStarted, func() logrus.Fields {
