scripts: end local-site.sh when one of its processes has ended

Cause: a second site at the same ports found the first one's instances ready and reported itself as started.

Before and after: the second start ran on; it now prints the last log lines, such as "address already in use", and ends with status 1.

Conclusion: processes are looked at before the instances are asked.

--- a/scripts/local-site.sh
+++ b/scripts/local-site.sh
@@ -80,6 +80,14 @@
 status=()
 for operator in "${operators[@]}"; do status+=(--operator "$operator"); done
 for attempt in $(seq 1 100); do
+  # Before the question whether the instances are ready, which those of another site at the same ports would answer.
+  for pid in "${pids[@]}"; do
+    if ! kill -0 "$pid" 2>/dev/null; then
+      echo "a process has ended; is a port in use? Log lines:" >&2
+      tail -n 1 "$logs"/*.log >&2
+      exit 1
+    fi
+  done
   ready=$(bin/jujubectl "${status[@]}" --json status 2>/dev/null | grep -c '"Ready": true' || true)
   [ "$ready" = "$entries" ] && break
   if [ "$attempt" = 100 ]; then
