--- a/core/modules/jujubehttp/json.go
+++ b/core/modules/jujubehttp/json.go
@@ -39,11 +39,15 @@
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(value)
-	if err == nil && decoder.More() {
-		err = errors.New("data after the JSON value")
-	}
 	if err == nil {
-		return nil
+		// Not decoder.More, which takes an error such as a body above the limit for the end.
+		_, err = decoder.Token()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("data after the JSON value")
+		}
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
