--- /dev/null
+++ b/core/modules/jujubeclient/engine_test.go
@@ -0,0 +1,85 @@
+package jujubeclient_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeclient"
+)
+
+// Guards against a request that reached an engine and is reported as not sent, which would become a false NotRun, and
+// against a broken stream that is taken for a finished or refused one.
+func TestGenerateEnds(t *testing.T) {
+	const chunk = "event: chunk\ndata: {\"From\":0,\"To\":2,\"Text\":\"a b \",\"Version\":3}\n\n"
+	for _, test := range []struct {
+		name, body string
+		status     int
+		chunks     int
+		sent       bool   // of ErrStreamBroken
+		code       string // of ErrEngine
+	}{
+		{"done", chunk + "event: done\ndata: {\"Tokens\":2,\"Reason\":\"Stop\"}\n\n", 200, 1, false, ""},
+		{"no last event", chunk, 200, 1, true, ""},
+		{"cut within an event", chunk + "event: done\ndata: {\"Tok", 200, 1, true, ""},
+		{"chunk that isn't JSON", "event: chunk\ndata: x\n\n", 200, 0, true, ""},
+		{"error event", chunk + "event: error\ndata: {\"Code\":\"TakenOver\"}\n\n", 200, 1, false, model.EngineCodeTakenOver},
+		{"refusal", `{"Code":"Overloaded","Message":"full"}`, 503, 0, false, model.EngineCodeOverloaded},
+		{"refusal without a code", "<html>", 502, 0, false, model.EngineCodeBadRequest},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, test.body)
+			}))
+			defer server.Close()
+			client := &jujubeclient.EngineClient{HTTP: server.Client()}
+			chunks := 0
+			done, err := client.Generate(context.Background(), server.Listener.Addr().String(), model.EngineRequest{}, func(model.Chunk) error {
+				chunks++
+				return nil
+			})
+			assert.Equal(t, chunks, test.chunks)
+			var broken jujubeclient.ErrStreamBroken
+			assert.Equal(t, errors.As(err, &broken), test.sent)
+			assert.Equal(t, broken.Sent, test.sent)
+			var refused jujubeclient.ErrEngine
+			assert.Equal(t, errors.As(err, &refused), test.code != "")
+			assert.Equal(t, refused.Code, test.code)
+			if err == nil {
+				assert.Equal(t, done.Tokens, 2)
+			}
+		})
+	}
+}
+
+// Guards against an engine that isn't there and is reported as one that may have run the request.
+func TestGenerateWithoutEngine(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	client := &jujubeclient.EngineClient{HTTP: &http.Client{}}
+	_, err = client.Generate(context.Background(), address, model.EngineRequest{}, nil)
+	var broken jujubeclient.ErrStreamBroken
+	assert.Assert(t, errors.As(err, &broken))
+	assert.Assert(t, !broken.Sent)
+}
+
+// Guards against a flag that is set by wrapping the body, or not set by reading it.
+func TestTrackSend(t *testing.T) {
+	body, sent := jujubeclient.TrackSend(strings.NewReader("text"))
+	assert.Assert(t, !sent.Load())
+	_, err := body.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Assert(t, sent.Load())
+}
