--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -40,8 +40,10 @@
 	Route(now time.Time, request jujuberouter.Request) jujuberouter.Decision
 	Finish(now time.Time, id model.RequestID, outcome jujuberouter.Outcome) []jujuberouter.Decision
 	Cancel(now time.Time, id model.RequestID) []jujuberouter.Decision
+	SetChoice(id model.RequestID, only, exclude []model.EndpointID)
 	Tick(now time.Time) []jujuberouter.Decision
 	Endpoints(now time.Time) []jujuberouter.EndpointRow
+	HasVersion(name model.ModelName, version model.WeightVersion) bool
 }
 
 // Options configures a Core.
@@ -74,6 +76,8 @@
 	self       model.Member
 	router     router
 	quarantine *jujubequarantine.Quarantine
+	// confined lists the waiting requests whose content runs on one endpoint and has never completed.
+	confined map[model.Fingerprint][]model.RequestID
 	// grants lists the suspects that run on this steward's word.
 	grants []grant
 	// suspectSince is when this steward first heard of a suspect.
@@ -89,11 +93,16 @@
 	endpoints *jujubetable.Table[model.EndpointID, endpointRow]
 	// requests holds each request from its arrival until its end or refusal.
 	requests *jujubetable.Table[model.RequestID, requestRow]
+	// asking holds at least the requests that wait for the steward or were postponed.
+	asking *jujubetable.Table[model.RequestID, struct{}]
 	// versions only grow.
 	versions *jujubetable.Table[model.ModelName, model.WeightVersion]
 	limits   model.Limits
-	// applied is the revision that is in force; it never goes back.
-	applied int64
+	// applied is the revision that is in force, with its digest; it never goes back.
+	applied       int64
+	appliedDigest string
+	// unusable is the highest revision whose document couldn't be used.
+	unusable int64
 	// appliedAt is when it was put in force.
 	appliedAt time.Time
 	// wanted is the highest revision that a rumour named.
@@ -103,8 +112,11 @@
 	leading   bool
 	fence     int64
 	listed    int
-	leaving   bool
-	random    *rand.Rand
+	// refreshedAt and refreshedFor are Members.Changes and listed when the members were last passed to the other tables.
+	refreshedAt  int64
+	refreshedFor int
+	leaving      bool
+	random       *rand.Rand
 }
 
 // New returns a Core and its clean-up function, which drops the tables.
@@ -127,6 +139,8 @@
 		fold:         jujubeconfig.NewFold(),
 		endpoints:    jujubetable.New[model.EndpointID, endpointRow](),
 		requests:     jujubetable.New[model.RequestID, requestRow](),
+		asking:       jujubetable.New[model.RequestID, struct{}](),
+		confined:     make(map[model.Fingerprint][]model.RequestID),
 		suspectSince: make(map[model.Fingerprint]time.Time),
 		versions:     jujubetable.New[model.ModelName, model.WeightVersion](),
 		random:       random,
--- a/core/services/jujubecore/platform.go
+++ b/core/services/jujubecore/platform.go
@@ -1,6 +1,7 @@
 package jujubecore
 
 import (
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -20,17 +21,18 @@
 // applyConfig puts the folded revision in force if it is newer than the present one.
 func (c *Core) applyConfig(now time.Time) []Action {
 	state := c.fold.State()
-	if !state.InForce() || state.Revision <= c.applied {
+	if !state.InForce() || state.Revision <= max(c.applied, c.unusable) {
 		return nil
 	}
 	document, err := jujubedocument.Parse("revision", []byte(state.Document))
 	if err != nil {
 		// The publisher checks a document before it publishes; another program may not.
+		c.unusable = state.Revision
 		return []Action{ConfigApplied{Revision: state.Revision, Digest: state.Digest, Err: err}}
 	}
 	c.limits = document.Limits()
 	c.limits.Revision = state.Revision
-	c.applied, c.appliedAt = state.Revision, now
+	c.applied, c.appliedDigest, c.appliedAt = state.Revision, state.Digest, now
 	c.wanted = max(c.wanted, state.Revision)
 	c.router.SetLimits(c.limits)
 	c.steps.SetLimits(c.limits)
@@ -65,12 +67,13 @@
 	return c.wanted > c.applied || c.applied == 0
 }
 
+// anyPeer picks another instance to read the configuration from: mostly one that follows the log, since the others only
+// have it from one of those. One pick in four is of all instances, for when the followers can't be reached.
 func (c *Core) anyPeer() (model.Member, bool) {
-	var peers []model.Member
-	for _, member := range c.members.Live() {
-		if member.ID != c.self.ID {
-			peers = append(peers, member)
-		}
+	isSelf := func(member model.Member) bool { return member.ID == c.self.ID }
+	peers := slices.DeleteFunc(slices.Clone(c.followers()), isSelf)
+	if len(peers) == 0 || c.random.Intn(4) == 0 {
+		peers = slices.DeleteFunc(slices.Clone(c.members.Live()), isSelf)
 	}
 	if len(peers) == 0 {
 		return model.Member{}, false
--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -1,6 +1,7 @@
 package jujubecore
 
 import (
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -41,7 +42,7 @@
 func (c *Core) place(now time.Time, row requestRow) []Action {
 	switch c.quarantine.Check(now, row.fingerprint) {
 	case jujubequarantine.Quarantined:
-		return c.decided(now, row, refuse(row.request.ID, jujubeerror.CodeQuarantined, 0))
+		return c.decided(now, row, refuse(row.request.ID, jujubeerror.CodeQuarantined, c.quarantine.RetryAfter(now, row.fingerprint)))
 	case jujubequarantine.Suspect:
 		return c.askSteward(now, row)
 	}
@@ -49,26 +50,57 @@
 }
 
 func (c *Core) route(now time.Time, row requestRow) []Action {
-	if !row.granted {
-		row.request.Exclude = append(row.request.Exclude, c.crowded(now, row)...)
+	row.askAgain = time.Time{}
+	c.requests.Put(row.request.ID, row)
+	request := row.request
+	if !row.granted && !request.Held {
+		request.Only, request.Exclude = c.confine(request)
 	}
+	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, request)})
+}
+
+// isConfined tells whether a request was refused only because its content runs on an endpoint that takes no new work.
+func (c *Core) isConfined(now time.Time, row requestRow, decision jujuberouter.Decision) bool {
+	return decision.Code == jujubeerror.CodeNoEndpoint && !row.granted && now.Before(row.request.Deadline) &&
+		c.quarantine.IsRunning(row.fingerprint)
+}
+
+// postpone places a request again after a while.
+func (c *Core) postpone(now time.Time, row requestRow) []Action {
+	row.askAgain = now.Add(suspectRetry)
 	c.requests.Put(row.request.ID, row)
-	return c.routed(now, []jujuberouter.Decision{c.router.Route(now, row.request)})
+	c.asking.Put(row.request.ID, struct{}{})
+	return nil
 }
 
-// crowded lists the endpoints that content which has never completed must not be sent to, because it already runs on
-// another one.
-func (c *Core) crowded(now time.Time, row requestRow) []model.EndpointID {
-	if !c.quarantine.IsRunning(row.fingerprint) {
-		return nil
+// spread lets the waiting requests of a content use all endpoints again, once the content has completed or runs nowhere.
+func (c *Core) spread(f model.Fingerprint) {
+	for _, id := range c.confined[f] {
+		if row, known := c.requests.Get(id); known && row.endpoint == "" {
+			c.router.SetChoice(id, row.request.Only, row.request.Exclude)
+		}
 	}
-	var excluded []model.EndpointID
-	for id, endpoint := range c.endpoints.All() {
-		if endpoint.endpoint.Kind == row.request.Kind && !c.quarantine.Admit(now, row.fingerprint, id) {
-			excluded = append(excluded, id)
+	delete(c.confined, f)
+}
+
+// confine restricts content that has never completed to the endpoint on which it already runs. The row keeps its own
+// restrictions, as these end with the other run.
+func (c *Core) confine(request jujuberouter.Request) (only, exclude []model.EndpointID) {
+	running := c.quarantine.RunningOn(request.Fingerprint)
+	if len(running) == 0 {
+		return request.Only, request.Exclude
+	}
+	c.confined[request.Fingerprint] = append(c.confined[request.Fingerprint], request.ID)
+	if len(request.Only) == 0 {
+		return running, request.Exclude
+	}
+	exclude = slices.Clone(request.Exclude)
+	for _, id := range request.Only {
+		if !slices.Contains(running, id) {
+			exclude = append(exclude, id)
 		}
 	}
-	return excluded
+	return request.Only, exclude
 }
 
 // routed turns the router's decisions into actions.
@@ -89,7 +121,8 @@
 	id := row.request.ID
 	switch decision.Kind {
 	case jujuberouter.Dispatch:
-		if !row.granted && !c.quarantine.Admit(now, row.fingerprint, decision.Endpoint) {
+		// A held stream runs on its endpoint already; reading it starts no copy, and its run is recorded below.
+		if !row.granted && !row.request.Held && !c.quarantine.Admit(now, row.fingerprint, decision.Endpoint) {
 			// The queue held the request while a copy of it started on another endpoint, or its content became suspect.
 			c.requests.Delete(id)
 			freed := c.router.Finish(now, id, jujuberouter.Outcome{})
@@ -101,6 +134,9 @@
 		c.requests.Put(id, row)
 		c.quarantine.Begin(now, row.fingerprint, decision.Endpoint)
 	case jujuberouter.Refuse:
+		if c.isConfined(now, row, decision) {
+			return c.postpone(now, row)
+		}
 		c.requests.Delete(id)
 		if row.stream != nil && len(row.stream.Avoid) > 0 && decision.Code == jujubeerror.CodeNoEndpoint && !row.granted {
 			// Engines that failed a sample are used when there is no other.
@@ -138,11 +174,15 @@
 		return nil
 	}
 	c.requests.Delete(id)
+	wasAlone := c.quarantine.IsRunning(row.fingerprint)
 	if outcome.OK {
 		c.publishAll(now, c.quarantine.Complete(now, row.fingerprint, row.endpoint))
 	} else {
 		c.quarantine.End(now, row.fingerprint, row.endpoint)
 	}
+	if wasAlone && !c.quarantine.IsRunning(row.fingerprint) {
+		c.spread(row.fingerprint)
+	}
 	actions := c.releaseGrant(now, row, outcome.OK)
 	return append(actions, c.routed(now, c.router.Finish(now, id, outcome))...)
 }
--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -25,9 +25,14 @@
 		accepted.Resumed += len(held.Streams)
 	}
 	c.steps.ResumeDone(now, part.Key)
-	c.members.Publish(now, attemptRumour(part.Key, part.Attempt))
+	if part.Resubmitted {
+		// A part that was never sent elsewhere has no former owner to stop. Its rumour would cost more than all other
+		// control traffic: a step has as many parts as there are instances, and each rumour goes to all of them.
+		c.members.Publish(now, attemptRumour(part.Key, part.Attempt))
+	}
 	c.learnTrainerVersion(now, part.Key.Trainer, part.Version)
-	return []Action{PartAnswered{Accepted: accepted}}
+	// The step tables run at once and not only with the next tick, since a step's time is the sum of such waits.
+	return append([]Action{PartAnswered{Accepted: accepted}}, c.tickSteps(now)...)
 }
 
 func (c *Core) applyPulled(now time.Time, pull model.Pull) []Action {
@@ -69,11 +74,11 @@
 	request := jujuberouter.Request{
 		ID: model.RequestID(start.Stream), Kind: model.KindEngine, Model: start.Model, Trainer: start.Part.Trainer,
 		Priority: model.PriorityTrainer, Arrived: now, Deadline: start.Deadline, Prefix: model.HashPrefix(start.Prompt),
-		Tokens: start.MaxTokens, MinVersion: c.minVersion(now, start), Exclude: start.Avoid,
+		Tokens: start.MaxTokens, MinVersion: c.minVersion(start), Exclude: start.Avoid,
 		Fingerprint: model.NewFingerprint("generate", string(start.Model), start.Prompt),
 	}
 	if start.Endpoint != "" {
-		request.Only = []model.EndpointID{start.Endpoint}
+		request.Only, request.Held = []model.EndpointID{start.Endpoint}, start.Resume
 	}
 	return c.place(now, requestRow{request: request, fingerprint: request.Fingerprint, stream: &start})
 }
@@ -109,14 +114,9 @@
 }
 
 // minVersion prefers engines that are a version newer than needed, so that the sample survives the trainer's next step.
-func (c *Core) minVersion(now time.Time, start jujubestep.StartStream) model.WeightVersion {
-	if start.PreferVersion <= start.MinVersion {
-		return start.MinVersion
-	}
-	for _, view := range c.router.Endpoints(now) {
-		if view.Watched && view.Endpoint.Model == start.Model && view.Load.Version >= start.PreferVersion {
-			return start.PreferVersion
-		}
+func (c *Core) minVersion(start jujubestep.StartStream) model.WeightVersion {
+	if start.PreferVersion > start.MinVersion && c.router.HasVersion(start.Model, start.PreferVersion) {
+		return start.PreferVersion
 	}
 	return start.MinVersion
 }
@@ -134,9 +134,14 @@
 		end.Kind = jujubestep.EndFailed
 	}
 	c.steps.Ended(now, ended.Stream, end)
-	return c.finish(now, model.RequestID(ended.Stream), jujuberouter.Outcome{
+	actions := c.finish(now, model.RequestID(ended.Stream), jujuberouter.Outcome{
 		OK: ended.OK, Failed: ended.Broken, Tokens: ended.Tokens, Load: ended.Load,
 	})
+	if ended.OK {
+		// The sample is scored at once.
+		actions = append(actions, c.tickSteps(now)...)
+	}
+	return actions
 }
 
 func (c *Core) applyScored(now time.Time, scored SampleScored) {
--- a/core/services/jujubetrace/replay.go
+++ b/core/services/jujubetrace/replay.go
@@ -2,9 +2,9 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"encoding/json"
 	"reflect"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,9 +33,27 @@
 
 // step is something that happens at an offset.
 type step struct {
-	at   time.Duration
-	rank int
-	run  func(at time.Duration) error
+	at     time.Duration
+	rank   int
+	number int
+	run    func(at time.Duration) error
+}
+
+// steps is a heap, because a recorded trace may have hundreds of thousands of ticks.
+type steps []step
+
+func (s steps) Len() int      { return len(s) }
+func (s steps) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *steps) Push(x any)   { *s = append(*s, x.(step)) }
+
+func (s steps) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(s[i].at, s[j].at), cmp.Compare(s[i].rank, s[j].rank), cmp.Compare(s[i].number, s[j].number)) < 0
+}
+
+func (s *steps) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
 }
 
 type link struct{ a, b model.InstanceID }
@@ -44,7 +62,8 @@
 	trace  *Trace
 	nodes  map[model.InstanceID]*node
 	order  []*node
-	steps  []step
+	steps  steps
+	added  int
 	cuts   map[link]time.Duration
 	checks []*check
 }
@@ -62,8 +81,7 @@
 	}
 	r.schedule()
 	for len(r.steps) > 0 {
-		next := r.steps[0]
-		r.steps = r.steps[1:]
+		next := heap.Pop(&r.steps).(step)
 		if err := next.run(next.at); err != nil {
 			return nil, err
 		}
@@ -146,14 +164,8 @@
 
 // add keeps the steps in the order of their time and rank; equal ones stay in the order of their addition.
 func (r *replay) add(at time.Duration, rank int, run func(time.Duration) error) {
-	later := func(s step, _ struct{}) int {
-		if s.at > at || s.at == at && s.rank > rank {
-			return 1
-		}
-		return -1
-	}
-	index, _ := slices.BinarySearchFunc(r.steps, struct{}{}, later)
-	r.steps = slices.Insert(r.steps, index, step{at, rank, run})
+	r.added++
+	heap.Push(&r.steps, step{at, rank, r.added, run})
 }
 
 func (r *replay) runLine(at time.Duration, line *Line) error {
@@ -204,7 +216,7 @@
 		case jujubecore.SendPeer:
 			r.call(at, n, a.To, jujubecore.PeerReceived{Message: a.Message}, jujubecore.PeerFailed{Instance: a.To})
 		case jujubecore.AskSuspect:
-			r.callFor(at, n, a.Steward.ID, a.Ask, nil, a.ID)
+			r.callFor(at, n, a.Steward.ID, a.Ask, jujubecore.SuspectGranted{ID: a.ID}, a.ID)
 		case jujubecore.ReleaseSuspect:
 			r.call(at, n, a.Steward.ID, a.Release, nil)
 		case jujubecore.FetchConfig:
@@ -234,22 +246,27 @@
 	r.callFor(at, from, to, event, failed, "")
 }
 
-// callFor delivers a message after the delay and its answer after another one. Without a connection, and when either side
-// was restarted meanwhile, the sender gets failed instead.
+// callFor delivers a message after the delay and its answer after another one. Without a connection, and when the receiver
+// is paused, the sender gets failed instead. A sender that was restarted meanwhile gets nothing.
 func (r *replay) callFor(at time.Duration, from *node, to model.InstanceID, event, failed jujubecore.Event, id model.RequestID) {
-	sender := from.core
-	back := func(after time.Duration, event jujubecore.Event) {
-		if event == nil {
-			return
-		}
-		r.add(after, rankDelivery, func(at time.Duration) error {
-			if from.core == sender {
+	delay, sender := r.trace.Header.Delay.Std(), from.core
+	back := func(at time.Duration, event jujubecore.Event) {
+		r.add(at, rankDelivery, func(at time.Duration) error {
+			if event != nil && from.core == sender {
 				r.apply(at, from, event, nil)
 			}
 			return nil
 		})
 	}
-	delay := r.trace.Header.Delay.Std()
+	reply := func(arrived time.Duration, event jujubecore.Event) {
+		r.add(arrived+delay, rankDelivery, func(now time.Duration) error {
+			if r.isCut(now, from.settings.ID, to) {
+				now, event = max(now, at+callTimeout), failed
+			}
+			back(now, event)
+			return nil
+		})
+	}
 	r.add(at+delay, rankDelivery, func(arrived time.Duration) error {
 		receiver := r.nodes[to]
 		if receiver == nil || r.isCut(arrived, from.settings.ID, to) || arrived < receiver.pausedUntil {
@@ -259,9 +276,9 @@
 		r.apply(arrived, receiver, event, func(action jujubecore.Action) {
 			switch answer := action.(type) {
 			case jujubecore.PeerReply:
-				back(arrived+delay, jujubecore.PeerAnswered{Message: answer.Message})
+				reply(arrived, jujubecore.PeerAnswered{Message: answer.Message})
 			case jujubecore.SuspectAnswered:
-				back(arrived+delay, jujubecore.SuspectGranted{ID: id, SuspectAnswered: answer})
+				reply(arrived, jujubecore.SuspectGranted{ID: id, SuspectAnswered: answer})
 			}
 		})
 		return nil
