jujubeserver: keep the read deadline of a body that failed

Cause: the deadline of a body was lifted after any failed read. The HTTP server then read the rest of the body of a slow sender without a bound before it wrote the answer.

Ruled out: the time for the header, whose connections ended in time.

Conclusion: slow senders can't hold connections beyond BodyTimeout.

--- a/entry/routers/jujubeserver/body.go
+++ b/entry/routers/jujubeserver/body.go
@@ -4,6 +4,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // limitBody bounds the time for sending a request's body. http.Server.ReadTimeout can't be used, because it also ends
@@ -20,7 +22,8 @@
 	})
 }
 
-// limitedBody lifts the deadline once the body is read.
+// limitedBody lifts the deadline once the whole body is read. After a failed read it stays: the server reads the rest of
+// the body before it answers, and would wait for a slow sender for ever.
 type limitedBody struct {
 	io.ReadCloser
 	controller *http.ResponseController
@@ -29,7 +32,7 @@
 // Read reads from the body.
 func (b *limitedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
+	if errors.Is(err, io.EOF) {
 		_ = b.controller.SetReadDeadline(time.Time{})
 	}
 	return n, err
