jujubestep: insist on newer weights only for trainers that overlap steps

A trainer that asks for a step when it has trained on the one before publishes no version while samples are made, so that none becomes too old for a lack of margin; still all its new streams waited for the first engines with the newest weights. The step tables now learn per trainer whether versions come while samples are made. Where they don't, newer engines are preferred only while they have room. A trainer of which nothing is known is taken to overlap.

--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -70,7 +70,8 @@
 	request := jujuberouter.Request{
 		ID: model.RequestID(start.Stream), Kind: model.KindEngine, Model: start.Model, Trainer: start.Part.Trainer,
 		Priority: model.PriorityTrainer, Arrived: now, Deadline: start.Deadline, Prefix: model.HashPrefix(start.Prompt),
-		Tokens: start.MaxTokens, MinVersion: c.minVersion(now, start), Exclude: start.Avoid,
+		Tokens: start.MaxTokens, MinVersion: c.minVersion(now, start), PreferVersion: start.PreferVersion,
+		Exclude:     start.Avoid,
 		Fingerprint: model.NewFingerprint("generate", string(start.Model), start.Prompt),
 	}
 	if start.Endpoint != "" {
@@ -109,9 +110,10 @@
 	})
 }
 
-// minVersion prefers engines that are a version newer than needed, so that the sample survives the trainer's next step.
+// minVersion insists on engines that are a version newer than needed, so that the sample survives the trainer's next step,
+// if there are any and that step is expected meanwhile.
 func (c *Core) minVersion(now time.Time, start jujubestep.StartStream) model.WeightVersion {
-	if start.PreferVersion <= start.MinVersion {
+	if !start.InsistVersion || start.PreferVersion <= start.MinVersion {
 		return start.MinVersion
 	}
 	for _, view := range c.router.Endpoints(now) {
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -183,6 +183,14 @@
 	return allowed, shareless && allowed > 0
 }
 
+// preferVersion narrows the candidates to those that serve a version, if there are any.
+func (r *Router[P]) preferVersion(version model.WeightVersion) {
+	isOld := func(c Candidate) bool { return c.row.load.Version < version }
+	if slices.ContainsFunc(r.candidates, func(c Candidate) bool { return !isOld(c) }) {
+		r.candidates = slices.DeleteFunc(r.candidates, isOld)
+	}
+}
+
 // estimate computes the expected wait: the reported load, plus own dispatches since the report times the number of
 // instances, because the others send there at the same time.
 func (r *Router[P]) estimate(p *pool, e *row, prefix uint64) Candidate {
--- a/core/services/jujuberouter/request.go
+++ b/core/services/jujuberouter/request.go
@@ -35,7 +35,9 @@
 	Tokens int
 	// MinVersion skips engines that reported an older version or none.
 	MinVersion model.WeightVersion
-	Exclude    []model.EndpointID
+	// PreferVersion narrows the choice to endpoints with this version while one of them has room.
+	PreferVersion model.WeightVersion
+	Exclude       []model.EndpointID
 	// Only restricts the choice, also to endpoints that aren't watched.
 	Only        []model.EndpointID
 	Fingerprint model.Fingerprint
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -176,6 +176,7 @@
 	if len(r.candidates) == 0 {
 		return Decision{Kind: Wait}
 	}
+	r.preferVersion(j.request.PreferVersion)
 	least := r.candidates[0].ExpectedWait
 	for i := range r.candidates {
 		least = min(least, r.candidates[i].ExpectedWait)
--- a/core/services/jujubestep/action.go
+++ b/core/services/jujubestep/action.go
@@ -22,8 +22,11 @@
 	// MinVersion is the lowest weight version an engine may serve: samples of older weights can't be delivered.
 	MinVersion model.WeightVersion
 	// PreferVersion is MinVersion plus a margin of one version, so that the sample survives the trainer's next step.
-	// Engines between the two are used only when no other engine qualifies.
+	// Engines between the two are used when no other has room, or with InsistVersion when no other qualifies.
 	PreferVersion model.WeightVersion
+	// InsistVersion is true when the trainer's next step is expected to come before the sample is taken, so that it is
+	// better to wait for an engine with PreferVersion than to start on an older one.
+	InsistVersion bool
 	// Avoid names engines that failed the sample or run its first stream; they are used when no other qualifies.
 	Avoid []model.EndpointID
 	// Resume continues a stream that Endpoint holds, from token 0, so that all labels are reported again.
--- a/core/services/jujubestep/resume.go
+++ b/core/services/jujubestep/resume.go
@@ -119,6 +119,7 @@
 	}
 	if p.bound > 0 {
 		start.PreferVersion++
+		start.InsistVersion = s.isOverlapping(p.key.Trainer)
 	}
 	return start
 }
--- a/core/services/jujubestep/step.go
+++ b/core/services/jujubestep/step.go
@@ -76,6 +76,9 @@
 	streams map[model.StreamID]*stream
 	// versions is the highest version each configured trainer has reported.
 	versions map[model.TrainerID]model.WeightVersion
+	// overlaps counts down how many more versions of a trainer are expected to come while its samples are being made: it
+	// is set when one did and falls with each one that didn't. A trainer without an entry is taken to be one that does.
+	overlaps map[model.TrainerID]int
 	// fences is the highest attempt seen for a part, also from other instances; fenceOrder lists its keys, oldest first.
 	fences     map[string]fence
 	fenceOrder []string
@@ -100,6 +103,7 @@
 		parts:    jujubetable.New[string, *part](),
 		streams:  make(map[model.StreamID]*stream),
 		versions: make(map[model.TrainerID]model.WeightVersion),
+		overlaps: make(map[model.TrainerID]int),
 		fences:   make(map[string]fence),
 	}
 }
@@ -117,6 +121,7 @@
 	for trainer := range s.versions {
 		if _, ok := limits.Trainers[trainer]; !ok {
 			delete(s.versions, trainer)
+			delete(s.overlaps, trainer)
 		}
 	}
 }
@@ -127,6 +132,7 @@
 	if _, ok := s.limits.Trainers[trainer]; !ok || version <= s.versions[trainer] {
 		return
 	}
+	s.learnOverlap(trainer)
 	s.versions[trainer] = version
 	for _, p := range s.parts.All() {
 		if p.key.Trainer == trainer {
@@ -135,6 +141,29 @@
 	}
 }
 
+// overlapKept is how many versions in a row must come between a trainer's steps until it is expected to go on like that.
+const overlapKept = 3
+
+// learnOverlap records, at a new version of a trainer, whether samples were being made for it.
+func (s *Steps) learnOverlap(trainer model.TrainerID) {
+	if s.versions[trainer] == 0 {
+		return
+	}
+	for _, p := range s.parts.All() {
+		if p.key.Trainer == trainer && p.ended.IsZero() && p.open() > 0 {
+			s.overlaps[trainer] = overlapKept
+			return
+		}
+	}
+	s.overlaps[trainer] = max(0, s.overlaps[trainer]-1)
+}
+
+// isOverlapping tells whether a new version is expected while samples of the trainer are being made.
+func (s *Steps) isOverlapping(trainer model.TrainerID) bool {
+	left, known := s.overlaps[trainer]
+	return !known || left > 0
+}
+
 // refresh applies the trainer's version and bound to a part.
 func (s *Steps) refresh(p *part) {
 	p.floor = max(s.versions[p.key.Trainer]-p.bound, 0)
--- a/core/services/jujubestep/step_test.go
+++ b/core/services/jujubestep/step_test.go
@@ -242,3 +242,41 @@
 	assert.Equal(t, answer.Remaining, 0)
 	assert.DeepEqual(t, answer.Failed, []jujubestep.FailedGroup{{Group: 0, Code: jujubeerror.CodeQuarantined}})
 }
+
+// Guards against samples that the trainer's next version makes too old because they were started on old weights, and
+// against waiting for new weights that no sample needs.
+func TestInsistVersion(t *testing.T) {
+	steps := jujubestep.New(jujubestep.Settings{})
+	steps.SetLimits(limits(""))
+	_, err := steps.Submit(start, newPart(1, 1, 1))
+	assert.NilError(t, err)
+	version := model.WeightVersion(5)
+	next := func(overlaps bool) bool {
+		starts := begin(t, steps)
+		insists := starts[0].InsistVersion
+		if overlaps {
+			version++
+			steps.SetTrainerVersion(start, key.Trainer, version)
+		}
+		finish(steps, start, starts[0].Stream, version)
+		current := starts[0].Part
+		for cursor := range 2 {
+			_, err := steps.Pull(start, model.Pull{Key: current, Attempt: 1, Cursor: cursor, Version: version})
+			assert.NilError(t, err)
+		}
+		if !overlaps {
+			version++
+		}
+		part := newPart(1, 1, 1)
+		part.Key.Step, part.Version = current.Step+1, version
+		_, err := steps.Submit(start, part)
+		assert.NilError(t, err)
+		return insists
+	}
+	assert.Assert(t, next(false), "nothing is known of the trainer")
+	assert.Assert(t, !next(true), "its versions come between its steps")
+	for i := range 3 {
+		assert.Assert(t, next(false), "a version came while samples were made, %d steps ago", i)
+	}
+	assert.Assert(t, !next(false))
+}
--- a/core/services/jujubestep/submit.go
+++ b/core/services/jujubestep/submit.go
@@ -48,8 +48,9 @@
 	s.raiseFence(now, key, p.attempt)
 	s.samples += p.samples
 	s.promptBytes += p.bytes
-	s.parts.Put(key, p)
+	// The version comes first: the new part is made for it, and not while it came.
 	s.SetTrainerVersion(now, p.key.Trainer, request.Version)
+	s.parts.Put(key, p)
 	s.refresh(p)
 	return p.accepted, nil
 }
