--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -74,7 +74,8 @@
 	request := jujuberouter.Request{
 		ID: model.RequestID(start.Stream), Kind: model.KindEngine, Model: start.Model, Trainer: start.Part.Trainer,
 		Priority: model.PriorityTrainer, Arrived: now, Deadline: start.Deadline, Prefix: model.HashPrefix(start.Prompt),
-		Tokens: start.MaxTokens, MinVersion: c.minVersion(start), Exclude: start.Avoid,
+		Tokens: start.MaxTokens, MinVersion: c.minVersion(start), PreferVersion: start.PreferVersion,
+		Exclude:     start.Avoid,
 		Fingerprint: model.NewFingerprint("generate", string(start.Model), start.Prompt),
 	}
 	if start.Endpoint != "" {
@@ -113,9 +114,10 @@
 	})
 }
 
-// minVersion prefers engines that are a version newer than needed, so that the sample survives the trainer's next step.
+// minVersion insists on engines that are a version newer than needed, so that the sample survives the trainer's next step,
+// if there are any and that step is expected meanwhile.
 func (c *Core) minVersion(start jujubestep.StartStream) model.WeightVersion {
-	if start.PreferVersion > start.MinVersion && c.router.HasVersion(start.Model, start.PreferVersion) {
+	if start.InsistVersion && start.PreferVersion > start.MinVersion && c.router.HasVersion(start.Model, start.PreferVersion) {
 		return start.PreferVersion
 	}
 	return start.MinVersion
