jujubedocument: let a trainer prefer freshness or idle time

The two sites weigh these differently, so one rule for both is wrong. Ruled out: deciding by the staleness bound, which says what is allowed and not what is wanted. Before: the shorter step for all. The list of known keys in one expected message has the new key.

--- a/core/models/jujubemodel/endpoint.go
+++ b/core/models/jujubemodel/endpoint.go
@@ -73,6 +73,15 @@
 	Callers map[CallerID]CallerLimits
 }
 
+// Preference tells what a trainer rather gives up when only engines with older weights within the bound have room.
+type Preference string
+
+// Preferences of trainers.
+const (
+	PreferFreshness Preference = "Freshness"
+	PreferIdleTime  Preference = "IdleTime"
+)
+
 // TrainerLimits are the limits of one trainer.
 type TrainerLimits struct {
 	Model ModelName
@@ -82,6 +91,8 @@
 	Share float64
 	// MaxInFlight bounds the trainer's running streams over all entry instances.
 	MaxInFlight int
+	// Prefer is PreferIdleTime when empty.
+	Prefer Preference
 	// Scorer is the service that scores the samples; empty for none.
 	Scorer       ServiceName
 	StepDeadline time.Duration
--- a/core/services/jujubedocument/document.go
+++ b/core/services/jujubedocument/document.go
@@ -37,6 +37,9 @@
 	// StalenessBound is the highest age of a delivered sample, in weight versions; 0 accepts only the trainer's own.
 	StalenessBound model.WeightVersion `key:"required" validate:"min=0,max=1000"`
 	MaxInFlight    int                 `key:"required" validate:"min=1,max=1000000"`
+	// Prefer is what a stream does when only engines with older weights within the bound have room: with Freshness it waits
+	// for newer ones, with IdleTime it starts, unless the trainer's next step is expected meanwhile.
+	Prefer model.Preference `validate:"omitempty,oneof=Freshness IdleTime"`
 	// Scorer names one of Services; without it samples are delivered unscored.
 	Scorer       model.ServiceName
 	StepDeadline time.Duration `key:"required" validate:"min=1s,max=24h"`
@@ -150,7 +153,7 @@
 	for id, t := range d.Trainers {
 		limits.Trainers[id] = model.TrainerLimits{
 			Model: t.Model, StalenessBound: t.StalenessBound, Share: float64(t.Share) / 100,
-			MaxInFlight: t.MaxInFlight, Scorer: t.Scorer, StepDeadline: t.StepDeadline,
+			MaxInFlight: t.MaxInFlight, Prefer: t.Prefer, Scorer: t.Scorer, StepDeadline: t.StepDeadline,
 		}
 	}
 	for name, m := range d.Models {
--- a/core/services/jujubedocument/document_test.go
+++ b/core/services/jujubedocument/document_test.go
@@ -29,7 +29,7 @@
 // Guards against a faulty document that is accepted, and against a problem that is reported at the wrong place.
 func TestParseRefuses(t *testing.T) {
 	for _, test := range []struct{ name, old, replacement, want string }{
-		{"unknown key", "Share:", "Shere:", "f.yaml:8:5: Trainers.grading.Shere: unknown key; known are MaxInFlight, Model, Scorer, Share, StalenessBound, StepDeadline"},
+		{"unknown key", "Share:", "Shere:", "f.yaml:8:5: Trainers.grading.Shere: unknown key; known are MaxInFlight, Model, Prefer, Scorer, Share, StalenessBound, StepDeadline"},
 		{"address", "{Engines: 4,", "{Address: 10.0.0.1:80, Engines: 4,", "f.yaml:2:13: Models.dan-llm.Address: unknown key"},
 		{"address as a name", "scorer: {", "10.0.0.1: {", "f.yaml:4:3: Services.10.0.0.1: "},
 		{"missing key", "    Share: 50%\n", "", "f.yaml:6:3: Trainers.grading.Share: is required"},
--- a/core/services/jujubestep/resume.go
+++ b/core/services/jujubestep/resume.go
@@ -119,7 +119,8 @@
 	}
 	if p.bound > 0 {
 		start.PreferVersion++
-		start.InsistVersion = s.isOverlapping(p.key.Trainer)
+		isFreshPreferred := s.limits.Trainers[p.key.Trainer].Prefer == model.PreferFreshness
+		start.InsistVersion = isFreshPreferred || s.isOverlapping(p.key.Trainer)
 	}
 	return start
 }
