--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -102,6 +102,9 @@
 // Rank returns the place of this instance among the live ones.
 func (c *Core) Rank() int { return c.rank() }
 
+// IsSwapping tells whether this instance leads the rollout and waits for the engine's swap to end.
+func (c *Core) IsSwapping(id model.EndpointID) bool { return c.leading && c.rollout.IsOrdered(id) }
+
 // InFlightOn counts this instance's requests on an endpoint.
 func (c *Core) InFlightOn(id model.EndpointID) int {
 	count := 0
@@ -123,7 +126,7 @@
 func (c *Core) IsLeaseCandidate() bool { return c.rank() < leaseCandidates }
 
 // HasOpenParts tells whether step parts are in progress.
-func (c *Core) HasOpenParts() bool { return len(c.steps.Parts()) > 0 }
+func (c *Core) HasOpenParts() bool { return c.steps.HasOpen() }
 
 // Endpoint returns the row of an endpoint.
 func (c *Core) Endpoint(id model.EndpointID) (model.Endpoint, bool) {
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -175,8 +175,8 @@
 			return
 		}
 		allowed++
-		shareless = shareless && e.limited && e.share == 0
-		if !e.hasRoom() || e.load.Version < request.MinVersion || healthy && e.isAside(now) {
+		shareless = shareless && e.limited && e.share == 0 && !request.Held
+		if !request.Held && (!e.hasRoom() || e.load.Version < request.MinVersion || healthy && e.isAside(now)) {
 			return
 		}
 		r.candidates = append(r.candidates, r.estimate(p, e, request.Prefix))
@@ -200,6 +200,14 @@
 	return allowed, shareless && allowed > 0
 }
 
+// preferVersion narrows the candidates to those that serve a version, if there are any.
+func (r *Router[P]) preferVersion(version model.WeightVersion) {
+	isOld := func(c Candidate) bool { return c.row.load.Version < version }
+	if slices.ContainsFunc(r.candidates, func(c Candidate) bool { return !isOld(c) }) {
+		r.candidates = slices.DeleteFunc(r.candidates, isOld)
+	}
+}
+
 // estimate computes the expected wait: the reported load, plus own dispatches since the report times the number of
 // instances, because the others send there at the same time.
 func (r *Router[P]) estimate(p *pool, e *row, prefix uint64) Candidate {
--- a/core/services/jujuberouter/request.go
+++ b/core/services/jujuberouter/request.go
@@ -36,10 +36,15 @@
 	Tokens int
 	// MinVersion skips engines that reported an older version or none.
 	MinVersion model.WeightVersion
-	Exclude    []model.EndpointID
+	// PreferVersion narrows the choice to endpoints with this version while one of them has room.
+	PreferVersion model.WeightVersion
+	Exclude       []model.EndpointID
 	// Only restricts the choice, also to endpoints that aren't watched.
 	Only        []model.EndpointID
 	Fingerprint model.Fingerprint
+	// Held is true for a stream that the endpoint in Only holds already. It occupies its place there whether this instance
+	// reads it or not, so neither the shares of the limits nor MinVersion hold it back; it counts in them.
+	Held bool
 	// Retry charges the request to the retry budget.
 	Retry bool
 }
