jujubecore: know a key's issuer before the next tick

Prefixes that an instance issues for another one used its own clock, so an owner whose clock is behind took them as from the future and ran nothing. Ruled out: forwarding to an unknown issuer (there is no address for it). Also: StepAccepted.Resumed counts the streams that are resumed and not all that engines hold; both refusals of a leaving instance have the same retry-after; a code that nothing produced is gone; the core has no clean-up function, because it had nothing to clean up and made the status of an ended instance panic.

--- a/core/modules/jujubehttp/json.go
+++ b/core/modules/jujubehttp/json.go
@@ -97,8 +97,6 @@
 	case jujubeerror.CodeUnknownTrainer, jujubeerror.CodeUnknownModel, jujubeerror.CodeUnknownService,
 		jujubeerror.CodeUnknownPart:
 		return http.StatusNotFound
-	case jujubeerror.CodeMethodForbidden:
-		return http.StatusMethodNotAllowed
 	case jujubeerror.CodeKeyConflict, jujubeerror.CodeStaleAttempt, jujubeerror.CodeConflict,
 		jujubeerror.CodeInProgress, jujubeerror.CodeKeyExpired, jujubeerror.CodeKeyOwnerGone:
 		return http.StatusConflict
--- a/core/services/jujubeclaim/claim.go
+++ b/core/services/jujubeclaim/claim.go
@@ -137,8 +137,8 @@
 		return Decision{Kind: Unknown, Code: jujubeerror.CodeKeyOwnerGone}
 	case ok && current == from.incarnation:
 		return Decision{Kind: Forward, Owner: from.instance}
-	case ok && current < from.incarnation:
-		// The membership may not have reported this incarnation yet.
+	case !ok || current < from.incarnation:
+		// The membership may not have reported the instance or this incarnation yet.
 		return Decision{Kind: Unknown, Code: jujubeerror.CodeKeyOwnerGone, RetryAfter: c.settings.RetryAfter}
 	default:
 		return Decision{Kind: Unknown, Code: jujubeerror.CodeKeyOwnerGone}
--- a/core/services/jujubecore/bench_test.go
+++ b/core/services/jujubecore/bench_test.go
@@ -13,7 +13,7 @@
 func newLoaded(b *testing.B, endpoints, inFlight, members int) (*core.Core, time.Time) {
 	b.Helper()
 	now := time.Unix(1767225600, 0)
-	c, _, err := core.New(core.DefaultOptions(model.Member{ID: "entry-000", Incarnation: 1, PeerAddress: "entry-000", State: model.MemberAlive}))
+	c, err := core.New(core.DefaultOptions(model.Member{ID: "entry-000", Incarnation: 1, PeerAddress: "entry-000", State: model.MemberAlive}))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -119,12 +119,12 @@
 	random       *rand.Rand
 }
 
-// New returns a Core and its clean-up function, which drops the tables.
-func New(options Options) (*Core, func(), error) {
+// New returns a Core. It holds nothing but memory, so that there is nothing to clean up.
+func New(options Options) (*Core, error) {
 	random := rand.New(rand.NewSource(options.Seed ^ int64(options.Self.Incarnation)))
 	chosen, err := newRouter(options, random)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	gossip := randv2.New(randv2.NewPCG(uint64(options.Seed), uint64(options.Self.Incarnation)))
 	c := &Core{
@@ -146,7 +146,7 @@
 		random:       random,
 	}
 	c.router.SetMembers(1, 0)
-	return c, func() { *c = Core{} }, nil
+	return c, nil
 }
 
 func newRouter(options Options, random *rand.Rand) (router, error) {
--- a/core/services/jujubecore/keys.go
+++ b/core/services/jujubecore/keys.go
@@ -14,6 +14,8 @@
 // decideKey tells what to do with a non-idempotent request. One that has to be forwarded to an instance that isn't
 // alive is answered Unknown.
 func (c *Core) decideKey(now time.Time, presented KeyPresented) KeyDecided {
+	// A member that was learned since the last tick may have issued the key.
+	c.refreshMembers()
 	decision := c.claims.Begin(now, presented.Key, presented.Body)
 	if decision.Kind != jujubeclaim.Forward {
 		return KeyDecided{Decision: decision}
--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -13,7 +13,8 @@
 	part := submitted.Part
 	if c.leaving {
 		return []Action{PartAnswered{Err: jujubeerror.ErrRefused{
-			Code: jujubeerror.CodeLeaving, Ran: model.RanNo, Message: "instance is shutting down",
+			Code: jujubeerror.CodeLeaving, Ran: model.RanNo, RetryAfter: time.Millisecond,
+			Message: "instance is shutting down; use another address",
 		}}}
 	}
 	accepted, err := c.steps.Submit(now, part)
@@ -21,8 +22,7 @@
 		return []Action{PartAnswered{Err: err}}
 	}
 	for _, held := range submitted.Held {
-		c.steps.Resume(now, held.Streams, held.Endpoint)
-		accepted.Resumed += len(held.Streams)
+		accepted.Resumed += c.steps.Resume(now, held.Streams, held.Endpoint)
 	}
 	c.steps.ResumeDone(now, part.Key)
 	if part.Resubmitted {
--- a/core/services/jujubecore/world_test.go
+++ b/core/services/jujubecore/world_test.go
@@ -123,7 +123,7 @@
 	options := core.DefaultOptions(member)
 	options.Seed = w.random.Int63()
 	var err error
-	if n.core, _, err = core.New(options); err != nil {
+	if n.core, err = core.New(options); err != nil {
 		w.t.Fatal(err)
 	}
 	n.applied, n.through, n.open, n.running = 0, -1, map[model.RequestID]bool{}, map[model.RequestID]run{}
--- a/core/services/jujubestep/resume.go
+++ b/core/services/jujubestep/resume.go
@@ -55,7 +55,7 @@
 // Resume continues streams that an engine holds for the parts of this instance, with their first token, so that their
 // labels are reported again. Held streams that aren't needed are cancelled; those of a higher attempt belong to another
 // owner and are left alone.
-func (s *Steps) Resume(_ time.Time, held []model.EngineStream, endpoint model.EndpointID) {
+func (s *Steps) Resume(_ time.Time, held []model.EngineStream, endpoint model.EndpointID) (resumed int) {
 	held = slices.Clone(held)
 	slices.SortFunc(held, func(a, b model.EngineStream) int {
 		if a.Finished != b.Finished {
@@ -82,7 +82,9 @@
 		st := &stream{id: row.Stream, sample: sm, endpoint: endpoint, resumed: true}
 		s.add(st)
 		s.emit(s.startAction(st, true))
+		resumed++
 	}
+	return resumed
 }
 
 // ResumeDone says that all engines were asked for held streams, so that the part needn't wait any longer.
--- a/core/services/jujubetrace/replay.go
+++ b/core/services/jujubetrace/replay.go
@@ -99,7 +99,7 @@
 	options := jujubecore.DefaultOptions(member)
 	options.Seed = n.settings.Seed
 	options.Policy = cmp.Or(n.settings.Policy, options.Policy)
-	core, _, err := jujubecore.New(options)
+	core, err := jujubecore.New(options)
 	if err != nil {
 		return errors.Wrapf(err, "instance %s", n.settings.ID)
 	}
--- a/entry/services/jujubeentry/address.go
+++ b/entry/services/jujubeentry/address.go
@@ -16,6 +16,10 @@
 // within 3 s.
 const leavePropagation = 3 * time.Second
 
+// clockSkew is how far the clocks of two instances may differ: an owner whose clock is behind would take a prefix that
+// another instance issued for it as one from the future and run nothing.
+const clockSkew = 30 * time.Second
+
 // Addresses tells a caller which instances to use.
 func (s *Service) Addresses(caller model.CallerID, dataCentre model.DataCentre) (model.AddressAnswer, error) {
 	s.mu.Lock()
@@ -59,7 +63,7 @@
 		}
 		addresses = append(addresses, model.EntryAddress{
 			Instance: member.ID, Address: member.CallerAddress, DataCentre: member.DataCentre,
-			KeyPrefix: jujubeclaim.Prefix{Instance: member.ID, Incarnation: member.Incarnation, Issued: now.Unix()}.String(),
+			KeyPrefix: jujubeclaim.Prefix{Instance: member.ID, Incarnation: member.Incarnation, Issued: now.Add(-clockSkew).Unix()}.String(),
 		})
 	}
 	weight := func(a model.EntryAddress) uint64 {
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -65,7 +65,7 @@
 	options.Seed = started.UnixNano()
 	options.Step.StallTimeout = settings.StallTimeout
 	options.Policy = settings.Policy
-	core, cleanCore, err := jujubecore.New(options)
+	core, err := jujubecore.New(options)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "build core")
 	}
@@ -88,7 +88,6 @@
 		transport.CloseIdleConnections()
 		closeLogs()
 		s.peers.close()
-		cleanCore()
 	}
 	return s, clean, nil
 }
--- a/load/services/jujubeslope/core.go
+++ b/load/services/jujubeslope/core.go
@@ -97,23 +97,23 @@
 }
 
 // newCore returns the core of the first of some members, with the endpoints' first reports and a configuration.
-func newCore(members, endpoints int) (*jujubecore.Core, func(), error) {
-	core, clean, err := jujubecore.New(jujubecore.DefaultOptions(newMember(0)))
+func newCore(members, endpoints int) (*jujubecore.Core, error) {
+	core, err := jujubecore.New(jujubecore.DefaultOptions(newMember(0)))
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	list := model.InstanceList{Endpoints: newEndpoints(endpoints), Entries: newMembers(members)}
 	core.Apply(start, jujubecore.InstancesListed{List: list})
 	record := model.ConfigRecord{Change: &model.ConfigChange{ID: "first", Document: Document(max(1, endpoints)), Author: "slopes"}}
 	core.Apply(start, jujubecore.ConfigRead{Read: newRead(record)})
 	if !core.IsReady() {
-		return nil, nil, errors.New("the document is not usable")
+		return nil, errors.New("the document is not usable")
 	}
 	for _, endpoint := range list.Endpoints {
 		core.Apply(start, jujubecore.LoadReported{Report: newLoad(endpoint, start)})
 	}
 	core.Tick(start)
-	return core, clean, nil
+	return core, nil
 }
 
 func newRequest(i int, now time.Time) jujubecore.RequestArrived {
--- a/load/services/jujubeslope/decide.go
+++ b/load/services/jujubeslope/decide.go
@@ -44,11 +44,10 @@
 
 // decide measures one core with some endpoints, requests in flight and members.
 func decide(report *Report, a axis, size, endpoints, inFlight, members int) error {
-	core, clean, err := newCore(members, endpoints)
+	core, err := newCore(members, endpoints)
 	if err != nil {
 		return err
 	}
-	defer clean()
 	for i := range inFlight {
 		core.Apply(start, newRequest(i, start))
 	}
--- a/load/services/jujubeslope/members.go
+++ b/load/services/jujubeslope/members.go
@@ -50,7 +50,7 @@
 	for _, member := range list.Entries {
 		options := jujubecore.DefaultOptions(member)
 		options.Seed = int64(len(net.cores))
-		core, _, err := jujubecore.New(options)
+		core, err := jujubecore.New(options)
 		if err != nil {
 			return nil, err
 		}
--- a/load/services/jujubeslope/memory.go
+++ b/load/services/jujubeslope/memory.go
@@ -41,11 +41,11 @@
 		build func(size int) (any, error)
 	}{
 		{endpointAxis, []int{10, 60, 200, 600}, "memory of a core", func(size int) (any, error) {
-			core, _, err := newCore(9, size)
+			core, err := newCore(9, size)
 			return core, err
 		}},
 		{memberAxis, []int{9, 32, 128, 370}, "memory of a core", func(size int) (any, error) {
-			core, _, err := newCore(size, 10)
+			core, err := newCore(size, 10)
 			return core, err
 		}},
 		{inFlightAxis, []int{100, 400, 1600, 6400}, "memory of a core", holdRequests},
@@ -61,7 +61,7 @@
 }
 
 func holdRequests(size int) (any, error) {
-	core, _, err := newCore(9, 60)
+	core, err := newCore(9, 60)
 	for i := 0; err == nil && i < size; i++ {
 		core.Apply(start, newRequest(i, start))
 	}
@@ -69,7 +69,7 @@
 }
 
 func holdKeys(size int) (any, error) {
-	core, _, err := newCore(9, 10)
+	core, err := newCore(9, 10)
 	if err != nil {
 		return nil, err
 	}
@@ -85,7 +85,7 @@
 // holdSamples submits a part and lets all its streams finish.
 func holdSamples(size int) (any, error) {
 	const groupSize = 8
-	core, _, err := newCore(9, 60)
+	core, err := newCore(9, 60)
 	if err != nil {
 		return nil, err
 	}
