jujubecore: keep a drain until an operator ends it

Cause: a drain was spread as a leaving rumour, which expires after an hour. An instance that started later sent work to the drained endpoint while the others did not. Nothing could take a drain back but a new endpoint id. After: a rumour of its own kind, odd while drained, that does not expire; jujubectl undrain ends it.

--- a/core/models/jujubemodel/member.go
+++ b/core/models/jujubemodel/member.go
@@ -32,6 +32,7 @@
 const (
 	RumourMember          RumourKind = "Member"
 	RumourEndpointLeaving RumourKind = "EndpointLeaving"
+	RumourDrain           RumourKind = "Drain"
 	RumourConfig          RumourKind = "Config"
 	RumourWeights         RumourKind = "Weights"
 	RumourStepAttempt     RumourKind = "StepAttempt"
--- a/core/models/jujubemodel/status.go
+++ b/core/models/jujubemodel/status.go
@@ -76,9 +76,11 @@
 	Held   bool
 }
 
-// DrainRequest is the body of POST /v1/drain: the endpoint gets no new work from any entry instance.
+// DrainRequest is the body of POST /v1/drain: the endpoint gets no new work from any entry instance until a request with
+// Ended set.
 type DrainRequest struct {
 	Endpoint EndpointID
+	Ended    bool `json:",omitempty"`
 }
 
 // LiftRequest is the body of POST /v1/quarantine/lift.
--- a/core/modules/jujubeclient/operator.go
+++ b/core/modules/jujubeclient/operator.go
@@ -58,6 +58,11 @@
 	return c.exchange(ctx, http.MethodPost, "/v1/drain", model.DrainRequest{Endpoint: endpoint}, nil)
 }
 
+// EndDrain lets a drained endpoint have new work again.
+func (c *OperatorClient) EndDrain(ctx context.Context, endpoint model.EndpointID) error {
+	return c.exchange(ctx, http.MethodPost, "/v1/drain", model.DrainRequest{Endpoint: endpoint, Ended: true}, nil)
+}
+
 // Quarantine lists the fingerprints that crashed endpoints.
 func (c *OperatorClient) Quarantine(ctx context.Context) ([]model.QuarantineStatus, error) {
 	var list []model.QuarantineStatus
--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -47,6 +47,7 @@
 	QuarantineLifted  Number = 7005
 	EndpointDrained   Number = 7006
 	EndpointUnhealthy Number = 7007
+	DrainEnded        Number = 7008
 
 	InstanceStarted  Number = 8001
 	InstanceReady    Number = 8002
@@ -101,6 +102,7 @@
 		{RequestBlocked, "RequestBlocked", warn, "A request was refused because its content crashed endpoints. Lift it with jujubectl quarantine lift."},
 		{QuarantineLifted, "QuarantineLifted", info, "An operator lifted a quarantine."},
 		{EndpointDrained, "EndpointDrained", info, "An operator drained an endpoint."},
+		{DrainEnded, "DrainEnded", info, "An operator ended the drain of an endpoint."},
 		{EndpointUnhealthy, "EndpointUnhealthy", debug, "A load report of an endpoint could not be read."},
 		{InstanceStarted, "InstanceStarted", info, "The process listens; it is ready once it knows a configuration."},
 		{InstanceReady, "InstanceReady", info, "The instance serves callers."},
--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -34,6 +34,7 @@
 	SetMembers(live, rank int)
 	PutEndpoint(now time.Time, endpoint model.Endpoint)
 	MarkLeaving(now time.Time, id model.EndpointID)
+	EndLeaving(id model.EndpointID)
 	RemoveEndpoint(now time.Time, id model.EndpointID)
 	ReportLoad(now time.Time, report model.LoadReport)
 	ReportCache(now time.Time, id model.EndpointID, events []model.CacheEvent)
@@ -176,7 +177,7 @@
 	case EndpointLost:
 		return c.applyLost(now, e)
 	case EndpointDrained:
-		return c.markLeaving(now, e.Endpoint, true)
+		c.applyDrained(now, e)
 	case RequestArrived:
 		return c.applyArrived(now, e)
 	case RequestEnded:
--- a/core/services/jujubecore/endpoints.go
+++ b/core/services/jujubecore/endpoints.go
@@ -15,8 +15,8 @@
 	// leaving holds for incarnations up to leavingIncarnation, whoever said so.
 	leavingIncarnation model.Incarnation
 	leaving            bool
-	// operator is true when an operator drained the endpoint; a restart doesn't end that.
-	operator bool
+	// drain counts an operator's drains and their ends: it is odd while the endpoint is drained. A restart doesn't end that.
+	drain int64
 	// lost is the highest incarnation that is known to have ended.
 	lost model.Incarnation
 	// listed is false when the instance list no longer names the endpoint. The row is kept because the list lags and a
@@ -29,9 +29,11 @@
 }
 
 func (r endpointRow) isLeaving() bool {
-	return r.leaving && (r.operator || r.incarnation <= r.leavingIncarnation)
+	return r.isDrained() || (r.leaving && r.incarnation <= r.leavingIncarnation)
 }
 
+func (r endpointRow) isDrained() bool { return r.drain%2 == 1 }
+
 func (c *Core) applyInstances(now time.Time, list model.InstanceList) []Action {
 	listed := make(map[model.EndpointID]bool, len(list.Endpoints))
 	for _, endpoint := range list.Endpoints {
@@ -67,7 +69,7 @@
 	c.endpoints.Put(endpoint.ID, row)
 	c.offer(now, row)
 	if endpoint.Leaving {
-		c.markLeaving(now, endpoint.ID, false)
+		c.markLeaving(now, endpoint.ID)
 	}
 }
 
@@ -83,21 +85,19 @@
 }
 
 // markLeaving stops new work for an endpoint and tells the other instances.
-func (c *Core) markLeaving(now time.Time, id model.EndpointID, operator bool) []Action {
+func (c *Core) markLeaving(now time.Time, id model.EndpointID) {
 	row, known := c.endpoints.Get(id)
 	if !known {
-		return nil
+		return
 	}
-	news := !row.isLeaving() || (operator && !row.operator)
+	news := !row.leaving || row.incarnation > row.leavingIncarnation
 	row.leaving = true
-	row.operator = row.operator || operator
 	row.leavingIncarnation = max(row.leavingIncarnation, row.incarnation)
 	c.endpoints.Put(id, row)
 	c.router.MarkLeaving(now, id)
 	if news {
 		c.members.Publish(now, leavingRumour(id, row))
 	}
-	return nil
 }
 
 func (c *Core) applyLoad(now time.Time, report model.LoadReport) []Action {
@@ -118,7 +118,7 @@
 		c.offer(now, row)
 	}
 	if report.Leaving {
-		c.markLeaving(now, report.Endpoint, false)
+		c.markLeaving(now, report.Endpoint)
 	}
 	c.router.ReportLoad(now, report)
 	if row.endpoint.Kind == model.KindEngine {
--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -42,10 +42,12 @@
 	Incarnation model.Incarnation
 }
 
-// EndpointDrained says that an operator wants an endpoint to get no new work.
+// EndpointDrained says that an operator wants an endpoint to get no new work, or takes that back.
 type EndpointDrained struct {
 	event
 	Endpoint model.EndpointID
+	// Ended is true when the endpoint may be used again.
+	Ended bool
 }
 
 // RequestArrived asks for an endpoint for one attempt of a caller's request. It is answered by RouteDecided, at once or
--- a/core/services/jujubecore/members.go
+++ b/core/services/jujubecore/members.go
@@ -27,7 +27,6 @@
 type leavingPayload struct {
 	Endpoint    model.EndpointID
 	Incarnation model.Incarnation
-	Operator    bool
 }
 
 func newRumour(kind model.RumourKind, key string, version int64, payload any) model.Rumour {
@@ -40,13 +39,8 @@
 }
 
 func leavingRumour(id model.EndpointID, row endpointRow) model.Rumour {
-	key := string(id)
-	if row.operator {
-		// A drain has a key of its own, so that a later incarnation's rumour doesn't replace it.
-		key += "/operator"
-	}
-	return newRumour(model.RumourEndpointLeaving, key, int64(row.leavingIncarnation)+1,
-		leavingPayload{Endpoint: id, Incarnation: row.leavingIncarnation, Operator: row.operator})
+	return newRumour(model.RumourEndpointLeaving, string(id), int64(row.leavingIncarnation)+1,
+		leavingPayload{Endpoint: id, Incarnation: row.leavingIncarnation})
 }
 
 func configRumour(revision int64) model.Rumour {
@@ -108,6 +102,8 @@
 	switch rumour.Kind {
 	case model.RumourEndpointLeaving:
 		c.applyLeavingRumour(now, rumour)
+	case model.RumourDrain:
+		c.applyDrainRumour(now, rumour)
 	case model.RumourConfig:
 		c.wanted = max(c.wanted, rumour.Version)
 	case model.RumourWeights:
@@ -147,7 +143,6 @@
 		row.endpoint.ID = payload.Endpoint
 	}
 	row.leaving = true
-	row.operator = row.operator || payload.Operator
 	row.leavingIncarnation = max(row.leavingIncarnation, payload.Incarnation)
 	if payload.Incarnation == 0 {
 		// The sender didn't know the incarnation.
--- a/core/services/jujuberouter/endpoint.go
+++ b/core/services/jujuberouter/endpoint.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// EndLeaving lets an endpoint have new work again, as it was drained by mistake or only for a while.
+func (r *Router[P]) EndLeaving(id model.EndpointID) {
+	if e, ok := r.rows.Get(id); ok && e.endpoint.Leaving {
+		e.endpoint.Leaving = false
+		e.pool.stale = true
+	}
+}
+
 // RemoveEndpoint stops new work for an endpoint; its row goes away once nothing is in flight.
 func (r *Router[P]) RemoveEndpoint(now time.Time, id model.EndpointID) {
 	if e, ok := r.rows.Get(id); ok && !e.removed {
--- a/ctl/cmd/operate.go
+++ b/ctl/cmd/operate.go
@@ -52,6 +52,18 @@
 	}
 }
 
+func (p *Program) newUndrain() *cli.Command {
+	return &cli.Command{
+		Name: "undrain", Usage: "let a drained endpoint have new work again", ArgsUsage: "ENDPOINT",
+		Action: p.action(1, 1, func(ctx context.Context, command *cli.Command, settings Settings) error {
+			endpoint := model.EndpointID(command.Args().First())
+			return p.tell(settings, fmt.Sprintf("the drain of endpoint %s is ended", endpoint), func(client *jujubeclient.OperatorClient) error {
+				return client.EndDrain(ctx, endpoint)
+			})
+		}),
+	}
+}
+
 func (p *Program) newQuarantine() *cli.Command {
 	list := &cli.Command{
 		Name: "list", Usage: "list requests that crashed endpoints",
--- a/entry/routers/jujubeoperatorapi/router.go
+++ b/entry/routers/jujubeoperatorapi/router.go
@@ -62,7 +62,7 @@
 
 func (a *api) postDrain(w http.ResponseWriter, r *http.Request) {
 	var request model.DrainRequest
-	serve(w, r, &request, func() error { return a.service.DrainEndpoint(request.Endpoint) })
+	serve(w, r, &request, func() error { return a.service.DrainEndpoint(request.Endpoint, request.Ended) })
 }
 
 func (a *api) postLift(w http.ResponseWriter, r *http.Request) {
--- a/entry/services/jujubeentry/status.go
+++ b/entry/services/jujubeentry/status.go
@@ -30,16 +30,20 @@
 	return s.core.IsReady()
 }
 
-// DrainEndpoint stops new work for an endpoint on all instances.
-func (s *Service) DrainEndpoint(id model.EndpointID) error {
+// DrainEndpoint stops new work for an endpoint on all instances, or lets it have new work again.
+func (s *Service) DrainEndpoint(id model.EndpointID, ended bool) error {
 	s.mu.Lock()
 	_, known := s.core.Endpoint(id)
 	s.mu.Unlock()
 	if !known {
 		return jujubeerror.ErrRefused{Code: jujubeerror.CodeNoEndpoint, Ran: model.RanNo, Message: "no endpoint " + string(id)}
 	}
-	s.apply(jujubecore.EndpointDrained{Endpoint: id})
-	s.log.Write(jujubeevent.EndpointDrained, func() logrus.Fields { return logrus.Fields{"Endpoint": id} })
+	s.apply(jujubecore.EndpointDrained{Endpoint: id, Ended: ended})
+	number := jujubeevent.EndpointDrained
+	if ended {
+		number = jujubeevent.DrainEnded
+	}
+	s.log.Write(number, func() logrus.Fields { return logrus.Fields{"Endpoint": id} })
 	return nil
 }
 
