ctl, jujubesite: merge the two endpoint orders, split the start of a site

Cause: drain and undrain differed in three words, and one function started three kinds of endpoints. Conclusion: no change of behaviour; tests of ctl and the site pass.

--- a/ctl/cmd/operate.go
+++ b/ctl/cmd/operate.go
@@ -41,24 +41,22 @@
 }
 
 func (p *Program) newDrain() *cli.Command {
-	return &cli.Command{
-		Name: "drain", Usage: "send no new work to an endpoint", ArgsUsage: "ENDPOINT",
-		Action: p.action(1, 1, func(ctx context.Context, command *cli.Command, settings Settings) error {
-			endpoint := model.EndpointID(command.Args().First())
-			return p.tell(settings, fmt.Sprintf("endpoint %s is leaving", endpoint), func(client *jujubeclient.OperatorClient) error {
-				return client.Drain(ctx, endpoint)
-			})
-		}),
-	}
+	return p.newEndpointOrder("drain", "send no new work to an endpoint", "endpoint %s is leaving", (*jujubeclient.OperatorClient).Drain)
 }
 
 func (p *Program) newUndrain() *cli.Command {
+	return p.newEndpointOrder("undrain", "let a drained endpoint have new work again", "the drain of endpoint %s is ended",
+		(*jujubeclient.OperatorClient).EndDrain)
+}
+
+// newEndpointOrder returns a command that tells the instances something about one endpoint.
+func (p *Program) newEndpointOrder(name, usage, done string, order func(*jujubeclient.OperatorClient, context.Context, model.EndpointID) error) *cli.Command {
 	return &cli.Command{
-		Name: "undrain", Usage: "let a drained endpoint have new work again", ArgsUsage: "ENDPOINT",
+		Name: name, Usage: usage, ArgsUsage: "ENDPOINT",
 		Action: p.action(1, 1, func(ctx context.Context, command *cli.Command, settings Settings) error {
 			endpoint := model.EndpointID(command.Args().First())
-			return p.tell(settings, fmt.Sprintf("the drain of endpoint %s is ended", endpoint), func(client *jujubeclient.OperatorClient) error {
-				return client.EndDrain(ctx, endpoint)
+			return p.tell(settings, fmt.Sprintf(done, endpoint), func(client *jujubeclient.OperatorClient) error {
+				return order(client, ctx, endpoint)
 			})
 		}),
 	}
--- a/load/services/jujubesite/site.go
+++ b/load/services/jujubesite/site.go
@@ -173,21 +173,32 @@
 		}
 		s.Engines = append(s.Engines, server)
 	}
+	if err := s.startServices(ctx, listURL); err != nil {
+		return err
+	}
+	return s.startScorers(ctx, listURL)
+}
+
+func (s *Site) startServices(ctx context.Context, listURL string) error {
 	for i := range s.Settings.Services {
-		service := jujubeservice.DefaultSettings()
-		service.ID = model.EndpointID(fmt.Sprintf("%s-%02d", s.Settings.Service, i))
-		service.DataCentre, service.Service, service.ListURL = s.dataCentre(i), s.Settings.Service, listURL
-		server, err := startOne(ctx, s, jujubeservice.Start, service)
+		settings := jujubeservice.DefaultSettings()
+		settings.ID, settings.Service = s.endpointID(s.Settings.Service, i), s.Settings.Service
+		settings.DataCentre, settings.ListURL = s.dataCentre(i), listURL
+		server, err := startOne(ctx, s, jujubeservice.Start, settings)
 		if err != nil {
 			return err
 		}
 		s.Services = append(s.Services, server)
 	}
+	return nil
+}
+
+func (s *Site) startScorers(ctx context.Context, listURL string) error {
 	for i := range s.Settings.Scorers {
-		scorer := jujubescorer.DefaultSettings()
-		scorer.ID = model.EndpointID(fmt.Sprintf("%s-%02d", s.Settings.Scorer, i))
-		scorer.DataCentre, scorer.Service, scorer.ListURL = s.dataCentre(i), s.Settings.Scorer, listURL
-		server, err := startOne(ctx, s, jujubescorer.Start, scorer)
+		settings := jujubescorer.DefaultSettings()
+		settings.ID, settings.Service = s.endpointID(s.Settings.Scorer, i), s.Settings.Scorer
+		settings.DataCentre, settings.ListURL = s.dataCentre(i), listURL
+		server, err := startOne(ctx, s, jujubescorer.Start, settings)
 		if err != nil {
 			return err
 		}
@@ -196,6 +207,10 @@
 	return nil
 }
 
+func (*Site) endpointID(service model.ServiceName, i int) model.EndpointID {
+	return model.EndpointID(fmt.Sprintf("%s-%02d", service, i))
+}
+
 func (s *Site) dataCentre(i int) model.DataCentre {
 	return s.Settings.DataCentres[i%len(s.Settings.DataCentres)]
 }
