--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -31,7 +31,7 @@
 	logs   *jujubeclient.LogClient
 	peers  *peerPool
 
-	// mu serialises the core and the hand-over of its actions, so that actions are begun in the core's order.
+	// mu serialises the calls of the core and the start of its actions, so that actions begin in the core's order.
 	mu   sync.Mutex
 	core *jujubecore.Core
 	// waiters holds a channel for each request that waits for a RouteDecided. Guarded by mu.
@@ -92,8 +92,8 @@
 	return s, clean, nil
 }
 
-// newTransport returns a transport that doesn't repeat requests by itself: it repeats a request without a body on a
-// broken kept connection only when the request is idempotent, and the service's own retries count against the budget.
+// newTransport returns the transport for calls that may be repeated: net/http repeats a GET by itself when a kept
+// connection breaks before the answer. Calls that must not be repeated go through newSingleClient.
 func newTransport() *http.Transport {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
