jujubecore: free copies on the steward when a granted run has ended

Cause: the steward counts a grant as a run of its own; its waiting copies of that content stayed bound to the granted endpoint after the release, because only the end of an own request freed them. Found by reading. Ruled out: not counting grants as runs; they keep other suspects away.

--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -23,7 +23,7 @@
 	// steward is set while the request runs under a grant.
 	steward model.Member
 	granted bool
-	// askAgain is when the steward is asked again; zero when it need not be.
+	// askAgain is when the steward is asked again, or a postponed request is placed again; zero for other requests.
 	askAgain time.Time
 	// stream is set for a stream of a step part.
 	stream *jujubestep.StartStream
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -153,9 +153,12 @@
 	c.grants = slices.Delete(c.grants, at, at+1)
 	if release.Completed {
 		c.publishAll(now, c.quarantine.Complete(now, release.Fingerprint, release.Endpoint))
-		return
+	} else {
+		c.quarantine.End(now, release.Fingerprint, release.Endpoint)
+	}
+	if !c.quarantine.IsRunning(release.Fingerprint) {
+		c.spread(release.Fingerprint)
 	}
-	c.quarantine.End(now, release.Fingerprint, release.Endpoint)
 }
 
 // isSettled tells whether the other instances have had time to stop their own runs of a suspect.
