--- a/core/models/jujubemodel/status.go
+++ b/core/models/jujubemodel/status.go
@@ -21,6 +21,18 @@
 	LogAvailable bool
 }
 
+// EndpointState tells whether an endpoint gets new work.
+type EndpointState string
+
+// States of endpoints.
+const (
+	EndpointServing EndpointState = "Serving"
+	// EndpointLeaving holds for a drained endpoint too.
+	EndpointLeaving EndpointState = "Leaving"
+	// EndpointLost is one that the list no longer names, or whose process has ended.
+	EndpointLost EndpointState = "Lost"
+)
+
 // EndpointStatus is how one entry instance sees an endpoint.
 type EndpointStatus struct {
 	Endpoint Endpoint
@@ -28,7 +40,7 @@
 	// InFlight counts this instance's own requests on the endpoint.
 	InFlight int
 	Watched  bool
-	State    string
+	State    EndpointState
 }
 
 // ConfigStatus tells which configuration is in force on one entry instance.
--- a/ctl/cmd/document.go
+++ b/ctl/cmd/document.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeclient"
 	"jujubepier.example/core/services/jujubedocument"
 	"jujubepier.example/ctl/services/jujubepublish"
 	"jujubepier.example/ctl/services/jujubereport"
@@ -83,15 +84,21 @@
 	return change
 }
 
+// readAndOpen reads and checks the document that a command names, and opens the environment's log.
+func readAndOpen(command *cli.Command, settings Settings) ([]byte, *jujubeclient.LogClient, func(), error) {
+	data, _, err := readDocument(command.Args().First())
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	log, closeLog, err := openLog(settings.Log, "log", settings)
+	return data, log, closeLog, err
+}
+
 func (p *Program) newPublish() *cli.Command {
 	return &cli.Command{
 		Name: "publish", Usage: "put a document in force", ArgsUsage: "FILE", Flags: changeFlags(),
 		Action: p.action(1, 1, func(ctx context.Context, command *cli.Command, settings Settings) error {
-			data, _, err := readDocument(command.Args().First())
-			if err != nil {
-				return err
-			}
-			log, closeLog, err := openLog(settings.Log, "log", settings)
+			data, log, closeLog, err := readAndOpen(command, settings)
 			if err != nil {
 				return err
 			}
--- a/ctl/cmd/restore.go
+++ b/ctl/cmd/restore.go
@@ -27,11 +27,7 @@
 			Name: "revision", Required: true, Usage: "a revision above each one that was ever in force",
 		}},
 		Action: p.action(1, 1, func(ctx context.Context, command *cli.Command, settings Settings) error {
-			data, _, err := readDocument(command.Args().First())
-			if err != nil {
-				return err
-			}
-			log, closeLog, err := openLog(settings.Log, "log", settings)
+			data, log, closeLog, err := readAndOpen(command, settings)
 			if err != nil {
 				return err
 			}
--- a/entry/services/jujubeentry/watch.go
+++ b/entry/services/jujubeentry/watch.go
@@ -42,7 +42,7 @@
 		w.members[member.ID] = member
 	}
 	for _, row := range status.Endpoints {
-		if row.State == "Leaving" {
+		if row.State == model.EndpointLeaving {
 			w.leaving[row.Endpoint.ID] = true
 		}
 	}
