all: put the project's imports into one block

Cause: CONTRIBUTING names three blocks of imports, and some files had the project's own in two. Ruled out: a fourth rule for the model package. Conclusion: order of imports only; go vet and gofumpt are clean.

--- a/core/services/jujubeclaim/batch_test.go
+++ b/core/services/jujubeclaim/batch_test.go
@@ -9,9 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"jujubepier.example/core/services/jujubeclaim"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeclaim"
 )
 
 // The simulated log of the alternative: a claim is appended before each dispatch.
--- a/core/services/jujubeclaim/claim.go
+++ b/core/services/jujubeclaim/claim.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/models/jujubetable"
 	"jujubepier.example/core/modules/jujubeerror"
-
-	model "jujubepier.example/core/models/jujubemodel"
 )
 
 // row is a key that was let run here or that a predecessor handed over.
--- a/core/services/jujubeclaim/claim_test.go
+++ b/core/services/jujubeclaim/claim_test.go
@@ -10,10 +10,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/services/jujubeclaim"
-
-	model "jujubepier.example/core/models/jujubemodel"
 )
 
 func TestMain(m *testing.M) {
--- a/core/services/jujubelease/lease_test.go
+++ b/core/services/jujubelease/lease_test.go
@@ -10,9 +10,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"jujubepier.example/core/services/jujubelease"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubelease"
 )
 
 func TestMain(m *testing.M) {
--- a/core/services/jujubemember/harness_test.go
+++ b/core/services/jujubemember/harness_test.go
@@ -9,9 +9,8 @@
 	"testing"
 	"time"
 
-	"jujubepier.example/core/services/jujubemember"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubemember"
 )
 
 const tick = 50 * time.Millisecond
--- a/core/services/jujubemember/member_test.go
+++ b/core/services/jujubemember/member_test.go
@@ -12,9 +12,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"jujubepier.example/core/services/jujubemember"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubemember"
 )
 
 // uniform draws from [0, n) without the bias towards small values of the integer generators, which would make the first
--- a/core/services/jujubequarantine/quarantine.go
+++ b/core/services/jujubequarantine/quarantine.go
@@ -14,9 +14,8 @@
 	"strings"
 	"time"
 
-	"jujubepier.example/core/models/jujubetable"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/models/jujubetable"
 )
 
 // Status is what is known of a fingerprint.
--- a/core/services/jujubequarantine/quarantine_test.go
+++ b/core/services/jujubequarantine/quarantine_test.go
@@ -10,9 +10,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	quarantine "jujubepier.example/core/services/jujubequarantine"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	quarantine "jujubepier.example/core/services/jujubequarantine"
 )
 
 func TestMain(m *testing.M) {
--- a/core/services/jujubequarantine/rumour.go
+++ b/core/services/jujubequarantine/rumour.go
@@ -8,9 +8,8 @@
 	"strings"
 	"time"
 
-	"jujubepier.example/core/models/jujubetable"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/models/jujubetable"
 )
 
 // maxCrashes bounds the crashes kept per fingerprint and named by a lift, so that a rumour stays below 1 KB.
--- a/core/services/jujuberouter/finish.go
+++ b/core/services/jujuberouter/finish.go
@@ -4,9 +4,8 @@
 	"slices"
 	"time"
 
-	"jujubepier.example/core/modules/jujubeerror"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 )
 
 // charge checks the caller's limits and the retry budget, and takes one from each.
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -7,9 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"jujubepier.example/core/models/jujubetable"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/models/jujubetable"
 )
 
 // poolName names the endpoints that are exchangeable.
--- a/core/services/jujuberouter/property_test.go
+++ b/core/services/jujuberouter/property_test.go
@@ -12,9 +12,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	router "jujubepier.example/core/services/jujuberouter"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	router "jujubepier.example/core/services/jujuberouter"
 )
 
 func TestMain(m *testing.M) {
--- a/core/services/jujuberouter/queue.go
+++ b/core/services/jujuberouter/queue.go
@@ -6,9 +6,8 @@
 	"slices"
 	"time"
 
-	"jujubepier.example/core/models/jujubetable"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/models/jujubetable"
 )
 
 const (
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -4,10 +4,9 @@
 	"math/rand"
 	"time"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/models/jujubetable"
 	"jujubepier.example/core/modules/jujubeerror"
-
-	model "jujubepier.example/core/models/jujubemodel"
 )
 
 // minRetryAfter keeps refused callers from coming back within a round trip or two.
--- a/core/services/jujuberouter/router_test.go
+++ b/core/services/jujuberouter/router_test.go
@@ -8,10 +8,9 @@
 
 	"gotest.tools/v3/assert"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 	router "jujubepier.example/core/services/jujuberouter"
-
-	model "jujubepier.example/core/models/jujubemodel"
 )
 
 var start = time.Unix(1000, 0)
--- a/core/services/jujuberouter/sim_test.go
+++ b/core/services/jujuberouter/sim_test.go
@@ -11,9 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
-	router "jujubepier.example/core/services/jujuberouter"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	router "jujubepier.example/core/services/jujuberouter"
 )
 
 const (
--- a/core/services/jujubestep/pull.go
+++ b/core/services/jujubestep/pull.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"jujubepier.example/core/modules/jujubeerror"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 )
 
 // Pull confirms the groups below the cursor and hands out complete ones. While groups at the cursor were handed out and
--- a/core/services/jujubestep/step_test.go
+++ b/core/services/jujubestep/step_test.go
@@ -7,10 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/services/jujubestep"
-
-	model "jujubepier.example/core/models/jujubemodel"
 )
 
 var (
--- a/core/services/jujubestep/stream.go
+++ b/core/services/jujubestep/stream.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"jujubepier.example/core/modules/jujubeerror"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 )
 
 // StreamStarted records that an engine runs the stream.
--- a/core/services/jujubestep/submit.go
+++ b/core/services/jujubestep/submit.go
@@ -6,9 +6,8 @@
 	"strings"
 	"time"
 
-	"jujubepier.example/core/modules/jujubeerror"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 )
 
 // Submit accepts a step part. The same attempt with the same content gives the same answer again; a higher attempt
--- a/core/services/jujubestep/world_test.go
+++ b/core/services/jujubestep/world_test.go
@@ -14,10 +14,9 @@
 	"gotest.tools/v3/assert/cmp"
 	"pgregory.net/rapid"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/services/jujubestep"
-
-	model "jujubepier.example/core/models/jujubemodel"
 )
 
 func TestMain(m *testing.M) {
--- a/core/services/jujubeweight/capacity_test.go
+++ b/core/services/jujubeweight/capacity_test.go
@@ -8,9 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"jujubepier.example/core/services/jujubeweight"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeweight"
 )
 
 // rollOut returns the virtual time until all engines are at the new version, and how many orders were refused. The
--- a/core/services/jujubeweight/order_test.go
+++ b/core/services/jujubeweight/order_test.go
@@ -7,9 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"jujubepier.example/core/services/jujubeweight"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeweight"
 )
 
 func report(id string, at time.Time, version model.WeightVersion) model.LoadReport {
--- a/core/services/jujubeweight/rollout.go
+++ b/core/services/jujubeweight/rollout.go
@@ -5,9 +5,8 @@
 	"cmp"
 	"time"
 
-	"jujubepier.example/core/models/jujubetable"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/models/jujubetable"
 )
 
 // Settings are the constants of the package; zero fields get the defaults named here.
--- a/core/services/jujubeweight/rollout_test.go
+++ b/core/services/jujubeweight/rollout_test.go
@@ -12,9 +12,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"jujubepier.example/core/services/jujubeweight"
-
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeweight"
 )
 
 func TestMain(m *testing.M) {
