jujubeentry: take requests that were on their way when answers ran out

Cause: a leaving instance refused new requests from the moment on which the last address answer that names it runs out. A call that was begun 44 us before that moment arrived after it and was refused; on a site a call travels for 3 ms. Ruled out: a fault of the test: the caller was entitled to the address when it began. The refusal itself was true (NotRun, other addresses). Conclusion: a shutdown takes a second longer.

--- a/entry/services/jujubeentry/leave.go
+++ b/entry/services/jujubeentry/leave.go
@@ -12,6 +12,10 @@
 	"jujubepier.example/core/services/jujubecore"
 )
 
+// arrivalGrace is how much longer than the address answers last requests are taken: one that a caller sent just before its
+// answer ran out is still on its way then.
+const arrivalGrace = time.Second
+
 // leavePoll is how often the end of the shutdown's conditions is looked at.
 const leavePoll = 50 * time.Millisecond
 
@@ -19,7 +23,7 @@
 func (s *Service) admit() (func(), error) {
 	s.leaveMu.Lock()
 	defer s.leaveMu.Unlock()
-	if !s.leaveUntil.IsZero() && time.Now().After(s.leaveUntil) {
+	if !s.leaveUntil.IsZero() && time.Now().After(s.leaveUntil.Add(arrivalGrace)) {
 		s.log.Write(jujubeevent.RequestAfterExit, func() logrus.Fields { return logrus.Fields{"Instance": s.self.ID} })
 		return nil, jujubeerror.ErrRefused{
 			Code: jujubeerror.CodeLeaving, Ran: model.RanNo, RetryAfter: time.Millisecond, Message: "instance is shutting down; use another address",
@@ -53,7 +57,7 @@
 	})
 	ctx, cancel := context.WithDeadline(s.tomb.Context(nil), until.Add(s.settings.ShutdownTimeout))
 	defer cancel()
-	if !sleep(ctx, time.Until(until)) {
+	if !sleep(ctx, time.Until(until.Add(arrivalGrace))) {
 		return
 	}
 	s.waitParts(ctx)
