platform: run instances on the users' platform, the whole path thin

Cause: the program spoke nothing of the users' platform. Ruled out: keeping the step parts for their submissions (their trainers don't hold a cursor), an owner for each partition (the order of the log alone gives each result its position). Before: nothing served.

--- a/core/modules/jujubeerror/refused.go
+++ b/core/modules/jujubeerror/refused.go
@@ -34,6 +34,7 @@
 	CodeRetryExhausted = "RetryExhausted"
 	CodeConflict       = "Conflict"
 	CodeInternal       = "Internal"
+	CodeStoreFailed    = "StoreFailed"
 )
 
 // ErrRefused is an answer to a caller that isn't a success.
--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -18,6 +18,15 @@
 	StreamResumed   Number = 2005
 	StreamFailed    Number = 2006
 
+	SubmissionAccepted Number = 2101
+	SubmissionRefused  Number = 2102
+	SubmissionRead     Number = 2103
+	SubmissionEnded    Number = 2104
+	ItemStarted        Number = 2105
+	ItemStopped        Number = 2106
+	ItemEnded          Number = 2107
+	ItemListed         Number = 2108
+
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
 	KeysHandedOver  Number = 3003
@@ -37,6 +46,17 @@
 	ConfigUnusable  Number = 5006
 	ListUnavailable Number = 5007
 
+	StoreUnavailable  Number = 5101
+	StoreAvailable    Number = 5102
+	RecordsExpired    Number = 5103
+	RecordUnusable    Number = 5104
+	AppendFailed      Number = 5105
+	BeatFailed        Number = 5106
+	LeaseAppendFailed Number = 5107
+	EndpointSeen      Number = 5108
+	EndpointGone      Number = 5109
+	SettingsRead      Number = 5110
+
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
 
@@ -78,6 +98,24 @@
 		{SampleDiscarded, "SampleDiscarded", info, "Generated tokens were discarded; Cause says why."},
 		{StreamResumed, "StreamResumed", info, "Streams of an earlier attempt are continued."},
 		{StreamFailed, "StreamFailed", warn, "A stream of a step part ended early; it is started again."},
+		{SubmissionAccepted, "SubmissionAccepted", info, "A submission was answered as accepted; the log has it. Known is true when it came again."},
+		{SubmissionRefused, "SubmissionRefused", info, "A submission was not accepted; Error says why and whether the log may have it all the same."},
+		{SubmissionRead, "SubmissionRead", info, "A submission was read from the log; each instance writes this line."},
+		{SubmissionEnded, "SubmissionEnded", info, "The end of a submission was read from the log."},
+		{ItemStarted, "ItemStarted", info, "An item was sent to an engine. The fields are the inputs of the choice."},
+		{ItemStopped, "ItemStopped", info, "A run was given up by this instance; Reason says why."},
+		{ItemEnded, "ItemEnded", info, "A run ended by itself; Outcome and Error say how."},
+		{ItemListed, "ItemListed", debug, "An item's result was read from the log and has its position."},
+		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic began to fail. What was read stays in use."},
+		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
+		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance had read them."},
+		{RecordUnusable, "RecordUnusable", warn, "A record can't be read and is passed over, by all instances alike."},
+		{AppendFailed, "AppendFailed", warn, "Results couldn't be appended; they are appended again after RetryAfter."},
+		{BeatFailed, "BeatFailed", warn, "This instance's row couldn't be written; others take it as gone when that lasts."},
+		{LeaseAppendFailed, "LeaseAppendFailed", info, "A claim or renewal of the lease wasn't appended. A claim that lost the race to another is no fault."},
+		{EndpointSeen, "EndpointSeen", info, "An endpoint's entry appeared or changed its state."},
+		{EndpointGone, "EndpointGone", info, "An endpoint's entry is gone and it gets no more work."},
+		{SettingsRead, "SettingsRead", info, "The platform's settings were read, at the start or after a signal."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed to a successor."},
--- /dev/null
+++ b/core/services/jujubebatch/book.go
@@ -0,0 +1,233 @@
+package jujubebatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+// submission is a submission with its results.
+type submission struct {
+	Submission
+	// accepted is this instance's time at which the record was read.
+	accepted time.Time
+	// results are in the order of their positions; the slice only grows.
+	results []Result
+	items   map[ItemID]*item
+	// order holds the items in the submission's order.
+	order []*item
+	ended bool
+	// open counts the items without a result.
+	open int
+}
+
+// item is one item of a submission.
+type item struct {
+	Item
+	of    *submission
+	index int
+	// listed is true once the item has a result.
+	listed bool
+	// events and versions are the longest known part of the text.
+	events   []string
+	versions []model.WeightVersion
+	// written is how many events the log has.
+	written   int
+	writtenAt time.Time
+	run       *run
+	notBefore time.Time
+	avoid     model.EndpointID
+	// failures counts the engines' own failures of the item, crashes the runs that broke off before their first event.
+	failures int
+	crashes  int
+	// finished is true from the request to list the result on.
+	finished bool
+}
+
+// Page is a part of a submission's results.
+type Page struct {
+	Total   int
+	Results []Result
+	Ended   bool
+}
+
+// Apply takes the next entry of a partition. It returns false when the entry had no effect.
+func (b *Batches) Apply(now time.Time, entry *Entry) bool {
+	switch {
+	case entry.Submission != nil:
+		return b.accept(now, entry.Submission)
+	case entry.Result != nil:
+		return b.list(entry.Result)
+	case entry.Progress != nil:
+		return b.advance(entry.Progress)
+	case entry.End != nil:
+		return b.end(now, entry.End.Submission)
+	}
+	return false
+}
+
+func (b *Batches) accept(now time.Time, s *Submission) bool {
+	if _, ok := b.submissions.Get(s.ID); ok {
+		return false
+	}
+	one := &submission{Submission: *s, accepted: now, items: make(map[ItemID]*item, len(s.Items))}
+	for i := range s.Items {
+		row := &item{Item: s.Items[i], of: one, index: i}
+		if _, twice := one.items[row.ID]; twice {
+			continue
+		}
+		one.items[row.ID] = row
+		one.order = append(one.order, row)
+	}
+	one.open = len(one.order)
+	b.submissions.Put(s.ID, one)
+	b.reuse(one)
+	return true
+}
+
+// reuse takes over what earlier submissions of the same model have of an item's text, if its versions fit.
+func (b *Batches) reuse(one *submission) {
+	for _, row := range one.order {
+		if earlier := b.parts[row.ID]; earlier != nil && earlier.of.Model == one.Model && earlier.of != one {
+			b.adopt(row, earlier.events, earlier.versions)
+		}
+		b.parts[row.ID] = row
+	}
+}
+
+// adopt replaces an item's known text by a longer one.
+func (b *Batches) adopt(row *item, events []string, versions []model.WeightVersion) bool {
+	if row.run != nil || len(events) <= len(row.events) {
+		return false
+	}
+	for _, version := range versions {
+		if version < row.of.MinVersion {
+			return false
+		}
+	}
+	row.events, row.versions = slices.Clone(events), slices.Clone(versions)
+	return true
+}
+
+func (b *Batches) list(result *Result) bool {
+	one, ok := b.submissions.Get(result.Submission)
+	if !ok {
+		return false
+	}
+	row, ok := one.items[result.Item]
+	if !ok || row.listed {
+		return false
+	}
+	row.listed = true
+	row.events, row.versions = nil, nil
+	one.open--
+	one.results = append(one.results, *result)
+	if row.run != nil {
+		b.cancel(row.run, "the item has a result")
+	}
+	if b.parts[row.ID] == row {
+		delete(b.parts, row.ID)
+	}
+	return true
+}
+
+func (b *Batches) advance(progress *Progress) bool {
+	one, ok := b.submissions.Get(progress.Submission)
+	if !ok {
+		return false
+	}
+	row, ok := one.items[progress.Item]
+	if !ok || row.listed {
+		return false
+	}
+	if row.run != nil {
+		row.written = max(row.written, min(len(progress.Events), len(row.events)))
+		return false
+	}
+	if !b.adopt(row, progress.Events, progress.Versions) {
+		return false
+	}
+	row.written = len(row.events)
+	return true
+}
+
+func (b *Batches) end(now time.Time, id SubmissionID) bool {
+	one, ok := b.submissions.Get(id)
+	if !ok || one.ended {
+		return false
+	}
+	one.ended = true
+	b.endings = append(b.endings, ending{id: id, at: now})
+	for _, row := range one.order {
+		if row.run != nil {
+			b.cancel(row.run, "the submission has ended")
+		}
+	}
+	return true
+}
+
+// Known tells whether a submission is known and whether it has ended.
+func (b *Batches) Known(id SubmissionID) (known, ended bool) {
+	one, ok := b.submissions.Get(id)
+	return ok, ok && one.ended
+}
+
+// Read returns the results from a position on, up to a size in bytes but one at least.
+func (b *Batches) Read(id SubmissionID, after, maxBytes int) (Page, bool) {
+	one, ok := b.submissions.Get(id)
+	if !ok {
+		return Page{}, false
+	}
+	page := Page{Total: len(one.order), Ended: one.ended}
+	size := 0
+	for i := max(after, 0); i < len(one.results); i++ {
+		size += len(one.results[i].Text) + resultOverhead
+		if size > maxBytes && len(page.Results) > 0 {
+			break
+		}
+		page.Results = append(page.Results, one.results[i])
+	}
+	return page, true
+}
+
+// resultOverhead covers a result's id, state and versions in an answer, in bytes.
+const resultOverhead = 160
+
+// Body returns the body of an item.
+func (b *Batches) Body(id SubmissionID, name ItemID) ([]byte, bool) {
+	one, ok := b.submissions.Get(id)
+	if !ok {
+		return nil, false
+	}
+	row, ok := one.items[name]
+	if !ok {
+		return nil, false
+	}
+	return row.Body, true
+}
+
+// joinText returns a result's text.
+func joinText(events []string) string { return strings.Join(events, "\n") }
+
+// forget drops submissions that ended long ago.
+func (b *Batches) forget(now time.Time) {
+	for len(b.endings) > 0 && now.Sub(b.endings[0].at) > b.settings.Keep {
+		if one, ok := b.submissions.Get(b.endings[0].id); ok {
+			for _, row := range one.order {
+				if b.parts[row.ID] == row {
+					delete(b.parts, row.ID)
+				}
+			}
+			b.submissions.Delete(b.endings[0].id)
+		}
+		b.endings = b.endings[1:]
+	}
+}
+
+// ending is a submission that can be dropped after Settings.Keep.
+type ending struct {
+	id SubmissionID
+	at time.Time
+}
--- /dev/null
+++ b/core/services/jujubebatch/codec.go
@@ -0,0 +1,81 @@
+package jujubebatch
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// Kinds of log records. An entry that is larger than a record is cut into consecutive records of one append.
+const (
+	recordWhole  byte = 'W'
+	recordFirst  byte = 'F'
+	recordMiddle byte = 'M'
+	recordLast   byte = 'L'
+)
+
+// ErrRecord is a record that can't be used; readers pass over it, all in the same way.
+type ErrRecord struct {
+	Reason string
+}
+
+// Error gives the reason.
+func (e ErrRecord) Error() string { return "log record: " + e.Reason }
+
+// EncodeEntry returns the records of an entry, which have to be appended together.
+func EncodeEntry(entry Entry, maxRecord int) ([][]byte, error) {
+	data, err := json.Marshal(entry)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode entry")
+	}
+	if len(data) < maxRecord {
+		return [][]byte{append([]byte{recordWhole}, data...)}, nil
+	}
+	var records [][]byte
+	for kind := recordFirst; len(data) > 0; kind = recordMiddle {
+		size := min(len(data), maxRecord-1)
+		if size == len(data) {
+			kind = recordLast
+		}
+		records = append(records, append([]byte{kind}, data[:size]...))
+		data = data[size:]
+	}
+	return records, nil
+}
+
+// Decoder joins the records of one partition to entries.
+type Decoder struct {
+	// partial holds the records of an entry of which the last one hasn't been read; nil for none.
+	partial []byte
+}
+
+// Add takes the next record and returns an entry when it is complete.
+func (d *Decoder) Add(record []byte) (*Entry, error) {
+	if len(record) == 0 {
+		return nil, ErrRecord{"empty"}
+	}
+	kind, data := record[0], record[1:]
+	switch kind {
+	case recordWhole:
+		d.partial = nil
+	case recordFirst:
+		d.partial = append([]byte{}, data...)
+		return nil, nil
+	case recordMiddle, recordLast:
+		if d.partial == nil {
+			return nil, ErrRecord{"its first part has expired"}
+		}
+		d.partial = append(d.partial, data...)
+		if kind == recordMiddle {
+			return nil, nil
+		}
+		data, d.partial = d.partial, nil
+	default:
+		return nil, ErrRecord{"unknown kind"}
+	}
+	entry := &Entry{}
+	if err := json.Unmarshal(data, entry); err != nil {
+		return nil, ErrRecord{err.Error()}
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/core/services/jujubebatch/engine.go
@@ -0,0 +1,186 @@
+package jujubebatch
+
+import (
+	"slices"
+	"time"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+// Engine is what an instance knows of one model engine.
+type Engine struct {
+	ID          model.EndpointID
+	Incarnation model.Incarnation
+	Service     model.ServiceName
+	Address     string
+	// Slots is how many requests the engine runs at once.
+	Slots   int
+	Leaving bool
+	// Versions are the weight versions that the engine last said it has.
+	Versions map[model.ModelName]model.WeightVersion
+}
+
+// engine is an engine with what this instance has seen of it.
+type engine struct {
+	Engine
+	// inFlight counts this instance's runs.
+	inFlight int
+	// avoidUntil keeps new runs away after a failure; loading does so for one model.
+	avoidUntil time.Time
+	loading    map[model.ModelName]time.Time
+	// pace averages the time from one event to the next; zero while unknown.
+	pace    time.Duration
+	pacedAt time.Time
+}
+
+const (
+	// paceWeight is the share of a new measurement in an engine's pace: about five events settle it.
+	paceWeight = 0.25
+	// paceMemory is how long a measured pace is trusted without a new one. A slow engine gets no work, so it has to be
+	// tried again after a while.
+	paceMemory = 4 * time.Second
+	// queueShare is how many requests an engine gets for each slot: engines queue a few more than they run, and a queued
+	// request starts without a round trip.
+	queueShare = 1.25
+)
+
+// PutEngine adds an engine or updates it. A higher incarnation has lost what its predecessor held.
+func (b *Batches) PutEngine(now time.Time, e Engine) {
+	known, ok := b.engines.Get(e.ID)
+	if !ok || e.Incarnation > known.Incarnation {
+		if ok {
+			b.dropRuns(known, "the engine has started again")
+		}
+		known = &engine{loading: map[model.ModelName]time.Time{}}
+		b.engines.Put(e.ID, known)
+	} else if e.Incarnation < known.Incarnation {
+		return
+	}
+	for name, version := range known.Versions {
+		if e.Versions[name] < version && e.Versions != nil {
+			e.Versions[name] = version // a run told of a newer version before the entry did
+		}
+	}
+	known.Engine = e
+}
+
+// EngineState returns what is known of an engine.
+func (b *Batches) EngineState(id model.EndpointID) (Engine, bool) {
+	e, ok := b.engines.Get(id)
+	if !ok {
+		return Engine{}, false
+	}
+	return e.Engine, true
+}
+
+// RemoveEngine forgets an engine; its runs go on elsewhere once they break.
+func (b *Batches) RemoveEngine(id model.EndpointID) { b.engines.Delete(id) }
+
+// MarkLoading keeps a model's new runs off an engine that loads its weights.
+func (b *Batches) MarkLoading(id model.EndpointID, name model.ModelName, until time.Time) {
+	if e, ok := b.engines.Get(id); ok && e.loading[name].Before(until) {
+		e.loading[name] = until
+	}
+}
+
+// SetVersion takes note of a version that an engine has shown to have.
+func (b *Batches) SetVersion(id model.EndpointID, name model.ModelName, version model.WeightVersion) {
+	if e, ok := b.engines.Get(id); ok && e.Versions[name] < version {
+		if e.Versions == nil {
+			e.Versions = map[model.ModelName]model.WeightVersion{}
+		}
+		e.Versions[name] = version
+		delete(e.loading, name)
+	}
+}
+
+func (b *Batches) dropRuns(e *engine, reason string) {
+	for _, r := range b.runs.All() {
+		if r.engine == e.ID {
+			b.cancel(r, reason)
+		}
+	}
+}
+
+// limit is how many runs this instance may have on an engine, so that all instances together fill its slots.
+func (b *Batches) limit(e *engine) int {
+	share := queueShare * float64(e.Slots) / float64(max(1, len(b.live)))
+	return max(2, int(share)+1)
+}
+
+// measure takes the time from one event of a run to the next.
+func (e *engine) measure(now time.Time, gap time.Duration) {
+	if e.pace == 0 {
+		e.pace = gap
+	} else {
+		e.pace += time.Duration(paceWeight * float64(gap-e.pace))
+	}
+	e.pacedAt = now
+}
+
+// typicalPace returns the median pace of the engines, zero when fewer than three are known.
+func (b *Batches) typicalPace(now time.Time) time.Duration {
+	var paces []time.Duration
+	for _, e := range b.engines.All() {
+		if now.Sub(e.pacedAt) > paceMemory {
+			e.pace = 0
+		}
+		if e.pace > 0 {
+			paces = append(paces, e.pace)
+		}
+	}
+	if len(paces) < 3 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
+}
+
+// isSlow tells whether an engine needs much longer for an event than the others.
+func (b *Batches) isSlow(e *engine, typical time.Duration) bool {
+	return typical > 0 && e.pace > time.Duration(b.settings.SlowFactor*float64(typical))
+}
+
+// choose returns the engine for an item, or nil when none can take it now. Each instance starts at another engine and
+// goes on from there, so that the instances' equal parts of a submission spread evenly without a word between them.
+func (b *Batches) choose(now time.Time, row *item, service model.ServiceName, single bool, typical time.Duration) *engine {
+	var candidates []*engine
+	slow := true
+	for _, e := range b.engines.All() {
+		if !b.isEligible(now, e, row, service, single) {
+			continue
+		}
+		eSlow := b.isSlow(e, typical)
+		if slow && !eSlow {
+			slow, candidates = false, candidates[:0]
+		}
+		if eSlow == slow {
+			candidates = append(candidates, e)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	instances := max(1, len(row.of.Instances))
+	start := (row.index/instances + row.index%instances) % len(candidates)
+	best := candidates[start]
+	for i := range candidates {
+		e := candidates[(start+i)%len(candidates)]
+		if e.inFlight < best.inFlight {
+			best = e
+		}
+	}
+	return best
+}
+
+func (b *Batches) isEligible(now time.Time, e *engine, row *item, service model.ServiceName, single bool) bool {
+	name := row.of.Model
+	version := e.Versions[name]
+	if e.Service != service || e.Leaving || version < row.of.MinVersion || e.inFlight >= b.limit(e) {
+		return false
+	}
+	if single && len(row.versions) > 0 && version != row.versions[0] {
+		return false
+	}
+	return !now.Before(e.avoidUntil) && !now.Before(e.loading[name])
+}
--- /dev/null
+++ b/core/services/jujubebatch/entry.go
@@ -0,0 +1,125 @@
+// Package jujubebatch keeps submissions of many items, decides which item runs on which engine, and lists the results.
+//
+// All state that outlives an instance is a fold of log records: each submission belongs to one partition, and all
+// instances read the same records in the same order. The first record of a submission, of an item's result and of an end
+// counts and later ones have no effect, so that repeated and late appends are harmless and no partition needs an owner.
+// Who runs an item is only a matter of economy: two runs of one item cost engine time and change nothing that is listed.
+package jujubebatch
+
+import (
+	"time"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+// SubmissionID names a submission.
+type SubmissionID string
+
+// ItemID names an item within its submission.
+type ItemID string
+
+// GroupID names items that share a prompt and count only together.
+type GroupID string
+
+// Submission is a set of items that one caller hands in at once.
+type Submission struct {
+	ID    SubmissionID
+	Host  string
+	Path  string
+	Model model.ModelName
+	// MinVersion is the oldest weight version that may generate any event of a result.
+	MinVersion model.WeightVersion
+	// GroupCount is how many complete groups the trainer waits for.
+	GroupCount int
+	Items      []Item
+	// Accepted is the accepting instance's time of day, in Unix milliseconds.
+	Accepted int64
+	// Instances shared the items when the submission was accepted, sorted by name.
+	Instances []model.InstanceID
+}
+
+// Item is one request for tokens.
+type Item struct {
+	ID      ItemID
+	Path    string
+	Headers map[string]string
+	Body    []byte
+	// Tokens is the sum of the prompt and the most that may be generated.
+	Tokens int
+	Group  GroupID
+}
+
+// ResultState tells how an item ended.
+type ResultState string
+
+// States of a result.
+const (
+	Completed ResultState = "Completed"
+	Errored   ResultState = "Errored"
+)
+
+// Result is the outcome of one item. Its text comes from one chain of runs, each resumed after the last event of the one
+// before.
+type Result struct {
+	Submission SubmissionID
+	Item       ItemID
+	State      ResultState
+	Text       string
+	// Versions generated an event of the text, each named once.
+	Versions []model.WeightVersion
+}
+
+// Progress is the part of an item's text that was generated before its instance left or a run took long. Whoever runs the
+// item next resumes after it.
+type Progress struct {
+	Submission SubmissionID
+	Item       ItemID
+	// Events are the data of the events from the first one on.
+	Events   []string
+	Versions []model.WeightVersion
+}
+
+// Entry is one logical record of a partition; exactly one field is set.
+type Entry struct {
+	Submission *Submission `json:",omitempty"`
+	Result     *Result     `json:",omitempty"`
+	Progress   *Progress   `json:",omitempty"`
+	End        *End        `json:",omitempty"`
+}
+
+// End says that the submission's caller wants no more results.
+type End struct {
+	Submission SubmissionID
+}
+
+// Settings are the constants of the scheduler.
+type Settings struct {
+	// FirstEventTimeout ends a run without a first event. Engines admit a request within a step of some ms unless they are
+	// full or load weights, which takes about one second.
+	FirstEventTimeout time.Duration
+	// StallTimeout ends a run without a further event. Engines make an event each 40 ms, and each 150 ms when slow.
+	StallTimeout time.Duration
+	// AvoidLoading is how long a model is not sent to an engine that refused it: a load takes about one second, and
+	// other engines are asked meanwhile.
+	AvoidLoading time.Duration
+	// AvoidFailed is how long an engine that failed a run without an answer gets no new one.
+	AvoidFailed time.Duration
+	// RetryPause is the pause before an item is started again, so that a failing item doesn't spin.
+	RetryPause time.Duration
+	// SlowFactor is how many times the median time of an event an engine needs to count as slow.
+	SlowFactor float64
+	// CheckpointAfter is how long an item runs before its progress is written, and the time to the next writing. A third
+	// of a second of generation is lost at most beside it when all instances die.
+	CheckpointAfter time.Duration
+	// Keep is how long an ended submission stays readable.
+	Keep time.Duration
+}
+
+// DefaultSettings returns the constants for engines with events of about 50 ms.
+func DefaultSettings() Settings {
+	return Settings{
+		FirstEventTimeout: 1500 * time.Millisecond, StallTimeout: time.Second, AvoidLoading: 250 * time.Millisecond,
+		AvoidFailed: time.Second, RetryPause: 30 * time.Millisecond, SlowFactor: 2,
+		CheckpointAfter: time.Second, Keep: 130 * time.Second,
+	}
+}
--- a/core/services/jujubelease/fold.go
+++ b/core/services/jujubelease/fold.go
@@ -22,10 +22,15 @@
 	// until settled, a time of the log; which one it is shows in its renewals.
 	partial bool
 	settled time.Time
+	// conditional is Settings.Conditional.
+	conditional bool
 }
 
 // isFree tells whether a claim at a time of the log is accepted.
 func (f fold) isFree(record model.LeaseRecord, at time.Time) bool {
+	if f.conditional {
+		return true
+	}
 	if f.fence < 0 {
 		return !f.partial || !at.Before(f.settled)
 	}
@@ -60,7 +65,7 @@
 		}
 		f.released = true
 	default:
-		if record.TTL <= 0 || !f.isHolder(record) || !at.Before(f.expires) {
+		if record.TTL <= 0 || !f.isHolder(record) || !f.conditional && !at.Before(f.expires) {
 			return false
 		}
 		// A shorter TTL doesn't take back what an earlier record promised.
@@ -95,6 +100,9 @@
 	}
 }
 
+// Next returns the offset at which a claim has to be appended on a conditional log.
+func (l *Lease) Next() int64 { return l.fold.through + 1 }
+
 // Skip says that the records before an offset expired unread. The log retains records for longer than a lease lasts, so
 // none of them matters any more.
 func (l *Lease) Skip(next int64) {
--- a/core/services/jujubelease/lease.go
+++ b/core/services/jujubelease/lease.go
@@ -48,7 +48,7 @@
 func New(name string, self model.InstanceID, incarnation model.Incarnation, settings Settings) *Lease {
 	return &Lease{
 		name: name, self: self, incarnation: incarnation, settings: settings.withDefaults(),
-		fold: fold{through: -1, fence: -1}, heldFence: -1,
+		fold: fold{through: -1, fence: -1, conditional: settings.Conditional}, heldFence: -1,
 	}
 }
 
@@ -95,6 +95,13 @@
 // Failed reports that the last record's append failed or got no answer. It may still have taken effect.
 func (l *Lease) Failed() { l.outstanding = false }
 
+// Deny gives the lease up because an endpoint has refused its fence: another instance has claimed it since.
+func (l *Lease) Deny(fence int64) {
+	if l.heldFence == fence {
+		l.heldUntil = time.Time{}
+	}
+}
+
 // Tick returns the record to append, if any; there is never more than one outstanding.
 func (l *Lease) Tick(now time.Time, candidate bool) []model.LeaseRecord {
 	if l.changed {
--- a/core/services/jujubelease/settings.go
+++ b/core/services/jujubelease/settings.go
@@ -16,6 +16,10 @@
 	Margin time.Duration
 	// AppendTimeout is when a record that was neither folded nor reported by Failed is given up.
 	AppendTimeout time.Duration
+	// Conditional is for a log that tells no times and appends a claim only at the offset up to which its writer has read.
+	// Each claim that is on such a log is accepted, as its writer had seen all before it; writers claim once they have seen
+	// no renewal for a TTL.
+	Conditional bool
 }
 
 // DefaultSettings returns a lease of 15 s that is renewed each 5 s.
--- /dev/null
+++ b/entry/services/jujubenode/follow.go
@@ -0,0 +1,188 @@
+package jujubenode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"jujubepier.example/core/modules/jujubeevent"
+)
+
+const (
+	// readWait is how long a read waits for a record. It bounds the age of what an instance believes, and with 8 reads of
+	// this length at once an instance makes about 20 idle calls a second of the 2,000 that all may make.
+	readWait = 400 * time.Millisecond
+	// readTimeout covers readWait and an answer of a store that is 60 times slower than usual (4 ms).
+	readTimeout = 1100 * time.Millisecond
+	// readPauseMin and readPauseMax bound the pause after a failed read.
+	readPauseMin = 50 * time.Millisecond
+	readPauseMax = 400 * time.Millisecond
+	// freshness is the age up to which an instance answers from what it has read. Half a second is left of the second
+	// after which any instance has to know what another one has shown.
+	freshness = 500 * time.Millisecond
+)
+
+// follower reads one partition from its first record on and hands over each record in order.
+type follower struct {
+	node  *Node
+	topic Topic
+	part  int
+	// apply takes records in the order of their offsets; the node's lock is held.
+	apply func(now time.Time, offset int64, record Record)
+	// reset, for keyed topics, takes a whole snapshot; the node's lock is held.
+	reset func(now time.Time, records []Record)
+	// contact is told of each read up to the end; the node's lock is held.
+	contact func(now time.Time)
+
+	// reading serialises the reads of the loop and of sync.
+	reading sync.Mutex
+	// next is the offset of the next record; guarded by the node's lock, as are the fields below.
+	next int64
+	// caughtUp is when the partition was last read up to its end; zero before.
+	caughtUp time.Time
+	// failing is since when reads fail; zero while they succeed.
+	failing time.Time
+}
+
+// run reads until the context ends.
+func (f *follower) run(ctx context.Context) error {
+	pause := readPauseMin
+	first := true
+	for ctx.Err() == nil {
+		var err error
+		if first && f.topic.Keyed {
+			err = f.snapshot(ctx)
+		} else {
+			err = f.readOnce(ctx, readWait)
+		}
+		switch {
+		case err == nil:
+			first, pause = false, readPauseMin
+			continue
+		case ctx.Err() != nil:
+			return nil
+		}
+		f.noteFailure(err)
+		sleep(ctx, pause)
+		pause = min(2*pause, readPauseMax)
+	}
+	return nil
+}
+
+// sync reads up to the partition's present end, so that an answer that something doesn't exist is true.
+func (f *follower) sync(ctx context.Context) error {
+	return f.readOnce(ctx, 0)
+}
+
+func (f *follower) readOnce(ctx context.Context, wait time.Duration) error {
+	if wait > 0 {
+		f.reading.Lock()
+		defer f.reading.Unlock()
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	f.node.mu.Lock()
+	from := f.next
+	f.node.mu.Unlock()
+	batch, err := f.node.store.Read(ctx, f.topic, f.part, from, wait)
+	var trimmed ErrTrimmed
+	if errors.As(err, &trimmed) {
+		if f.topic.Keyed {
+			return f.snapshot(ctx)
+		}
+		f.node.mu.Lock()
+		f.next = max(f.next, trimmed.First)
+		f.node.mu.Unlock()
+		f.node.log.Write(jujubeevent.RecordsExpired, func() logrus.Fields {
+			return logrus.Fields{"Topic": f.topic.Name, "Partition": f.part, "From": from, "First": trimmed.First}
+		})
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.take(from, batch)
+	return nil
+}
+
+func (f *follower) take(from int64, batch LogBatch) {
+	f.node.mu.Lock()
+	defer f.node.mu.Unlock()
+	now := time.Now()
+	f.noteSuccess(now)
+	for i, record := range batch.Records {
+		if offset := from + int64(i); offset == f.next {
+			f.next++
+			f.apply(now, offset, record)
+		}
+	}
+	if f.next >= batch.End {
+		f.caughtUp = now
+		if f.contact != nil {
+			f.contact(now)
+		}
+	}
+	if len(batch.Records) > 0 {
+		f.node.wakeUp()
+	}
+}
+
+// snapshot reads the newest records of a keyed topic and goes on behind them.
+func (f *follower) snapshot(ctx context.Context) error {
+	snapshot, err := f.node.store.Newest(ctx, f.topic)
+	if err != nil {
+		return err
+	}
+	f.node.mu.Lock()
+	defer f.node.mu.Unlock()
+	now := time.Now()
+	f.noteSuccess(now)
+	f.next = max(f.next, snapshot.End)
+	f.reset(now, snapshot.Records)
+	f.caughtUp = now
+	if f.contact != nil {
+		f.contact(now)
+	}
+	f.node.wakeUp()
+	return nil
+}
+
+// isFresh tells whether the partition was read up to its end a moment ago; the node's lock is held.
+func (f *follower) isFresh(now time.Time) bool {
+	return !f.caughtUp.IsZero() && now.Sub(f.caughtUp) < freshness+readWait
+}
+
+func (f *follower) noteFailure(err error) {
+	f.node.mu.Lock()
+	defer f.node.mu.Unlock()
+	f.node.metrics.countStoreFailure(f.topic.Name)
+	if !f.failing.IsZero() {
+		return
+	}
+	f.failing = time.Now()
+	f.node.log.Write(jujubeevent.StoreUnavailable, func() logrus.Fields {
+		return logrus.Fields{"Topic": f.topic.Name, "Partition": f.part, "Next": f.next, "Error": err.Error()}
+	})
+}
+
+func (f *follower) noteSuccess(now time.Time) {
+	if f.failing.IsZero() {
+		return
+	}
+	f.node.log.Write(jujubeevent.StoreAvailable, func() logrus.Fields {
+		return logrus.Fields{"Topic": f.topic.Name, "Partition": f.part, "Next": f.next, "Away": now.Sub(f.failing).String()}
+	})
+	f.failing = time.Time{}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/entry/services/jujubenode/metrics.go
@@ -0,0 +1,49 @@
+package jujubenode
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jujubepier.example/core/services/jujubebatch"
+)
+
+// nodeMetrics are the counters of one node. docs/metrics.md lists them.
+type nodeMetrics struct {
+	set      *metrics.Set
+	runs     *metrics.Histogram
+	forwards *metrics.Histogram
+}
+
+func newNodeMetrics(n *Node) *nodeMetrics {
+	set := metrics.NewSet()
+	set.NewGauge("jujube_node_runs_in_flight", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(n.batches.Runs())
+	})
+	return &nodeMetrics{
+		set:      set,
+		runs:     set.NewHistogram("jujube_node_run_duration_seconds"),
+		forwards: set.NewHistogram("jujube_node_forward_duration_seconds"),
+	}
+}
+
+func (m *nodeMetrics) countRun(kind jujubebatch.EndKind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_runs_total{outcome=%q}", kind)).Inc()
+}
+
+func (m *nodeMetrics) countForward(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_forwards_total{outcome=%q}", outcome)).Inc()
+}
+
+func (m *nodeMetrics) countStoreFailure(topic string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_store_failures_total{topic=%q}", topic)).Inc()
+}
+
+// WriteMetrics writes the node's and the process's metrics in the text format.
+func (n *Node) WriteMetrics(w io.Writer) {
+	n.metrics.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/entry/services/jujubenode/partition.go
@@ -0,0 +1,199 @@
+package jujubenode
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
+)
+
+const (
+	// appendTimeout bounds an append. The platform answers in 4 ms, and in 250 ms when it is slow.
+	appendTimeout = 1500 * time.Millisecond
+	// appendPause gathers entries for one append. Results arrive many a second; a trainer reads twice a second.
+	appendPause = 25 * time.Millisecond
+	// appendRetryMin and appendRetryMax bound the pause after a failed append of results.
+	appendRetryMin = 50 * time.Millisecond
+	appendRetryMax = 400 * time.Millisecond
+	// appendQueue bounds the entries that wait; it holds what an instance produces in a minute without the store.
+	appendQueue = 16384
+)
+
+// partition is one part of the submissions' topic: it reads the records into the core and appends this instance's
+// results.
+type partition struct {
+	node     *Node
+	number   int
+	follower *follower
+	decoder  jujubebatch.Decoder
+	queue    chan jujubebatch.Entry
+}
+
+func newPartition(n *Node, number int) *partition {
+	p := &partition{node: n, number: number, queue: make(chan jujubebatch.Entry, appendQueue)}
+	p.follower = n.addFollower(topicSubmissions, number, p.apply)
+	return p
+}
+
+// partitionOf returns the partition of a submission.
+func (n *Node) partitionOf(id jujubebatch.SubmissionID) *partition {
+	return n.partitions[xxhash.Sum64String(string(id))%uint64(len(n.partitions))]
+}
+
+func (p *partition) apply(now time.Time, offset int64, record Record) {
+	n := p.node
+	entry, err := p.decoder.Add(record.Value)
+	if err != nil {
+		n.log.Write(jujubeevent.RecordUnusable, func() logrus.Fields {
+			return logrus.Fields{"Topic": topicSubmissions.Name, "Partition": p.number, "Offset": offset, "Error": err.Error()}
+		})
+		return
+	}
+	if entry == nil || !n.batches.Apply(now, entry) {
+		return
+	}
+	n.logEntry(p.number, offset, entry)
+}
+
+func (n *Node) logEntry(part int, offset int64, entry *jujubebatch.Entry) {
+	switch {
+	case entry.Submission != nil:
+		n.log.Write(jujubeevent.SubmissionRead, func() logrus.Fields {
+			s := entry.Submission
+			return logrus.Fields{
+				"Submission": s.ID, "Partition": part, "Offset": offset, "Items": len(s.Items), "Model": s.Model,
+				"MinVersion": s.MinVersion, "Instances": len(s.Instances),
+			}
+		})
+	case entry.Result != nil:
+		n.log.Write(jujubeevent.ItemListed, func() logrus.Fields {
+			r := entry.Result
+			return logrus.Fields{
+				"Submission": r.Submission, "Item": r.Item, "State": r.State, "Partition": part, "Offset": offset, "Versions": r.Versions,
+			}
+		})
+	case entry.End != nil:
+		n.log.Write(jujubeevent.SubmissionEnded, func() logrus.Fields {
+			return logrus.Fields{"Submission": entry.End.Submission, "Partition": part, "Offset": offset}
+		})
+	}
+}
+
+// encode returns the records of entries.
+func (n *Node) encode(entries ...jujubebatch.Entry) ([]Record, int, error) {
+	var records []Record
+	size := 0
+	for _, entry := range entries {
+		parts, err := jujubebatch.EncodeEntry(entry, n.settings.MaxRecordBytes)
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, part := range parts {
+			size += len(part)
+			records = append(records, Record{Value: part})
+		}
+	}
+	return records, size, nil
+}
+
+// append writes one entry and returns when the store has it.
+func (p *partition) append(ctx context.Context, entry jujubebatch.Entry) error {
+	records, size, err := p.node.encode(entry)
+	if err != nil {
+		return err
+	}
+	if size > p.node.settings.MaxAppendBytes {
+		return ErrTooLarge{Size: size, Limit: p.node.settings.MaxAppendBytes}
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = p.node.store.Append(ctx, topicSubmissions, p.number, records, NoCondition)
+	return err
+}
+
+// ErrTooLarge is an entry that the store doesn't take in one append, which is what makes it whole or absent.
+type ErrTooLarge struct {
+	Size, Limit int
+}
+
+// Error gives the sizes.
+func (e ErrTooLarge) Error() string {
+	return errors.Errorf("entry of %d bytes exceeds the store's limit of %d", e.Size, e.Limit).Error()
+}
+
+// run appends the queued entries until the context ends. An append without an answer is repeated: a second record of the
+// same entry has no effect.
+func (p *partition) run(ctx context.Context) error {
+	for {
+		var entries []jujubebatch.Entry
+		select {
+		case <-ctx.Done():
+			return nil
+		case entry := <-p.queue:
+			entries = append(entries, entry)
+		}
+		sleep(ctx, appendPause)
+		entries = p.gather(entries)
+		pause := appendRetryMin
+		for {
+			err := p.appendAll(ctx, entries)
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return nil
+			}
+			p.node.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
+				return logrus.Fields{"Partition": p.number, "Entries": len(entries), "Error": err.Error(), "RetryAfter": pause.String()}
+			})
+			sleep(ctx, pause)
+			pause = min(2*pause, appendRetryMax)
+		}
+	}
+}
+
+// gather adds what else is queued.
+func (p *partition) gather(entries []jujubebatch.Entry) []jujubebatch.Entry {
+	for {
+		select {
+		case entry := <-p.queue:
+			entries = append(entries, entry)
+		default:
+			return entries
+		}
+	}
+}
+
+// appendAll writes entries in as few appends as the store's limit allows.
+func (p *partition) appendAll(ctx context.Context, entries []jujubebatch.Entry) error {
+	var pending []Record
+	size := 0
+	flush := func() error {
+		if len(pending) == 0 {
+			return nil
+		}
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		_, err := p.node.store.Append(call, topicSubmissions, p.number, pending, NoCondition)
+		pending, size = nil, 0
+		return err
+	}
+	for _, entry := range entries {
+		records, bytes, err := p.node.encode(entry)
+		if err != nil {
+			return err
+		}
+		if size+bytes > p.node.settings.MaxAppendBytes {
+			if err := flush(); err != nil {
+				return err
+			}
+		}
+		pending, size = append(pending, records...), size+bytes
+	}
+	return flush()
+}
--- /dev/null
+++ b/entry/services/jujubenode/run.go
@@ -0,0 +1,105 @@
+package jujubenode
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
+)
+
+// do carries out the scheduler's actions; the lock is held and nothing in here blocks.
+func (n *Node) do(actions []jujubebatch.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case jujubebatch.StartRun:
+			n.startRun(a)
+		case jujubebatch.CancelRun:
+			n.cancelRun(a)
+		case jujubebatch.AppendEntry:
+			n.enqueue(a)
+		}
+	}
+}
+
+func (n *Node) enqueue(a jujubebatch.AppendEntry) {
+	select {
+	case n.partitionOf(a.Submission).queue <- a.Entry:
+	default:
+		// The store has been away for so long that the queue is full. The item counts as unfinished and is run again.
+		n.batches.Unlist(a.Entry)
+		n.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
+			return logrus.Fields{"Submission": a.Submission, "Entries": 1, "Error": "the queue is full"}
+		})
+	}
+}
+
+func (n *Node) startRun(start jujubebatch.StartRun) {
+	ctx, cancel := context.WithCancel(n.tomb.Context(nil))
+	n.cancels[start.Run] = cancel
+	n.log.Write(jujubeevent.ItemStarted, func() logrus.Fields {
+		return logrus.Fields{
+			"Submission": start.Submission, "Item": start.Item, "Run": start.Run, "Endpoint": start.Engine, "After": start.After,
+			"KnownVersion": start.KnownVersion, "InFlight": start.InFlight, "Pace": start.Pace.String(),
+		}
+	})
+	n.tomb.Go(func() error {
+		defer cancel()
+		n.runItem(ctx, start)
+		return nil
+	})
+}
+
+func (n *Node) cancelRun(a jujubebatch.CancelRun) {
+	if cancel, ok := n.cancels[a.Run]; ok {
+		cancel()
+		delete(n.cancels, a.Run)
+	}
+	n.log.Write(jujubeevent.ItemStopped, func() logrus.Fields {
+		return logrus.Fields{"Run": a.Run, "Reason": a.Reason}
+	})
+}
+
+func (n *Node) runItem(ctx context.Context, start jujubebatch.StartRun) {
+	began := time.Now()
+	kind, err := n.engines.Run(ctx, start, runSink{n, start.Run})
+	n.metrics.runs.UpdateDuration(began)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if _, ok := n.cancels[start.Run]; ok {
+		delete(n.cancels, start.Run)
+		n.log.Write(jujubeevent.ItemEnded, func() logrus.Fields {
+			return logrus.Fields{
+				"Submission": start.Submission, "Item": start.Item, "Run": start.Run, "Endpoint": start.Engine, "Outcome": kind,
+				"Error": errorText(err), "Took": now.Sub(began).String(),
+			}
+		})
+	}
+	n.metrics.countRun(kind)
+	n.batches.Ended(now, start.Run, kind)
+	n.wakeUp()
+}
+
+// runSink hands a run's events to the core.
+type runSink struct {
+	node *Node
+	run  jujubebatch.RunID
+}
+
+// Accepted takes the version with which the engine began.
+func (s runSink) Accepted(version model.WeightVersion) bool {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	return s.node.batches.Accepted(time.Now(), s.run, version)
+}
+
+// Event takes an event.
+func (s runSink) Event(number int, data string, version model.WeightVersion) bool {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	return s.node.batches.Event(time.Now(), s.run, number, data, version)
+}
--- /dev/null
+++ b/entry/services/jujubenode/servers.go
@@ -0,0 +1,73 @@
+package jujubenode
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubefleet"
+)
+
+// Server is an endpoint's own entry in the platform's store.
+type Server struct {
+	ID          model.EndpointID
+	Incarnation model.Incarnation
+	Service     model.ServiceName
+	Address     string
+	DataCentre  model.DataCentre
+	Slots       int
+	Leaving     bool
+	// Versions are set for model engines only.
+	Versions map[model.ModelName]model.WeightVersion
+}
+
+// PutServer takes an endpoint's entry. It is called from a feed, under the node's lock.
+func (n *Node) PutServer(now time.Time, s Server) {
+	n.servers.Put(s.ID)
+	n.router.PutEndpoint(now, model.Endpoint{
+		ID: s.ID, Kind: model.KindService, DataCentre: s.DataCentre, Address: s.Address, Incarnation: s.Incarnation,
+		Service: s.Service, Leaving: s.Leaving,
+	})
+	known, seen := n.batches.EngineState(s.ID)
+	if !seen || known.Leaving != s.Leaving || known.Incarnation != s.Incarnation {
+		n.router.ReportLoad(now, model.LoadReport{Endpoint: s.ID, Incarnation: s.Incarnation, At: now, Slots: s.Slots})
+		n.log.Write(jujubeevent.EndpointSeen, func() logrus.Fields {
+			return logrus.Fields{
+				"Endpoint": s.ID, "Service": s.Service, "Address": s.Address, "Incarnation": s.Incarnation, "Leaving": s.Leaving,
+			}
+		})
+	}
+	n.batches.PutEngine(now, jujubebatch.Engine{
+		ID: s.ID, Incarnation: s.Incarnation, Service: s.Service, Address: s.Address, Slots: s.Slots, Leaving: s.Leaving,
+		Versions: maps.Clone(s.Versions),
+	})
+	if len(s.Versions) == 0 {
+		return
+	}
+	engine := jujubefleet.Engine{
+		ID: s.ID, Incarnation: s.Incarnation, Address: s.Address, Leaving: s.Leaving, Versions: maps.Clone(s.Versions),
+	}
+	for name := range s.Versions {
+		engine.Models = append(engine.Models, name)
+	}
+	slices.Sort(engine.Models)
+	n.fleet.PutEngine(engine)
+}
+
+// RemoveServer says that an endpoint's entry is gone. It is called from a feed, under the node's lock.
+func (n *Node) RemoveServer(now time.Time, id model.EndpointID) { n.servers.Remove(now, id) }
+
+// KeepServers removes the endpoints that a whole list doesn't name. It is called from a feed, under the node's lock.
+func (n *Node) KeepServers(now time.Time, ids map[model.EndpointID]bool) { n.servers.Keep(now, ids) }
+
+func (n *Node) dropServer(now time.Time, id model.EndpointID) {
+	n.router.RemoveEndpoint(now, id)
+	n.batches.RemoveEngine(id)
+	n.fleet.RemoveEngine(id)
+	n.log.Write(jujubeevent.EndpointGone, func() logrus.Fields { return logrus.Fields{"Endpoint": id} })
+}
--- /dev/null
+++ b/entry/services/jujubenode/submit.go
@@ -0,0 +1,195 @@
+package jujubenode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubedesired"
+	"jujubepier.example/core/services/jujuberegistry"
+)
+
+const (
+	// retrySoon is when a caller should come back after a refusal that another instance, or this one in a moment, need not
+	// repeat.
+	retrySoon = 300 * time.Millisecond
+	// maxPageBytes bounds the results of one answer, as the platform asks; the rest is for the frame around them.
+	maxPageBytes = 900 << 10
+)
+
+// refuse returns a refusal of something that surely has no effect.
+func refuse(code, message string) error {
+	return jujubeerror.ErrRefused{Code: code, Ran: model.RanNo, RetryAfter: retrySoon, Message: message}
+}
+
+// unsure returns the error of something that may have taken effect.
+func unsure(message string) error {
+	return jujubeerror.ErrRefused{Code: jujubeerror.CodeStoreFailed, Ran: model.RanUnknown, Message: message}
+}
+
+// Submit accepts a submission once it is on the log. The same submission may come again, at any instance.
+func (n *Node) Submit(ctx context.Context, route *jujubedesired.Route, submission *jujubebatch.Submission) error {
+	n.mu.Lock()
+	ready, state := n.ready, n.state
+	known, _ := n.batches.Known(submission.ID)
+	submission.Instances = submission.Instances[:0]
+	for _, beat := range n.live {
+		if beat.State == jujuberegistry.Ready {
+			submission.Instances = append(submission.Instances, beat.Instance)
+		}
+	}
+	away := !n.partitionOf(submission.ID).follower.failing.IsZero()
+	n.mu.Unlock()
+	var err error
+	switch {
+	case known:
+	case !ready || state == jujuberegistry.Leaving && n.leavesSoon():
+		err = refuse(jujubeerror.CodeStoreFailed, "the instance is starting or leaving")
+	case away:
+		err = refuse(jujubeerror.CodeStoreFailed, "the log doesn't answer")
+	default:
+		submission.Accepted = time.Now().UnixMilli()
+		err = n.appendFor(ctx, submission.ID, jujubebatch.Entry{Submission: submission})
+	}
+	n.logSubmit(route, submission, known, err)
+	return err
+}
+
+func (n *Node) logSubmit(route *jujubedesired.Route, s *jujubebatch.Submission, known bool, err error) {
+	event := jujubeevent.SubmissionAccepted
+	if err != nil {
+		event = jujubeevent.SubmissionRefused
+	}
+	n.log.Write(event, func() logrus.Fields {
+		return logrus.Fields{
+			"Submission": s.ID, "Route": route.Name, "Items": len(s.Items), "Known": known, "Error": errorText(err),
+			"Instances": len(s.Instances),
+		}
+	})
+}
+
+// appendFor appends an entry and tells a refusal that surely had no effect from a failure that may have had one.
+func (n *Node) appendFor(ctx context.Context, id jujubebatch.SubmissionID, entry jujubebatch.Entry) error {
+	err := n.partitionOf(id).append(ctx, entry)
+	var failed ErrStore
+	var large ErrTooLarge
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &failed) && !failed.Done:
+		return refuse(jujubeerror.CodeStoreFailed, err.Error())
+	case errors.As(err, &large):
+		return refuse(jujubeerror.CodeTooLarge, err.Error())
+	}
+	return unsure(err.Error())
+}
+
+// Read returns results from a position on. Without any it waits for one, up to a time.
+func (n *Node) Read(ctx context.Context, id jujubebatch.SubmissionID, after int, wait time.Duration) (jujubebatch.Page, error) {
+	if err := n.find(ctx, id); err != nil {
+		return jujubebatch.Page{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		n.mu.Lock()
+		page, ok := n.batches.Read(id, after, maxPageBytes)
+		fresh := n.partitionOf(id).follower.isFresh(time.Now())
+		changed := n.changed
+		n.mu.Unlock()
+		switch {
+		case !ok:
+			return page, ErrUnknownSubmission{ID: id}
+		case len(page.Results) > 0 || wait <= 0 && fresh:
+			return page, nil
+		case !fresh && wait <= 0:
+			return page, refuse(jujubeerror.CodeStoreFailed, "the log hasn't been read lately")
+		case page.Ended || after >= page.Total:
+			return page, nil
+		}
+		select {
+		case <-ctx.Done():
+			return page, nil
+		case <-timer.C:
+			wait = 0
+		case <-changed:
+		}
+	}
+}
+
+// ErrUnknownSubmission says that no submission has the id, as of the log's present end.
+type ErrUnknownSubmission struct {
+	ID jujubebatch.SubmissionID
+}
+
+// Error gives the id.
+func (e ErrUnknownSubmission) Error() string { return "no submission " + string(e.ID) }
+
+// find makes sure that a submission is known, or surely isn't.
+func (n *Node) find(ctx context.Context, id jujubebatch.SubmissionID) error {
+	n.mu.Lock()
+	known, _ := n.batches.Known(id)
+	f := n.partitionOf(id).follower
+	read := !f.caughtUp.IsZero()
+	n.mu.Unlock()
+	if known {
+		return nil
+	}
+	if !read {
+		return refuse(jujubeerror.CodeStoreFailed, "the log hasn't been read yet")
+	}
+	if err := f.sync(ctx); err != nil {
+		return refuse(jujubeerror.CodeStoreFailed, err.Error())
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if known, _ = n.batches.Known(id); !known {
+		if time.Since(f.caughtUp) > freshness {
+			return refuse(jujubeerror.CodeStoreFailed, "the log is read behind its end")
+		}
+		return ErrUnknownSubmission{ID: id}
+	}
+	return nil
+}
+
+// Body returns an item's body.
+func (n *Node) Body(ctx context.Context, id jujubebatch.SubmissionID, item jujubebatch.ItemID) ([]byte, error) {
+	if err := n.find(ctx, id); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	body, ok := n.batches.Body(id, item)
+	if !ok {
+		return nil, ErrUnknownSubmission{ID: id}
+	}
+	return body, nil
+}
+
+// End ends a submission; doing so again has no effect.
+func (n *Node) End(ctx context.Context, id jujubebatch.SubmissionID) error {
+	if err := n.find(ctx, id); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	_, ended := n.batches.Known(id)
+	n.mu.Unlock()
+	if ended {
+		return nil
+	}
+	err := n.appendFor(ctx, id, jujubebatch.Entry{End: &jujubebatch.End{Submission: id}})
+	if err == nil {
+		// The own runs stop now instead of after the record has been read.
+		n.mu.Lock()
+		n.batches.Apply(time.Now(), &jujubebatch.Entry{End: &jujubebatch.End{Submission: id}})
+		n.wakeUp()
+		n.mu.Unlock()
+	}
+	return err
+}
