jujubefleet, jujubebatch: keep loads going, start nothing behind the log

Cause: an engine whose new version became known from a run stayed busy for the leader, and two such engines ended all loads. Ruled out: a lost order (the engines had taken all of them). Change: a settled order ends busy; no start while records are unread; loads are told on the log; each model has 1.6 times its part of the engines.

--- /dev/null
+++ b/core/services/jujubebatch/batch_test.go
@@ -0,0 +1,186 @@
+package jujubebatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubedesired"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// world is one instance's scheduler with engines of one model.
+type world struct {
+	t   *testing.T
+	now time.Time
+	*jujubebatch.Batches
+}
+
+func newWorld(t *testing.T, engines int) *world {
+	w := &world{t: t, now: start, Batches: jujubebatch.New("a", jujubebatch.DefaultSettings())}
+	w.SetLive([]model.InstanceID{"a"})
+	w.SetDesired(&jujubedesired.State{
+		Version: 1,
+		Routes: []jujubedesired.Route{{
+			Host: "h", PathPrefix: "/p/", Kind: jujubedesired.Rollout, MaxAttempts: 3, Retention: 40 * time.Second,
+			Targets: []jujubedesired.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	for i := range engines {
+		w.putEngine(i, 1, 1)
+	}
+	return w
+}
+
+func (w *world) putEngine(i int, incarnation model.Incarnation, version model.WeightVersion) {
+	w.PutEngine(w.now, jujubebatch.Engine{
+		ID: model.EndpointID(fmt.Sprintf("e%d", i)), Incarnation: incarnation, Service: "s", Slots: 12,
+		Versions: map[model.ModelName]model.WeightVersion{"m": version},
+	})
+}
+
+func submission(id string, items int, instances ...model.InstanceID) *jujubebatch.Submission {
+	s := &jujubebatch.Submission{ID: jujubebatch.SubmissionID(id), Host: "h", Path: "/p/x", Model: "m", MinVersion: 1, Instances: instances}
+	for i := range items {
+		s.Items = append(s.Items, jujubebatch.Item{ID: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, i)), Path: "/p/i", Body: []byte{1}})
+	}
+	return s
+}
+
+func (w *world) accept(s *jujubebatch.Submission) bool {
+	return w.Apply(w.now, &jujubebatch.Entry{Submission: s})
+}
+
+// tick returns the actions of one kind.
+func tick[A jujubebatch.Action](w *world) []A {
+	var found []A
+	for _, action := range w.Tick(w.now) {
+		if one, ok := action.(A); ok {
+			found = append(found, one)
+		}
+	}
+	return found
+}
+
+// TestNoStartBehindLog guards against items that run after their submission's end: an instance that starts again reads
+// the submission before the end that follows it. Load pattern: all instances lose power while submissions end.
+func TestNoStartBehindLog(t *testing.T) {
+	w := newWorld(t, 2)
+	w.SetBehind(true)
+	w.accept(submission("s1", 4, "a"))
+	assert.Equal(t, len(tick[jujubebatch.StartRun](w)), 0)
+	w.Apply(w.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s1"}})
+	w.SetBehind(false)
+	assert.Equal(t, len(tick[jujubebatch.StartRun](w)), 0)
+	w.accept(submission("s2", 4, "a"))
+	assert.Equal(t, len(tick[jujubebatch.StartRun](w)), 4)
+}
+
+// TestSubmissionTwice accepts the same submission at two instances at once: the first record counts.
+func TestSubmissionTwice(t *testing.T) {
+	w := newWorld(t, 2)
+	assert.Assert(t, w.accept(submission("s", 2, "a")))
+	assert.Assert(t, !w.accept(submission("s", 2, "b")))
+	assert.Equal(t, len(tick[jujubebatch.StartRun](w)), 2)
+}
+
+// TestFirstResultCounts lists each item once, whatever late and repeated records follow, in the order of the log.
+func TestFirstResultCounts(t *testing.T) {
+	w := newWorld(t, 1)
+	w.accept(submission("s", 2, "a"))
+	result := func(item, text string) *jujubebatch.Entry {
+		return &jujubebatch.Entry{Result: &jujubebatch.Result{Submission: "s", Item: jujubebatch.ItemID(item), State: jujubebatch.Completed, Text: text}}
+	}
+	assert.Assert(t, w.Apply(w.now, result("s-1", "first")))
+	assert.Assert(t, !w.Apply(w.now, result("s-1", "second")))
+	assert.Assert(t, !w.Apply(w.now, result("foreign", "x")))
+	assert.Assert(t, w.Apply(w.now, result("s-0", "third")))
+	page, ok := w.Read("s", 0, 1000)
+	assert.Assert(t, ok)
+	assert.Equal(t, page.Total, 2)
+	assert.Equal(t, len(page.Results), 2)
+	assert.Equal(t, page.Results[0].Text, "first")
+	assert.Equal(t, page.Results[1].Text, "third")
+}
+
+// TestResumeAfterBreak goes on after the last event when a connection breaks, and lists one text.
+func TestResumeAfterBreak(t *testing.T) {
+	w := newWorld(t, 2)
+	w.accept(submission("s", 1, "a"))
+	first := tick[jujubebatch.StartRun](w)[0]
+	assert.Assert(t, w.Accepted(w.now, first.Run, 1))
+	assert.Assert(t, w.Event(w.now, first.Run, 1, "one", 1))
+	assert.Assert(t, w.Event(w.now, first.Run, 2, "two", 1))
+	w.Ended(w.now, first.Run, jujubebatch.RunBroken)
+	w.now = w.now.Add(time.Second)
+	second := tick[jujubebatch.StartRun](w)[0]
+	assert.Equal(t, second.After, 2)
+	assert.Assert(t, !w.Event(w.now, first.Run, 3, "late", 1), "the first run is over")
+	assert.Assert(t, !w.Event(w.now, second.Run, 2, "again", 1), "an event that is known breaks the run off")
+	assert.Assert(t, w.Event(w.now, second.Run, 3, "three", 2))
+	w.Ended(w.now, second.Run, jujubebatch.RunComplete)
+	appended := tick[jujubebatch.AppendEntry](w)
+	assert.Equal(t, len(appended), 1)
+	assert.Equal(t, appended[0].Entry.Result.Text, "one\ntwo\nthree")
+	assert.DeepEqual(t, appended[0].Entry.Result.Versions, []model.WeightVersion{1, 2})
+}
+
+// TestItemsOfLostInstance moves a lost instance's items, and no others, to the next one, with what was written of them.
+func TestItemsOfLostInstance(t *testing.T) {
+	w := newWorld(t, 4)
+	w.SetLive([]model.InstanceID{"a", "b"})
+	w.accept(submission("s", 6, "a", "b"))
+	assert.Equal(t, len(tick[jujubebatch.StartRun](w)), 3)
+	progress := &jujubebatch.Progress{Submission: "s", Item: "s-1", Events: []string{"x", "y"}, Versions: []model.WeightVersion{1}}
+	w.Apply(w.now, &jujubebatch.Entry{Progress: progress})
+	w.SetLive([]model.InstanceID{"a"})
+	taken := tick[jujubebatch.StartRun](w)
+	assert.Equal(t, len(taken), 3)
+	for _, run := range taken {
+		want := 0
+		if run.Item == "s-1" {
+			want = 2
+		}
+		assert.Equal(t, run.After, want, "%s", run.Item)
+	}
+}
+
+// TestErrored lists an item as errored only for a rejection, for as many failures as the route has attempts, or once it
+// may be given up.
+func TestErrored(t *testing.T) {
+	w := newWorld(t, 3)
+	w.accept(submission("s", 1, "a"))
+	for range 2 {
+		run := tick[jujubebatch.StartRun](w)[0]
+		w.Ended(w.now, run.Run, jujubebatch.RunFailed)
+		w.now = w.now.Add(time.Second)
+	}
+	run := tick[jujubebatch.StartRun](w)[0]
+	assert.Equal(t, len(tick[jujubebatch.AppendEntry](w)), 0)
+	w.Ended(w.now, run.Run, jujubebatch.RunFailed)
+	appended := tick[jujubebatch.AppendEntry](w)
+	assert.Equal(t, len(appended), 1)
+	assert.Equal(t, appended[0].Entry.Result.State, jujubebatch.Errored)
+	assert.Equal(t, len(tick[jujubebatch.StartRun](w)), 0)
+}
+
+// TestCodec cuts a large entry into records and joins them again; records without their beginning are passed over.
+func TestCodec(t *testing.T) {
+	entry := jujubebatch.Entry{Submission: submission("s", 50, "a")}
+	records, err := jujubebatch.EncodeEntry(entry, 512)
+	assert.NilError(t, err)
+	assert.Assert(t, len(records) > 2)
+	var decoder jujubebatch.Decoder
+	for i, record := range records {
+		got, err := decoder.Add(record)
+		assert.NilError(t, err)
+		assert.Equal(t, got != nil, i == len(records)-1)
+	}
+	_, err = decoder.Add(records[len(records)-1])
+	assert.ErrorType(t, err, jujubebatch.ErrRecord{})
+}
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -99,6 +99,9 @@
 	actions  []Action
 	lastRun  RunID
 	draining bool
+	// behind is true while records are known to be unread. No run starts meanwhile: the next record may be the end of its
+	// submission or the item's result.
+	behind bool
 }
 
 // New returns a scheduler without submissions or engines.
@@ -121,6 +124,9 @@
 // Drain stops new runs; running ones go on.
 func (b *Batches) Drain() { b.draining = true }
 
+// SetBehind says whether records of the submissions' topic are known to be unread.
+func (b *Batches) SetBehind(behind bool) { b.behind = behind }
+
 // Runs returns how many runs are in flight.
 func (b *Batches) Runs() int { return b.runs.Len() }
 
@@ -144,7 +150,7 @@
 	b.forget(now)
 	typical := b.typicalPace(now)
 	b.checkRuns(now, typical)
-	if !b.draining {
+	if !b.draining && !b.behind {
 		for _, one := range b.sortOpen() {
 			b.startItems(now, one, typical)
 		}
--- a/core/services/jujubefleet/fleet.go
+++ b/core/services/jujubefleet/fleet.go
@@ -2,8 +2,9 @@
 // only a few engines may load at the same time.
 //
 // Loads are scarce: with 11 engines, two loads at once and 0.9 s for each, nine fit between two versions that are 4 s
-// apart, for all models together. So each engine keeps one model up to date, and of the engines whose turn it is the one
-// goes first that has fallen furthest behind.
+// apart, for all models together. A step takes engines with its version or the one before, so an engine that loads each
+// second version serves all the time. Each model therefore has about twice the engines that can load a version, an engine
+// may belong to several models, and those go first whose weights no step takes any more.
 package jujubefleet
 
 import (
@@ -52,6 +53,9 @@
 
 // Settings are the constants of the rollout.
 type Settings struct {
+	// Spread is how many engines a model has, as a multiple of its equal part of all engines. The platform's loads suffice
+	// for about 0.8 of that part each version, and each load lasts for two versions.
+	Spread float64
 	// LoadShare is the share of the engines that load at once. More at once make each load longer.
 	LoadShare float64
 	// LoadTime is how long an engine is expected to load; its state is read after that.
@@ -65,14 +69,14 @@
 // DefaultSettings returns the constants for engines that load in about 0.9 s, a fifth of them at once.
 func DefaultSettings() Settings {
 	return Settings{
-		LoadShare: 0.2, LoadTime: 950 * time.Millisecond, OrderTimeout: 4 * time.Second, RetryPause: 400 * time.Millisecond,
+		Spread: 1.6, LoadShare: 0.2, LoadTime: 950 * time.Millisecond, OrderTimeout: 4 * time.Second, RetryPause: 400 * time.Millisecond,
 	}
 }
 
 type engine struct {
 	Engine
-	// model is the one that this engine keeps up to date.
-	model model.ModelName
+	// models are those that this engine keeps up to date, sorted.
+	models []model.ModelName
 	// read is true once the engine's own report is known; without it the number of orders isn't.
 	read bool
 	// Accepted is the number of orders that the engine has taken since its start, as far as is known.
@@ -91,15 +95,22 @@
 type Fleet struct {
 	settings Settings
 	engines  *jujubetable.Table[model.EndpointID, *engine]
-	targets  *jujubetable.Table[model.ModelName, model.WeightVersion]
+	targets  *jujubetable.Table[model.ModelName, *target]
 	single   bool
 }
 
+// target is the newest version of a model.
+type target struct {
+	version model.WeightVersion
+	// loads counts the orders for it.
+	loads int
+}
+
 // New returns a fleet without engines or targets.
 func New(settings Settings) *Fleet {
 	return &Fleet{
 		settings: settings, engines: jujubetable.New[model.EndpointID, *engine](),
-		targets: jujubetable.New[model.ModelName, model.WeightVersion](),
+		targets: jujubetable.New[model.ModelName, *target](),
 	}
 }
 
@@ -108,11 +119,10 @@
 
 // Announce sets a model's newest version; lower ones have no effect.
 func (f *Fleet) Announce(name model.ModelName, version model.WeightVersion) bool {
-	known, _ := f.targets.Get(name)
-	if version <= known {
+	if known, ok := f.targets.Get(name); ok && version <= known.version {
 		return false
 	}
-	f.targets.Put(name, version)
+	f.targets.Put(name, &target{version: version})
 	return true
 }
 
@@ -162,11 +172,29 @@
 	case report.Accepted > e.order.Expected && now.Sub(e.orderedAt) > f.settings.LoadTime:
 		f.settle(e) // the load has ended, with the version or without
 	case report.Accepted == e.order.Expected && now.Sub(e.orderedAt) > f.settings.LoadTime:
-		f.settle(e) // the order has got lost; should it come later, its number of orders is an old one
+		f.drop(e) // the order has got lost; should it come later, its number of orders is an old one
 	}
 }
 
-func (f *Fleet) settle(e *engine) { e.order, e.readAt = nil, time.Time{} }
+// settle ends an engine's order. That the engine was busy when it was last read doesn't hold any more.
+func (f *Fleet) settle(e *engine) { e.order, e.busy, e.readAt = nil, false, time.Time{} }
+
+// Outstanding returns the order that an engine carries out.
+func (f *Fleet) Outstanding(id model.EndpointID) (Order, bool) {
+	e, ok := f.engines.Get(id)
+	if !ok || e.order == nil {
+		return Order{}, false
+	}
+	return *e.order, true
+}
+
+// drop settles an order that the engine hasn't taken, which doesn't count as a load.
+func (f *Fleet) drop(e *engine) {
+	if t, ok := f.targets.Get(e.order.Model); ok && t.version == e.order.Version {
+		t.loads--
+	}
+	f.settle(e)
+}
 
 // RemoveEngine forgets an engine.
 func (f *Fleet) RemoveEngine(id model.EndpointID) { f.engines.Delete(id) }
@@ -202,7 +230,7 @@
 		e.setVersion(order.Model, order.Version)
 		f.settle(e)
 	case Refused, Fenced:
-		f.settle(e)
+		f.drop(e)
 		e.notBefore, e.readAt = now.Add(f.settings.RetryPause), now
 	case Unknown:
 		e.readAt = now.Add(f.settings.RetryPause)
@@ -249,6 +277,7 @@
 	for _, e := range f.engines.All() {
 		if e.order != nil && now.Sub(e.orderedAt) > f.settings.OrderTimeout {
 			f.settle(e)
+			e.read = false // what became of the order shows in the engine's own report
 		}
 		if e.Leaving {
 			continue
@@ -261,13 +290,14 @@
 	most := max(1, int(math.Round(f.settings.LoadShare*float64(count))))
 	var orders []Order
 	for busy < most {
-		e := f.next(now)
+		e, name := f.next(now, count)
 		if e == nil {
 			break
 		}
-		version, _ := f.targets.Get(e.model)
+		t, _ := f.targets.Get(name)
+		t.loads++
 		order := Order{
-			Engine: e.ID, Address: e.Address, Model: e.model, Version: version, Mode: Retain, Fence: fence, Expected: e.Accepted,
+			Engine: e.ID, Address: e.Address, Model: name, Version: t.version, Mode: Retain, Fence: fence, Expected: e.Accepted,
 		}
 		if f.single {
 			order.Mode = Await
@@ -279,96 +309,125 @@
 	return orders
 }
 
-// next returns the engine that loads next: of the models with the fewest engines that can serve, the engine that is
-// furthest behind.
-func (f *Fleet) next(now time.Time) *engine {
-	serving := map[model.ModelName]int{}
-	for _, e := range f.engines.All() {
-		if target, ok := f.targets.Get(e.model); ok && !e.Leaving && e.Versions[e.model] >= target-1 {
-			serving[e.model]++
-		}
-	}
+// next returns the engine and the model to load next. First come engines that no step of the newest version takes, for
+// the model with the fewest that serve; then engines that will drop out with the next version, as far as the model's
+// part of the loads goes.
+func (f *Fleet) next(now time.Time, count int) (*engine, model.ModelName) {
+	serving := f.countServing()
 	var best *engine
+	var bestModel model.ModelName
 	var bestLag model.WeightVersion
 	for _, e := range f.engines.All() {
-		target, ok := f.targets.Get(e.model)
-		if !ok || !e.read || e.Leaving || e.order != nil || e.busy || now.Before(e.notBefore) || e.Versions[e.model] >= target {
+		if !e.read || e.Leaving || e.order != nil || e.busy || now.Before(e.notBefore) {
 			continue
 		}
-		lag := min(target-e.Versions[e.model], 2)
-		if best == nil || lag > bestLag || lag == bestLag && serving[e.model] < serving[best.model] {
-			best, bestLag = e, lag
+		for _, name := range e.models {
+			t, ok := f.targets.Get(name)
+			if !ok || e.Versions[name] >= t.version {
+				continue
+			}
+			lag := min(t.version-e.Versions[name], 2)
+			if lag == 1 && t.loads >= count/max(1, f.targets.Len()) {
+				continue
+			}
+			if best == nil || lag > bestLag || lag == bestLag && serving[name] < serving[bestModel] {
+				best, bestModel, bestLag = e, name, lag
+			}
 		}
 	}
-	return best
+	return best, bestModel
 }
 
-// assign gives each engine a model: the one that has the fewest engines, of those that the engine holds.
-func (f *Fleet) assign() {
-	counts := map[model.ModelName]int{}
+// countServing counts the engines of each model that a step of the newest version takes, and those that load it.
+func (f *Fleet) countServing() map[model.ModelName]int {
+	serving := map[model.ModelName]int{}
 	for _, e := range f.engines.All() {
-		if e.model != "" && !e.Leaving {
-			counts[e.model]++
+		if e.Leaving {
+			continue
+		}
+		for _, name := range e.models {
+			t, ok := f.targets.Get(name)
+			if ok && (e.Versions[name] >= t.version-1 || e.order != nil && e.order.Model == name) {
+				serving[name]++
+			}
 		}
 	}
+	return serving
+}
+
+// assign gives each model its engines: those that have its newest weights first, as an earlier leader chose them, then
+// those that have the fewest models.
+func (f *Fleet) assign() {
+	counts := map[model.ModelName]int{}
+	var names []model.ModelName
+	engines := 0
 	for _, e := range f.engines.All() {
 		if e.Leaving || len(e.Models) == 0 {
 			continue
 		}
-		if e.model == "" {
-			e.model = f.pick(e, counts)
-			counts[e.model]++
+		engines++
+		for _, name := range e.Models {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+		for _, name := range e.models {
+			counts[name]++
 		}
 	}
-	f.rebalance(counts)
-}
-
-// pick prefers the model that the engine has the newest weights of, as an earlier leader chose it, while that model has
-// no more than its part of the engines.
-func (f *Fleet) pick(e *engine, counts map[model.ModelName]int) model.ModelName {
-	fair := (f.engines.Len() + len(e.Models) - 1) / len(e.Models)
-	names := slices.Clone(e.Models)
-	slices.SortFunc(names, func(a, b model.ModelName) int {
-		aLag, bLag := f.lag(e, a), f.lag(e, b)
-		aFull, bFull := counts[a] >= fair, counts[b] >= fair
-		if aFull != bFull {
-			if bFull {
-				return -1
+	slices.Sort(names)
+	if len(names) == 0 {
+		return
+	}
+	most := min(engines, int(math.Ceil(f.settings.Spread*float64(engines)/float64(len(names)))))
+	for _, name := range names {
+		for counts[name] < most {
+			e := f.pick(name)
+			if e == nil {
+				break
 			}
-			return 1
+			e.models = append(e.models, name)
+			slices.Sort(e.models)
+			counts[name]++
+		}
+		for counts[name] > most {
+			f.release(name)
+			counts[name]--
 		}
-		return cmp.Or(cmp.Compare(aLag, bLag), cmp.Compare(counts[a], counts[b]), cmp.Compare(a, b))
-	})
-	return names[0]
+	}
 }
 
-// lag is how far an engine is behind, zero when nothing was announced yet.
-func (f *Fleet) lag(e *engine, name model.ModelName) model.WeightVersion {
-	target, _ := f.targets.Get(name)
-	return max(0, target-e.Versions[name])
+// pick returns the engine that a model gets next, nil when it has all.
+func (f *Fleet) pick(name model.ModelName) *engine {
+	var best *engine
+	for _, e := range f.engines.All() {
+		if e.Leaving || !slices.Contains(e.Models, name) || slices.Contains(e.models, name) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(f.lag(e, name), f.lag(best, name)), cmp.Compare(len(e.models), len(best.models))) < 0 {
+			best = e
+		}
+	}
+	return best
 }
 
-// rebalance moves one engine from the model with the most engines to the one with the fewest when they differ by two.
-func (f *Fleet) rebalance(counts map[model.ModelName]int) {
+// release takes a model from the engine with the most models.
+func (f *Fleet) release(name model.ModelName) {
 	var most *engine
 	for _, e := range f.engines.All() {
-		if e.Leaving || e.model == "" || e.order != nil {
-			continue
-		}
-		if most == nil || counts[e.model] > counts[most.model] {
+		if slices.Contains(e.models, name) && (most == nil || len(e.models) > len(most.models)) {
 			most = e
 		}
 	}
-	if most == nil {
-		return
-	}
-	target := most.model
-	for _, name := range most.Models {
-		if counts[name] < counts[target] {
-			target = name
-		}
+	if most != nil {
+		most.models = slices.DeleteFunc(most.models, func(one model.ModelName) bool { return one == name })
 	}
-	if counts[most.model]-counts[target] >= 2 {
-		most.model = target
+}
+
+// lag is how far an engine is behind: 0 when it serves the newest version's steps, else 1.
+func (f *Fleet) lag(e *engine, name model.ModelName) int {
+	if t, ok := f.targets.Get(name); ok && e.Versions[name] < t.version-1 {
+		return 1
 	}
+	return 0
 }
--- /dev/null
+++ b/core/services/jujubefleet/fleet_test.go
@@ -0,0 +1,119 @@
+package jujubefleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubefleet"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// newFleet returns a fleet of engines that hold the models at version 1 and have been read.
+func newFleet(engines int, models ...model.ModelName) *jujubefleet.Fleet {
+	f := jujubefleet.New(jujubefleet.DefaultSettings())
+	for i := range engines {
+		id := model.EndpointID(fmt.Sprintf("engine-%02d", i))
+		versions := map[model.ModelName]model.WeightVersion{}
+		for _, name := range models {
+			versions[name] = 1
+		}
+		f.PutEngine(jujubefleet.Engine{ID: id, Incarnation: 1, Models: models, Versions: versions})
+		f.Report(start, jujubefleet.Report{Engine: id, Incarnation: 1, Versions: versions})
+	}
+	return f
+}
+
+// TestBusyEndsWithVersion guards against a rollout that stops: an engine said that it was busy, and its new version then
+// became known from a run instead of from its next report. Load pattern: steps begin while their version is being loaded.
+func TestBusyEndsWithVersion(t *testing.T) {
+	f := newFleet(5, "m")
+	f.Announce("m", 2)
+	orders := f.Plan(start, 7)
+	assert.Equal(t, len(orders), 1)
+	first := orders[0]
+	f.Result(start, first, jujubefleet.Started)
+	now := start.Add(time.Second)
+	f.Report(now, jujubefleet.Report{Engine: first.Engine, Incarnation: 1, Accepted: 1, Busy: true, Versions: map[model.ModelName]model.WeightVersion{"m": 1}})
+	assert.Equal(t, len(f.Plan(now, 7)), 0, "one load at a time with five engines")
+	f.SetVersion(first.Engine, "m", 2)
+	next := f.Plan(now, 7)
+	assert.Equal(t, len(next), 1)
+	assert.Assert(t, next[0].Engine != first.Engine)
+}
+
+// TestServingEnginesBetweenVersions plays versions of three models that come each 4 s, on 11 engines that load in 0.9 s,
+// two at once: the load of the sites. A step takes engines with its version or the one before.
+func TestServingEnginesBetweenVersions(t *testing.T) {
+	models := []model.ModelName{"a", "b", "c"}
+	f := newFleet(11, models...)
+	versions := map[model.EndpointID]map[model.ModelName]model.WeightVersion{}
+	type load struct {
+		order jujubefleet.Order
+		ends  time.Time
+	}
+	var loads []load
+	accepted := map[model.EndpointID]int64{}
+	newest := map[model.ModelName]model.WeightVersion{"a": 1, "b": 1, "c": 1}
+	least := 11
+	for tick := range 600 {
+		now := start.Add(time.Duration(tick) * 50 * time.Millisecond)
+		for i, name := range models {
+			if tick%80 == i*25 {
+				newest[name]++
+				f.Announce(name, newest[name])
+			}
+		}
+		for i := 0; i < len(loads); i++ {
+			if l := loads[i]; !now.Before(l.ends) {
+				loads = append(loads[:i], loads[i+1:]...)
+				i--
+				if versions[l.order.Engine] == nil {
+					versions[l.order.Engine] = map[model.ModelName]model.WeightVersion{}
+				}
+				versions[l.order.Engine][l.order.Model] = l.order.Version
+				f.SetVersion(l.order.Engine, l.order.Model, l.order.Version)
+			}
+		}
+		for _, order := range f.Plan(now, 7) {
+			assert.Equal(t, order.Expected, accepted[order.Engine])
+			accepted[order.Engine]++
+			f.Result(now, order, jujubefleet.Started)
+			loads = append(loads, load{order, now.Add(900 * time.Millisecond)})
+		}
+		assert.Assert(t, len(loads) <= 2, "loads at once")
+		if tick < 200 {
+			continue
+		}
+		for _, name := range models {
+			serving := 0
+			for i := range 11 {
+				if versions[model.EndpointID(fmt.Sprintf("engine-%02d", i))][name] >= newest[name]-1 {
+					serving++
+				}
+			}
+			least = min(least, serving)
+		}
+	}
+	assert.Assert(t, least >= 2, "a model had %d engines for its step", least)
+}
+
+// TestLateOrder makes sure that an order without an answer is given again only under the same count of orders, so that
+// it does no harm when it is carried out late.
+func TestLateOrder(t *testing.T) {
+	f := newFleet(1, "m")
+	f.Announce("m", 2)
+	order := f.Plan(start, 7)[0]
+	f.Result(start, order, jujubefleet.Unknown)
+	assert.Equal(t, len(f.Plan(start, 7)), 0)
+	now := start.Add(time.Second)
+	assert.Equal(t, len(f.Due(now)), 1)
+	f.Report(now, jujubefleet.Report{Engine: order.Engine, Incarnation: 1, Versions: map[model.ModelName]model.WeightVersion{"m": 1}})
+	again := f.Plan(now, 7)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Expected, order.Expected)
+}
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -43,6 +43,8 @@
 	next int64
 	// caughtUp is when the partition was last read up to its end; zero before.
 	caughtUp time.Time
+	// behind is true while records up to the end of the latest read are unread.
+	behind bool
 	// failing is since when reads fail; zero while they succeed.
 	failing time.Time
 }
@@ -119,7 +121,8 @@
 			f.apply(now, offset, record)
 		}
 	}
-	if f.next >= batch.End {
+	f.behind = f.next < batch.End
+	if !f.behind {
 		f.caughtUp = now
 		if f.contact != nil {
 			f.contact(now)
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -25,7 +25,7 @@
 // Topics of the service on the platform's log.
 var (
 	topicInstances   = Topic{Name: "instances", Keyed: true}
-	topicLease       = Topic{Name: "lease"}
+	topicRollout     = Topic{Name: "rollout"}
 	topicSubmissions = Topic{Name: "submissions"}
 )
 
@@ -126,7 +126,7 @@
 	followers  []*follower
 	partitions []*partition
 	instances  *follower
-	leases     *follower
+	rollout    *follower
 }
 
 // New builds a node; feeds are read besides the service's own topics. Run starts it.
@@ -154,7 +154,7 @@
 	n.instances = n.addFollower(topicInstances, 0, n.applyBeat)
 	n.instances.reset = n.resetBeats
 	n.instances.contact = n.registry.Contact
-	n.leases = n.addFollower(topicLease, 0, n.applyLease)
+	n.rollout = n.addFollower(topicRollout, 0, n.applyRollout)
 	for i := range partitions {
 		n.partitions = append(n.partitions, newPartition(n, i))
 	}
@@ -249,6 +249,11 @@
 		n.dropServer(now, id)
 	}
 	n.deliver(n.router.Tick(now))
+	behind := false
+	for _, p := range n.partitions {
+		behind = behind || p.follower.behind || p.follower.caughtUp.IsZero()
+	}
+	n.batches.SetBehind(behind)
 	n.do(n.batches.Tick(now))
 	n.checkReady(now)
 }
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -35,22 +35,67 @@
 	return nil
 }
 
-func (n *Node) applyLease(_ time.Time, offset int64, record Record) {
+// loadRecord tells all instances of a load, so that they know at once where to send a model's items. It shares a topic
+// with the records of the lease.
+type loadRecord struct {
+	Engine  model.EndpointID
+	Model   model.ModelName
+	Version model.WeightVersion
+	// Ended is false when the load has begun and true when the version serves.
+	Ended bool
+}
+
+// rolloutRecord is a record of the topic that isn't the lease's.
+type rolloutRecord struct {
+	Load *loadRecord
+}
+
+func (n *Node) applyRollout(now time.Time, offset int64, record Record) {
 	n.lease.Apply(model.LogRecord{Offset: offset, Body: record.Value})
+	var other rolloutRecord
+	// A record that can't be read is passed over by the lease as well.
+	if err := json.Unmarshal(record.Value, &other); err != nil || other.Load == nil {
+		return
+	}
+	load := other.Load
+	if load.Ended {
+		n.batches.SetVersion(load.Engine, load.Model, load.Version)
+		n.fleet.SetVersion(load.Engine, load.Model, load.Version)
+		return
+	}
+	n.batches.MarkLoading(load.Engine, load.Model, now.Add(loadNotice))
+}
+
+// loadNotice bounds how long a begun load keeps items away when its end isn't told: a load takes 0.9 s.
+const loadNotice = 1500 * time.Millisecond
+
+// tellLoad writes a load for the other instances. Without it they learn of the version from the engine's entry.
+func (n *Node) tellLoad(ctx context.Context, load loadRecord) {
+	value, err := json.Marshal(rolloutRecord{Load: &load})
+	if err == nil {
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		_, err = n.store.Append(call, topicRollout, 0, []Record{{Value: value}}, NoCondition)
+		cancel()
+	}
+	if err != nil {
+		n.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
+			return logrus.Fields{"Topic": topicRollout.Name, "Endpoint": load.Engine, "Error": err.Error()}
+		})
+	}
 }
 
 // keepLease claims or renews the lease. The instances with the lowest names try, so that a claim has few rivals.
 func (n *Node) keepLease(ctx context.Context) {
 	n.mu.Lock()
 	now := time.Now()
-	candidate := n.state == jujuberegistry.Ready && n.rank() < leaseCandidates && n.leases.isFresh(now)
+	candidate := n.state == jujuberegistry.Ready && n.rank() < leaseCandidates && n.rollout.isFresh(now)
 	if n.state == jujuberegistry.Leaving {
 		// The last order was given when leaving began; the lease is free a lease time later.
 		candidate = false
 	}
-	n.lease.SetLogAway(now, !n.leases.failing.IsZero())
-	if n.leases.failing.IsZero() && !n.leases.caughtUp.IsZero() {
-		n.lease.Skip(n.leases.next)
+	n.lease.SetLogAway(now, !n.rollout.failing.IsZero())
+	if n.rollout.failing.IsZero() && !n.rollout.caughtUp.IsZero() {
+		n.lease.Skip(n.rollout.next)
 	}
 	records := n.lease.Tick(now, candidate)
 	state := n.lease.State(now)
@@ -97,7 +142,7 @@
 	n.mu.Unlock()
 	if err == nil {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err = n.store.Append(call, topicLease, 0, []Record{{Value: value}}, position)
+		_, err = n.store.Append(call, topicRollout, 0, []Record{{Value: value}}, position)
 		cancel()
 	}
 	if err == nil {
@@ -137,16 +182,19 @@
 }
 
 func (n *Node) giveOrder(ctx context.Context, order jujubefleet.Order) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	outcome, err := n.engines.Order(ctx, order, string(n.identity.Instance))
+	outcome, err := n.engines.Order(call, order, string(n.identity.Instance))
+	if outcome == jujubefleet.Started {
+		defer n.tellLoad(ctx, loadRecord{Engine: order.Engine, Model: order.Model, Version: order.Version})
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
 	n.fleet.Result(now, order, outcome)
 	switch outcome {
 	case jujubefleet.Started:
-		n.batches.MarkLoading(order.Engine, order.Model, now.Add(jujubefleet.DefaultSettings().LoadTime))
+		n.batches.MarkLoading(order.Engine, order.Model, now.Add(loadNotice))
 	case jujubefleet.Holds:
 		n.batches.SetVersion(order.Engine, order.Model, order.Version)
 	case jujubefleet.Fenced:
@@ -166,20 +214,29 @@
 }
 
 func (n *Node) readEngine(ctx context.Context, engine jujubefleet.Engine) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	state, err := n.engines.ReadState(ctx, engine)
+	state, err := n.engines.ReadState(call, engine)
 	if err != nil {
 		n.log.Write(jujubeevent.EndpointUnhealthy, func() logrus.Fields {
 			return logrus.Fields{"Endpoint": engine.ID, "Error": errors.Cause(err).Error()}
 		})
 		return
 	}
+	if order, ok := n.takeReport(state); ok && state.Versions[order.Model] >= order.Version {
+		n.tellLoad(ctx, loadRecord{Engine: engine.ID, Model: order.Model, Version: order.Version, Ended: true})
+	}
+}
+
+// takeReport applies an engine's state and returns the order that was out until then.
+func (n *Node) takeReport(state jujubefleet.Report) (jujubefleet.Order, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	order, ok := n.fleet.Outstanding(state.Engine)
 	n.fleet.Report(time.Now(), state)
 	for name, version := range state.Versions {
-		n.batches.SetVersion(engine.ID, name, version)
+		n.batches.SetVersion(state.Engine, name, version)
 	}
 	n.wakeUp()
+	return order, ok
 }
