jujubenode: announce orders on the log, so that a new leader orders at once

Cause: after the leader of the rollout was cut off, no engine loaded weights for 4.5 s, as the next leader waited out the lease time for all engines; and a leader gave the lease up when an instance with a lower name came back. Ruled out: a shorter lease time (the platform fixes it for each engine). Change: an order is announced before it is given; a new leader leaves alone only the engines that were announced within the lease time.

--- a/core/services/jujubefleet/fleet.go
+++ b/core/services/jujubefleet/fleet.go
@@ -64,12 +64,15 @@
 	OrderTimeout time.Duration
 	// RetryPause keeps a refusing or silent engine from being asked again at once.
 	RetryPause time.Duration
+	// LeaseTime is how long an engine takes no orders from another instance than the last one.
+	LeaseTime time.Duration
 }
 
 // DefaultSettings returns the constants for engines that load in about 0.9 s, a fifth of them at once.
 func DefaultSettings() Settings {
 	return Settings{
 		Spread: 1.6, LoadShare: 0.2, LoadTime: 950 * time.Millisecond, OrderTimeout: 4 * time.Second, RetryPause: 400 * time.Millisecond,
+		LeaseTime: 3 * time.Second,
 	}
 }
 
@@ -89,11 +92,15 @@
 	// readAt is when the engine's state has to be read; zero when nothing is awaited.
 	readAt    time.Time
 	notBefore time.Time
+	// heldBy and heldAt are the latest order that was announced by any instance.
+	heldBy model.InstanceID
+	heldAt time.Time
 }
 
 // Fleet is owned by one goroutine at a time. Each instance keeps it; only the leader orders.
 type Fleet struct {
 	settings Settings
+	self     model.InstanceID
 	engines  *jujubetable.Table[model.EndpointID, *engine]
 	targets  *jujubetable.Table[model.ModelName, *target]
 	single   bool
@@ -107,9 +114,9 @@
 }
 
 // New returns a fleet without engines or targets.
-func New(settings Settings) *Fleet {
+func New(self model.InstanceID, settings Settings) *Fleet {
 	return &Fleet{
-		settings: settings, engines: jujubetable.New[model.EndpointID, *engine](),
+		settings: settings, self: self, engines: jujubetable.New[model.EndpointID, *engine](),
 		targets: jujubetable.New[model.ModelName, *target](),
 	}
 }
@@ -179,6 +186,19 @@
 // settle ends an engine's order. That the engine was busy when it was last read doesn't hold any more.
 func (f *Fleet) settle(e *engine) { e.order, e.busy, e.readAt = nil, false, time.Time{} }
 
+// NoteHolder takes an instance's announcement that it orders an engine. An instance announces each order before it gives
+// it, so the next one that leads knows which engines it has to leave alone for a while and which it may order at once.
+func (f *Fleet) NoteHolder(now time.Time, id model.EndpointID, holder model.InstanceID) {
+	if e, ok := f.engines.Get(id); ok {
+		e.heldBy, e.heldAt = holder, now
+	}
+}
+
+// isForeign tells whether another instance has ordered an engine within the lease time.
+func (f *Fleet) isForeign(now time.Time, e *engine) bool {
+	return e.heldBy != "" && e.heldBy != f.self && now.Sub(e.heldAt) < f.settings.LeaseTime
+}
+
 // Outstanding returns the order that an engine carries out.
 func (f *Fleet) Outstanding(id model.EndpointID) (Order, bool) {
 	e, ok := f.engines.Get(id)
@@ -318,7 +338,7 @@
 	var bestModel model.ModelName
 	var bestLag model.WeightVersion
 	for _, e := range f.engines.All() {
-		if !e.read || e.Leaving || e.order != nil || e.busy || now.Before(e.notBefore) {
+		if !e.read || e.Leaving || e.order != nil || e.busy || now.Before(e.notBefore) || f.isForeign(now, e) {
 			continue
 		}
 		for _, name := range e.models {
--- a/core/services/jujubefleet/fleet_test.go
+++ b/core/services/jujubefleet/fleet_test.go
@@ -15,7 +15,7 @@
 
 // newFleet returns a fleet of engines that hold the models at version 1 and have been read.
 func newFleet(engines int, models ...model.ModelName) *jujubefleet.Fleet {
-	f := jujubefleet.New(jujubefleet.DefaultSettings())
+	f := jujubefleet.New("self", jujubefleet.DefaultSettings())
 	for i := range engines {
 		id := model.EndpointID(fmt.Sprintf("engine-%02d", i))
 		versions := map[model.ModelName]model.WeightVersion{}
@@ -117,3 +117,25 @@
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Expected, order.Expected)
 }
+
+// TestHandOver lets a new leader order at once, except the engines that the former one has ordered within the lease time.
+// Load pattern: the leader is killed while versions are loaded.
+func TestHandOver(t *testing.T) {
+	f := newFleet(10, "m")
+	f.Announce("m", 3)
+	f.NoteHolder(start, "engine-00", "other")
+	f.NoteHolder(start, "engine-01", "self")
+	ordered := map[model.EndpointID]bool{}
+	now := start.Add(time.Second)
+	for range 10 {
+		for _, order := range f.Plan(now, 8) {
+			ordered[order.Engine] = true
+			f.Result(now, order, jujubefleet.Holds)
+		}
+	}
+	assert.Assert(t, !ordered["engine-00"])
+	assert.Assert(t, ordered["engine-01"])
+	orders := f.Plan(start.Add(3*time.Second), 8)
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Engine, model.EndpointID("engine-00"))
+}
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -47,6 +47,8 @@
 	behind bool
 	// failing is since when reads fail; zero while they succeed.
 	failing time.Time
+	// recovered is when reads succeeded again after a failure.
+	recovered time.Time
 }
 
 // run reads until the context ends.
@@ -178,7 +180,7 @@
 	f.node.log.Write(jujubeevent.StoreAvailable, func() logrus.Fields {
 		return logrus.Fields{"Topic": f.topic.Name, "Partition": f.part, "Next": f.next, "Away": now.Sub(f.failing).String()}
 	})
-	f.failing = time.Time{}
+	f.failing, f.recovered = time.Time{}, now
 }
 
 func sleep(ctx context.Context, pause time.Duration) {
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -132,6 +132,8 @@
 // New builds a node; feeds are read besides the service's own topics. Run starts it.
 func New(options Options, logger *logrus.Logger) *Node {
 	lease := jujubelease.Settings{TTL: leaseTTL, Margin: leaseMargin, AppendTimeout: appendTimeout, Conditional: true}
+	fleetSettings := jujubefleet.DefaultSettings()
+	fleetSettings.LeaseTime = options.Settings.LeaseTime
 	incarnation := model.Incarnation(options.Started.UnixMilli())
 	id := options.Identity.Instance
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
@@ -140,7 +142,7 @@
 		engines: options.Engines, caller: options.Caller, log: jujubeevent.NewLog(logger), tomb: new(tomb.Tomb),
 		wake:     make(chan struct{}, 1),
 		batches:  jujubebatch.New(id, jujubebatch.DefaultSettings()),
-		fleet:    jujubefleet.New(jujubefleet.DefaultSettings()),
+		fleet:    jujubefleet.New(id, fleetSettings),
 		lease:    jujubelease.New("rollout", id, incarnation, lease),
 		registry: jujuberegistry.New(jujuberegistry.DefaultSettings()),
 		servers:  jujuberegistry.NewServers(jujuberegistry.DefaultSettings()),
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -16,9 +16,12 @@
 
 const (
 	// leaseTTL is when an unrenewed lease may be claimed, and leaseMargin how much earlier its holder gives it up. The
-	// holder renews each third of the TTL and stops after 1.5 s without an answer.
-	leaseTTL    = 3200 * time.Millisecond
-	leaseMargin = 1700 * time.Millisecond
+	// holder renews each third of the TTL, three times before it stops at 1.4 s; the rest covers a renewal's way.
+	leaseTTL    = 2 * time.Second
+	leaseMargin = 600 * time.Millisecond
+	// leaseCalm is how long the log has to be readable before a lease that seems unrenewed is claimed: after an outage of
+	// the log its holder needs a moment to renew.
+	leaseCalm = 700 * time.Millisecond
 	// rolloutPeriod is the time between two looks at the rollout; a load takes about a second.
 	rolloutPeriod = 40 * time.Millisecond
 	// orderTimeout bounds an order's call; engines answer at once.
@@ -41,8 +44,10 @@
 	Engine  model.EndpointID
 	Model   model.ModelName
 	Version model.WeightVersion
-	// Ended is false when the load has begun and true when the version serves.
-	Ended bool
+	// Holder announces the order that begins the load; the order is given after the record is on the log.
+	Holder model.InstanceID `json:",omitempty"`
+	// Ended is true when the version serves.
+	Ended bool `json:",omitempty"`
 }
 
 // rolloutRecord is a record of the topic that isn't the lease's.
@@ -63,14 +68,15 @@
 		n.fleet.SetVersion(load.Engine, load.Model, load.Version)
 		return
 	}
+	n.fleet.NoteHolder(now, load.Engine, load.Holder)
 	n.batches.MarkLoading(load.Engine, load.Model, now.Add(loadNotice))
 }
 
 // loadNotice bounds how long a begun load keeps items away when its end isn't told: a load takes 0.9 s.
 const loadNotice = 1500 * time.Millisecond
 
-// tellLoad writes a load for the other instances. Without it they learn of the version from the engine's entry.
-func (n *Node) tellLoad(ctx context.Context, load loadRecord) {
+// tellLoad writes a load for the other instances.
+func (n *Node) tellLoad(ctx context.Context, load loadRecord) error {
 	value, err := json.Marshal(rolloutRecord{Load: &load})
 	if err == nil {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
@@ -82,17 +88,16 @@
 			return logrus.Fields{"Topic": topicRollout.Name, "Endpoint": load.Engine, "Error": err.Error()}
 		})
 	}
+	return err
 }
 
 // keepLease claims or renews the lease. The instances with the lowest names try, so that a claim has few rivals.
 func (n *Node) keepLease(ctx context.Context) {
 	n.mu.Lock()
 	now := time.Now()
-	candidate := n.state == jujuberegistry.Ready && n.rank() < leaseCandidates && n.rollout.isFresh(now)
-	if n.state == jujuberegistry.Leaving {
-		// The last order was given when leaving began; the lease is free a lease time later.
-		candidate = false
-	}
+	// A holder stays one when others come back: each change of hands costs a lease time without orders.
+	candidate := n.state == jujuberegistry.Ready &&
+		(!n.leading.IsZero() || n.rank() < leaseCandidates && n.rollout.isFresh(now) && now.Sub(n.rollout.recovered) > leaseCalm)
 	n.lease.SetLogAway(now, !n.rollout.failing.IsZero())
 	if n.rollout.failing.IsZero() && !n.rollout.caughtUp.IsZero() {
 		n.lease.Skip(n.rollout.next)
@@ -160,8 +165,7 @@
 func (n *Node) order(ctx context.Context) {
 	n.mu.Lock()
 	now := time.Now()
-	// The former holder's last order is a lease time old before the first one of this instance.
-	if n.leading.IsZero() || now.Sub(n.leading) < n.settings.LeaseTime-(leaseTTL-leaseMargin) {
+	if n.leading.IsZero() {
 		n.mu.Unlock()
 		return
 	}
@@ -182,19 +186,12 @@
 }
 
 func (n *Node) giveOrder(ctx context.Context, order jujubefleet.Order) {
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	outcome, err := n.engines.Order(call, order, string(n.identity.Instance))
-	if outcome == jujubefleet.Started {
-		defer n.tellLoad(ctx, loadRecord{Engine: order.Engine, Model: order.Model, Version: order.Version})
-	}
+	outcome, err := n.callOrder(ctx, order)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
 	n.fleet.Result(now, order, outcome)
 	switch outcome {
-	case jujubefleet.Started:
-		n.batches.MarkLoading(order.Engine, order.Model, now.Add(loadNotice))
 	case jujubefleet.Holds:
 		n.batches.SetVersion(order.Engine, order.Model, order.Version)
 	case jujubefleet.Fenced:
@@ -213,6 +210,23 @@
 	n.wakeUp()
 }
 
+// callOrder announces an order and gives it if this instance still leads then.
+func (n *Node) callOrder(ctx context.Context, order jujubefleet.Order) (jujubefleet.Outcome, error) {
+	load := loadRecord{Engine: order.Engine, Model: order.Model, Version: order.Version, Holder: n.identity.Instance}
+	if err := n.tellLoad(ctx, load); err != nil {
+		return jujubefleet.Refused, err
+	}
+	n.mu.Lock()
+	state := n.lease.State(time.Now())
+	n.mu.Unlock()
+	if !state.Held || state.Fence != order.Fence {
+		return jujubefleet.Refused, errors.New("the lease has ended")
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return n.engines.Order(ctx, order, string(n.identity.Instance))
+}
+
 func (n *Node) readEngine(ctx context.Context, engine jujubefleet.Engine) {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -224,7 +238,8 @@
 		return
 	}
 	if order, ok := n.takeReport(state); ok && state.Versions[order.Model] >= order.Version {
-		n.tellLoad(ctx, loadRecord{Engine: engine.ID, Model: order.Model, Version: order.Version, Ended: true})
+		// Without the record the others learn of the version from the engine's entry.
+		_ = n.tellLoad(ctx, loadRecord{Engine: engine.ID, Model: order.Model, Version: order.Version, Ended: true})
 	}
 }
 
