jujubenode: reach the store through another instance

Ruled out: moving its items sooner, as the runs themselves were fine. Change: a failed call goes through another instance over net/rpc, and a probe finds the way back; jujubepeer holds the connections for both programs.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -56,6 +56,7 @@
 	EndpointSeen      Number = 5108
 	EndpointGone      Number = 5109
 	SettingsRead      Number = 5110
+	StorePathChanged  Number = 5111
 
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
@@ -116,6 +117,7 @@
 		{EndpointSeen, "EndpointSeen", info, "An endpoint's entry appeared or changed its state."},
 		{EndpointGone, "EndpointGone", info, "An endpoint's entry is gone and it gets no more work."},
 		{SettingsRead, "SettingsRead", info, "The platform's settings were read, at the start or after a signal."},
+		{StorePathChanged, "StorePathChanged", info, "The store is reached through another instance from now on, or directly again."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed to a successor."},
--- a/entry/routers/jujubepeerapi/peer.go
+++ b/entry/routers/jujubepeerapi/peer.go
@@ -4,14 +4,11 @@
 import (
 	"context"
 	"net"
-	"net/rpc"
-	"sync"
-
-	"github.com/pkg/errors"
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubeconfig"
 	"jujubepier.example/core/services/jujubecore"
+	"jujubepier.example/entry/modules/jujubepeer"
 	"jujubepier.example/entry/services/jujubeentry"
 )
 
@@ -61,35 +58,5 @@
 
 // Serve accepts connections until the context ends, then closes them.
 func Serve(ctx context.Context, listener net.Listener, service *jujubeentry.Service) error {
-	server := rpc.NewServer()
-	if err := server.Register(&Peer{service: service, ctx: ctx}); err != nil {
-		return errors.Wrap(err, "register peer methods")
-	}
-	var connections sync.Map
-	stop := context.AfterFunc(ctx, func() {
-		_ = listener.Close()
-		connections.Range(func(key, _ any) bool {
-			_ = key.(net.Conn).Close()
-			return true
-		})
-	})
-	defer stop()
-	var served sync.WaitGroup
-	defer served.Wait()
-	for {
-		connection, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Wrap(err, "accept peer")
-		}
-		connections.Store(connection, nil)
-		served.Add(1)
-		go func() {
-			defer served.Done()
-			server.ServeConn(connection)
-			connections.Delete(connection)
-		}()
-	}
+	return jujubepeer.Serve(ctx, listener, &Peer{service: service, ctx: ctx})
 }
--- a/entry/services/jujubeentry/leave.go
+++ b/entry/services/jujubeentry/leave.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, controlTimeout)
-		err := s.peers.call(call, member.PeerAddress, "Peer.ImportClaims", args, &Empty{})
+		err := s.peers.Call(call, member.PeerAddress, "Peer.ImportClaims", args, &Empty{})
 		cancel()
 		if err == nil {
 			s.log.Write(jujubeevent.KeysHandedOver, func() logrus.Fields {
--- a/entry/services/jujubeentry/once.go
+++ b/entry/services/jujubeentry/once.go
@@ -14,6 +14,7 @@
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubeclaim"
 	"jujubepier.example/core/services/jujubecore"
+	"jujubepier.example/entry/modules/jujubepeer"
 )
 
 // answerTable wakes the copies of a non-idempotent request that wait for the first one. Guarded by Service.mu.
@@ -213,7 +214,7 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	var reply ForwardReply
-	err := callAlone(ctx, owner.PeerAddress, "Peer.Forward", ForwardArgs{Call: call, Owner: owner.ID, Incarnation: owner.Incarnation}, &reply)
+	err := jujubepeer.CallAlone(ctx, owner.PeerAddress, "Peer.Forward", ForwardArgs{Call: call, Owner: owner.ID, Incarnation: owner.Incarnation}, &reply)
 	if err != nil {
 		s.log.Write(jujubeevent.KeyUnknown, func() logrus.Fields {
 			return logrus.Fields{"Key": call.Key, "Owner": owner.ID, "Error": err.Error()}
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -16,6 +16,7 @@
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubecore"
 	"jujubepier.example/core/services/jujuberouter"
+	"jujubepier.example/entry/modules/jujubepeer"
 )
 
 // Service is one entry instance. Its use cases are called by the routers.
@@ -29,7 +30,7 @@
 	engine *jujubeclient.EngineClient
 	list   *jujubeclient.ListClient
 	logs   *jujubeclient.LogClient
-	peers  *peerPool
+	peers  *jujubepeer.Pool
 
 	// mu serialises the calls of the core and the start of its actions, so that actions begin in the core's order.
 	mu   sync.Mutex
@@ -77,7 +78,7 @@
 		engine:  &jujubeclient.EngineClient{HTTP: client},
 		list:    &jujubeclient.ListClient{HTTP: client, URL: "http://" + settings.ListAddress},
 		logs:    logs,
-		peers:   newPeerPool(),
+		peers:   jujubepeer.NewPool(),
 		waiters: make(map[model.RequestID]chan jujuberouter.Decision),
 		aborts:  make(map[model.RequestID]context.CancelFunc),
 		streams: newStreamTable(), answers: newAnswerTable(), wake: make(chan struct{}),
@@ -87,7 +88,7 @@
 	clean := func() {
 		transport.CloseIdleConnections()
 		closeLogs()
-		s.peers.close()
+		s.peers.Close()
 	}
 	return s, clean, nil
 }
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -15,8 +15,8 @@
 	// readWait is how long a read waits for a record. It bounds the age of what an instance believes, and with 8 reads of
 	// this length at once an instance makes about 20 idle calls a second of the 2,000 that all may make.
 	readWait = 400 * time.Millisecond
-	// readTimeout covers readWait and an answer of a store that is 60 times slower than usual (4 ms).
-	readTimeout = 1100 * time.Millisecond
+	// readTimeout covers a direct try and one through another instance.
+	readTimeout = 2 * (readWait + directTimeout + peerMargin)
 	// readPauseMin and readPauseMax bound the pause after a failed read.
 	readPauseMin = 50 * time.Millisecond
 	readPauseMax = 400 * time.Millisecond
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand"
+	"net"
 	"sync"
 	"time"
 
@@ -92,13 +93,15 @@
 	identity    Identity
 	settings    Settings
 	incarnation model.Incarnation
-	store       Store
-	engines     Engines
-	caller      EndpointCaller
-	log         *jujubeevent.Log
-	metrics     *nodeMetrics
-	tomb        *tomb.Tomb
-	wake        chan struct{}
+	// direct is the store as this instance reaches it, store the way that may lead through another instance.
+	direct  Store
+	store   *relayedStore
+	engines Engines
+	caller  EndpointCaller
+	log     *jujubeevent.Log
+	metrics *nodeMetrics
+	tomb    *tomb.Tomb
+	wake    chan struct{}
 
 	// mu guards all below. Decisions are made under it; no call is made under it.
 	mu       sync.Mutex
@@ -129,7 +132,7 @@
 	rollout    *follower
 }
 
-// New builds a node; feeds are read besides the service's own topics. Run starts it.
+// New builds a node; Follow adds the platform's topics, and Run starts it.
 func New(options Options, logger *logrus.Logger) *Node {
 	lease := jujubelease.Settings{TTL: leaseTTL, Margin: leaseMargin, AppendTimeout: appendTimeout, Conditional: true}
 	fleetSettings := jujubefleet.DefaultSettings()
@@ -138,7 +141,7 @@
 	id := options.Identity.Instance
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
 	n := &Node{
-		identity: options.Identity, settings: options.Settings, incarnation: incarnation, store: options.Store,
+		identity: options.Identity, settings: options.Settings, incarnation: incarnation, direct: options.Store,
 		engines: options.Engines, caller: options.Caller, log: jujubeevent.NewLog(logger), tomb: new(tomb.Tomb),
 		wake:     make(chan struct{}, 1),
 		batches:  jujubebatch.New(id, jujubebatch.DefaultSettings()),
@@ -152,6 +155,7 @@
 		cancels: make(map[jujubebatch.RunID]context.CancelFunc),
 		changed: make(chan struct{}), state: jujuberegistry.Starting,
 	}
+	n.store = newRelayedStore(options.Store, n.log, n.peerAddresses)
 	n.metrics = newNodeMetrics(n)
 	n.instances = n.addFollower(topicInstances, 0, n.applyBeat)
 	n.instances.reset = n.resetBeats
@@ -178,8 +182,8 @@
 	return f
 }
 
-// Run serves until the context ends and the instance has left, or a part of it fails.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves, other instances on the listener, until the context ends and the instance has left, or a part of it fails.
+func (n *Node) Run(ctx context.Context, peers net.Listener) error {
 	n.log.Write(jujubeevent.InstanceStarted, func() logrus.Fields {
 		return logrus.Fields{
 			"Instance": n.identity.Instance, "Incarnation": n.incarnation, "DataCentre": n.identity.DataCentre,
@@ -193,6 +197,8 @@
 	for _, p := range n.partitions {
 		n.tomb.Go(func() error { return p.run(background) })
 	}
+	n.tomb.Go(func() error { return n.servePeers(background, peers) })
+	n.tomb.Go(func() error { return n.store.probe(background) })
 	n.tomb.Go(func() error { return n.schedule(background) })
 	n.tomb.Go(func() error { return n.beat(background) })
 	n.tomb.Go(func() error { return n.rollOut(background) })
--- /dev/null
+++ b/entry/services/jujubenode/relay.go
@@ -0,0 +1,289 @@
+package jujubenode
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubepath"
+	"jujubepier.example/entry/modules/jujubepeer"
+)
+
+const (
+	// directTimeout bounds a direct call apart from its wait. The store answers in 4 ms, and in 250 ms when it is slow.
+	directTimeout = 600 * time.Millisecond
+	// peerMargin is the time of a call's way to another instance and back.
+	peerMargin = 100 * time.Millisecond
+	// probePoll is how often the path is asked whether a probe is due.
+	probePoll = 100 * time.Millisecond
+)
+
+// relayedStore reaches the store directly, or through another instance while this one can't.
+type relayedStore struct {
+	direct Store
+	pool   *jujubepeer.Pool
+	log    *jujubeevent.Log
+	// peers returns the addresses of the other instances that are alive.
+	peers func() map[model.InstanceID]string
+
+	mu   sync.Mutex
+	path *jujubepath.Path
+}
+
+func newRelayedStore(direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string) *relayedStore {
+	return &relayedStore{
+		direct: direct, pool: jujubepeer.NewPool(), log: log, peers: peers, path: jujubepath.New(jujubepath.DefaultSettings()),
+	}
+}
+
+// Append adds records. One without a condition that got no answer directly is sent again through another instance: what
+// instances append without a condition has no effect the second time.
+func (s *relayedStore) Append(ctx context.Context, topic Topic, part int, records []Record, position int64) (int64, error) {
+	args := RelayArgs{Topic: topic, Part: part, Records: records, Position: position}
+	reply, err := s.call(ctx, "Relay.Append", args, directTimeout, position == NoCondition, func(ctx context.Context) (RelayReply, error) {
+		offset, err := s.direct.Append(ctx, topic, part, records, position)
+		return RelayReply{Offset: offset}, err
+	})
+	return reply.Offset, err
+}
+
+// Read returns records from an offset on.
+func (s *relayedStore) Read(ctx context.Context, topic Topic, part int, from int64, wait time.Duration) (LogBatch, error) {
+	args := RelayArgs{Topic: topic, Part: part, Position: from, Wait: wait}
+	reply, err := s.call(ctx, "Relay.Read", args, wait+directTimeout, true, func(ctx context.Context) (RelayReply, error) {
+		batch, err := s.direct.Read(ctx, topic, part, from, wait)
+		return RelayReply{Records: batch.Records, Offset: batch.End}, err
+	})
+	return LogBatch{Records: reply.Records, End: reply.Offset}, err
+}
+
+// Newest returns the newest record of each key.
+func (s *relayedStore) Newest(ctx context.Context, topic Topic) (LogSnapshot, error) {
+	reply, err := s.call(ctx, "Relay.Newest", RelayArgs{Topic: topic}, directTimeout, true, func(ctx context.Context) (RelayReply, error) {
+		snapshot, err := s.direct.Newest(ctx, topic)
+		return RelayReply{Records: snapshot.Records, Offset: snapshot.End}, err
+	})
+	return LogSnapshot{Records: reply.Records, End: reply.Offset}, err
+}
+
+// call makes a call on the present way. A direct failure of a call that may be repeated is followed by one try through
+// another instance.
+func (s *relayedStore) call(ctx context.Context, method string, args RelayArgs, timeout time.Duration, repeat bool,
+	direct func(context.Context) (RelayReply, error),
+) (RelayReply, error) {
+	s.mu.Lock()
+	isDirect := s.path.Direct()
+	s.mu.Unlock()
+	var first error
+	if isDirect {
+		call, cancel := context.WithTimeout(ctx, timeout)
+		reply, err := direct(call)
+		cancel()
+		if ctx.Err() != nil && err != nil {
+			return reply, err
+		}
+		s.note(err, method)
+		var failed ErrStore
+		if !errors.As(err, &failed) || !repeat && failed.Done {
+			return reply, err
+		}
+		first = err
+	}
+	reply, asked, err := s.callPeer(ctx, method, args, timeout)
+	var failed ErrStore
+	if first != nil && (!asked || errors.As(err, &failed)) {
+		// The first error stands: what was sent directly may still take effect.
+		return reply, first
+	}
+	if !asked {
+		// Nobody can be asked. A direct try is as good as a probe, and its answer is the true one.
+		call, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		reply, err = direct(call)
+		s.note(err, method)
+	}
+	return reply, err
+}
+
+// note takes the outcome of a direct call.
+func (s *relayedStore) note(err error, method string) {
+	var failed ErrStore
+	ok := !errors.As(err, &failed)
+	s.mu.Lock()
+	changed := s.path.NoteDirect(time.Now(), ok)
+	s.mu.Unlock()
+	if changed {
+		s.log.Write(jujubeevent.StorePathChanged, func() logrus.Fields {
+			return logrus.Fields{"Direct": ok, "Call": method, "Error": errorText(err)}
+		})
+	}
+}
+
+func (s *relayedStore) callPeer(ctx context.Context, method string, args RelayArgs, timeout time.Duration) (RelayReply, bool, error) {
+	addresses := s.peers()
+	live := make([]model.InstanceID, 0, len(addresses))
+	for id := range addresses {
+		live = append(live, id)
+	}
+	slices.Sort(live)
+	s.mu.Lock()
+	id, ok := s.path.Choose(time.Now(), live)
+	s.mu.Unlock()
+	if !ok {
+		return RelayReply{}, false, nil
+	}
+	args.Timeout = timeout
+	call, cancel := context.WithTimeout(ctx, timeout+peerMargin)
+	defer cancel()
+	var reply RelayReply
+	err := s.pool.Call(call, addresses[id], method, args, &reply)
+	if err == nil {
+		err = reply.failure()
+	} else {
+		err = ErrStore{Call: method, Done: true, Reason: err.Error()}
+	}
+	var failed ErrStore
+	s.mu.Lock()
+	s.path.NotePeer(time.Now(), id, !errors.As(err, &failed))
+	s.mu.Unlock()
+	return reply, true, err
+}
+
+// probe tries the store directly from time to time while other instances are used.
+func (s *relayedStore) probe(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		due := s.path.ProbeDue(time.Now())
+		s.mu.Unlock()
+		if due {
+			call, cancel := context.WithTimeout(ctx, directTimeout)
+			_, err := s.direct.Newest(call, topicInstances)
+			cancel()
+			if ctx.Err() == nil {
+				s.note(err, "probe")
+			}
+		}
+		sleep(ctx, probePoll)
+	}
+	return nil
+}
+
+// RelayArgs are the arguments of a relayed call.
+type RelayArgs struct {
+	Topic   Topic
+	Part    int
+	Records []Record
+	// Position is the condition of an append or the offset of a read.
+	Position int64
+	Wait     time.Duration
+	Timeout  time.Duration
+}
+
+// RelayReply is the store's answer to a relayed call.
+type RelayReply struct {
+	Records []Record
+	// Offset is the first offset of an append, and the end otherwise.
+	Offset int64
+	// At most one of the errors is set.
+	Failed    *ErrStore
+	Condition *ErrCondition
+	Trimmed   *ErrTrimmed
+}
+
+func (r RelayReply) failure() error {
+	switch {
+	case r.Failed != nil:
+		return *r.Failed
+	case r.Condition != nil:
+		return *r.Condition
+	case r.Trimmed != nil:
+		return *r.Trimmed
+	}
+	return nil
+}
+
+// set keeps an error in a form that another process can read.
+func (r *RelayReply) set(err error) {
+	var failed ErrStore
+	var condition ErrCondition
+	var trimmed ErrTrimmed
+	switch {
+	case err == nil:
+	case errors.As(err, &condition):
+		r.Condition = &condition
+	case errors.As(err, &trimmed):
+		r.Trimmed = &trimmed
+	case errors.As(err, &failed):
+		r.Failed = &failed
+	default:
+		r.Failed = &ErrStore{Call: "relay", Done: true, Reason: err.Error()}
+	}
+}
+
+// Relay serves other instances that can't reach the store. It makes each call directly and never passes it on further.
+type Relay struct {
+	store Store
+	ctx   context.Context
+}
+
+// Append adds records for another instance.
+func (r *Relay) Append(args RelayArgs, reply *RelayReply) error {
+	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
+	defer cancel()
+	offset, err := r.store.Append(ctx, args.Topic, args.Part, args.Records, args.Position)
+	reply.Offset = offset
+	reply.set(err)
+	return nil
+}
+
+// Read returns records to another instance.
+func (r *Relay) Read(args RelayArgs, reply *RelayReply) error {
+	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
+	defer cancel()
+	batch, err := r.store.Read(ctx, args.Topic, args.Part, args.Position, args.Wait)
+	reply.Records, reply.Offset = batch.Records, batch.End
+	reply.set(err)
+	return nil
+}
+
+// Newest returns the newest records to another instance.
+func (r *Relay) Newest(args RelayArgs, reply *RelayReply) error {
+	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
+	defer cancel()
+	snapshot, err := r.store.Newest(ctx, args.Topic)
+	reply.Records, reply.Offset = snapshot.Records, snapshot.End
+	reply.set(err)
+	return nil
+}
+
+// servePeers relays for other instances until the context ends.
+func (n *Node) servePeers(ctx context.Context, listener net.Listener) error {
+	return jujubepeer.Serve(ctx, listener, &Relay{store: n.direct, ctx: ctx})
+}
+
+// peerAddresses returns where the other live instances serve their peers. Before any is known, the seeds stand in.
+func (n *Node) peerAddresses() map[model.InstanceID]string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	addresses := make(map[model.InstanceID]string)
+	for _, beat := range n.live {
+		if beat.Instance != n.identity.Instance && beat.PeerAddress != "" {
+			addresses[beat.Instance] = beat.PeerAddress
+		}
+	}
+	if len(addresses) == 0 {
+		for _, seed := range n.settings.Seeds {
+			if seed != n.identity.PeerAddress {
+				addresses[model.InstanceID(seed)] = seed
+			}
+		}
+	}
+	return addresses
+}
