jujubenode: tests of the batch plane on a store in memory; rows of the pages

Ruled out: stand-in programs for these, as each failure has to come at a set moment. Change: two instances share a store that loses answers and turns one away. Before: no test.

--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -315,3 +315,13 @@
 		})
 	}
 }
+
+// Kill ends the node at once, as the loss of its process does.
+func (n *Node) Kill() { n.tomb.Kill(nil) }
+
+// Runs returns how many items this instance runs now.
+func (n *Node) Runs() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.batches.Runs()
+}
--- /dev/null
+++ b/entry/services/jujubenode/world_test.go
@@ -0,0 +1,280 @@
+package jujubenode_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubedesired"
+	"jujubepier.example/core/services/jujubefleet"
+	"jujubepier.example/entry/services/jujubenode"
+)
+
+// memoryStore is a log in memory that loses answers and turns instances away on demand.
+type memoryStore struct {
+	mu      sync.Mutex
+	logs    map[string][]jujubenode.Record
+	changed chan struct{}
+	// loseAnswers is how many further appends of submissions are done without an answer.
+	loseAnswers int
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{logs: map[string][]jujubenode.Record{}, changed: make(chan struct{})}
+}
+
+func name(topic jujubenode.Topic, part int) string { return fmt.Sprintf("%s/%d", topic.Name, part) }
+
+func (s *memoryStore) Append(_ context.Context, topic jujubenode.Topic, part int, records []jujubenode.Record, position int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	log := s.logs[name(topic, part)]
+	if position != jujubenode.NoCondition && position != int64(len(log)) {
+		return 0, jujubenode.ErrCondition{End: int64(len(log))}
+	}
+	s.logs[name(topic, part)] = append(log, records...)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if topic.Name == "submissions" && s.loseAnswers > 0 {
+		s.loseAnswers--
+		return 0, jujubenode.ErrStore{Call: "append", Done: true, Reason: "the answer was lost"}
+	}
+	return int64(len(log)), nil
+}
+
+func (s *memoryStore) Read(ctx context.Context, topic jujubenode.Topic, part int, from int64, wait time.Duration) (jujubenode.LogBatch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		log, changed := s.logs[name(topic, part)], s.changed
+		s.mu.Unlock()
+		if int64(len(log)) > from {
+			return jujubenode.LogBatch{Records: log[from:], End: int64(len(log))}, nil
+		}
+		select {
+		case <-changed:
+			continue
+		case <-ctx.Done():
+			return jujubenode.LogBatch{}, jujubenode.ErrStore{Call: "read", Reason: ctx.Err().Error()}
+		case <-timer.C:
+			return jujubenode.LogBatch{End: int64(len(log))}, nil
+		}
+	}
+}
+
+func (s *memoryStore) Newest(_ context.Context, topic jujubenode.Topic) (jujubenode.LogSnapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	log := s.logs[name(topic, 0)]
+	snapshot := jujubenode.LogSnapshot{End: int64(len(log))}
+	newest := map[string]int{}
+	for i, record := range log {
+		newest[record.Key] = i
+	}
+	for i, record := range log {
+		if newest[record.Key] == i && len(record.Value) > 0 {
+			snapshot.Records = append(snapshot.Records, record)
+		}
+	}
+	return snapshot, nil
+}
+
+// gate turns one instance away while it is shut.
+type gate struct {
+	jujubenode.Store
+	mu   sync.Mutex
+	shut bool
+}
+
+func (g *gate) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = shut
+}
+
+func (g *gate) err() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut {
+		return jujubenode.ErrStore{Call: "any", Status: 503, Reason: "turned away"}
+	}
+	return nil
+}
+
+func (g *gate) Append(ctx context.Context, topic jujubenode.Topic, part int, records []jujubenode.Record, position int64) (int64, error) {
+	if err := g.err(); err != nil {
+		return 0, err
+	}
+	return g.Store.Append(ctx, topic, part, records, position)
+}
+
+func (g *gate) Read(ctx context.Context, topic jujubenode.Topic, part int, from int64, wait time.Duration) (jujubenode.LogBatch, error) {
+	if err := g.err(); err != nil {
+		return jujubenode.LogBatch{}, err
+	}
+	batch, err := g.Store.Read(ctx, topic, part, from, wait)
+	if shut := g.err(); shut != nil {
+		return jujubenode.LogBatch{}, shut
+	}
+	return batch, err
+}
+
+func (g *gate) Newest(ctx context.Context, topic jujubenode.Topic) (jujubenode.LogSnapshot, error) {
+	if err := g.err(); err != nil {
+		return jujubenode.LogSnapshot{}, err
+	}
+	return g.Store.Newest(ctx, topic)
+}
+
+// engines answer each item with three events. They count the runs of each item.
+type engines struct {
+	mu   sync.Mutex
+	runs map[jujubebatch.ItemID]int
+	// hold keeps runs from ending while it is set.
+	hold chan struct{}
+}
+
+func (e *engines) Run(ctx context.Context, start jujubebatch.StartRun, sink jujubenode.RunSink) (jujubebatch.EndKind, error) {
+	e.mu.Lock()
+	e.runs[start.Item]++
+	hold := e.hold
+	e.mu.Unlock()
+	if hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return jujubebatch.RunBroken, ctx.Err()
+		}
+	}
+	if !sink.Accepted(1) {
+		return jujubebatch.RunRefused, nil
+	}
+	for number := start.After + 1; number <= 3; number++ {
+		if !sink.Event(number, fmt.Sprintf("%s.%d", start.Item, number), 1) {
+			return jujubebatch.RunBroken, nil
+		}
+	}
+	return jujubebatch.RunComplete, nil
+}
+
+func (e *engines) Order(context.Context, jujubefleet.Order, string) (jujubefleet.Outcome, error) {
+	return jujubefleet.Holds, nil
+}
+
+func (e *engines) ReadState(_ context.Context, engine jujubefleet.Engine) (jujubefleet.Report, error) {
+	return jujubefleet.Report{Engine: engine.ID, Incarnation: engine.Incarnation, Versions: engine.Versions}, nil
+}
+
+func (e *engines) count(id jujubebatch.ItemID) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+func (e *engines) Call(context.Context, jujubenode.Call) (jujubenode.Answer, error) {
+	return jujubenode.Answer{}, jujubenode.ErrCall{Ran: model.RanNo, Reason: "no plain endpoints"}
+}
+
+var topicDesired = jujubenode.Topic{Name: "desired", Keyed: true}
+
+// site is a store, engines and the instances that were started.
+type site struct {
+	t       *testing.T
+	store   *memoryStore
+	engines *engines
+}
+
+func newSite(t *testing.T) *site {
+	store := newMemoryStore()
+	_, err := store.Append(t.Context(), topicDesired, 0, []jujubenode.Record{{Key: "desired", Value: []byte("1")}}, jujubenode.NoCondition)
+	assert.NilError(t, err)
+	return &site{t: t, store: store, engines: &engines{runs: map[jujubebatch.ItemID]int{}}}
+}
+
+var route = &jujubedesired.Route{
+	Name: "r", Host: "h", PathPrefix: "/p/", Kind: jujubedesired.Rollout, MaxAttempts: 3, Retention: time.Minute,
+	Targets: []jujubedesired.Target{{Service: "s", Weight: 1}},
+}
+
+// start runs an instance with two engines; the function it returns kills it and waits.
+func (s *site) start(id model.InstanceID) (*jujubenode.Node, *gate, func()) {
+	s.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(s.t, err)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	g := &gate{Store: s.store}
+	node := jujubenode.New(jujubenode.Options{
+		Identity: jujubenode.Identity{Instance: id, CallerAddress: string(id) + ":1", PeerAddress: listener.Addr().String()},
+		Settings: jujubenode.Settings{
+			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
+		},
+		Store: g, Engines: s.engines, Caller: s.engines, Started: time.Now(),
+	}, logger)
+	apply := func(now time.Time, _ jujubenode.Record) {
+		node.SetDesired(now, &jujubedesired.State{Version: 1, Routes: []jujubedesired.Route{*route}})
+		for _, engine := range []model.EndpointID{"e1", "e2"} {
+			node.PutServer(now, jujubenode.Server{
+				ID: engine, Incarnation: 1, Service: "s", Address: "127.0.0.1:1", Slots: 8,
+				Versions: map[model.ModelName]model.WeightVersion{"m": 1},
+			})
+		}
+	}
+	node.Follow(jujubenode.Feed{Topic: topicDesired, Apply: apply, Reset: func(now time.Time, records []jujubenode.Record) {
+		for _, record := range records {
+			apply(now, record)
+		}
+	}})
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(context.Background(), listener) }()
+	wait(s.t, "the instance is ready", node.IsReady)
+	stopped := false
+	stop := func() {
+		if !stopped {
+			stopped = true
+			node.Kill()
+			assert.NilError(s.t, <-ended)
+		}
+	}
+	s.t.Cleanup(stop)
+	return node, g, stop
+}
+
+// wait polls a condition; its bound is far above what any machine needs.
+func wait(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !condition(); {
+		assert.Assert(t, time.Now().Before(end), "%s: not within 20 s", what)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func newSubmission(id string, items int) *jujubebatch.Submission {
+	s := &jujubebatch.Submission{ID: jujubebatch.SubmissionID(id), Host: "h", Path: "/p/" + id, Model: "m", MinVersion: 1}
+	for i := range items {
+		s.Items = append(s.Items, jujubebatch.Item{ID: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, i)), Path: "/p/i", Body: []byte{byte(i)}})
+	}
+	return s
+}
+
+// readAll returns the results once all are listed.
+func readAll(t *testing.T, node *jujubenode.Node, id jujubebatch.SubmissionID) []jujubebatch.Result {
+	t.Helper()
+	var page jujubebatch.Page
+	wait(t, "all results", func() bool {
+		var err error
+		page, err = node.Read(t.Context(), id, 0, 0)
+		return err == nil && page.Total > 0 && len(page.Results) == page.Total
+	})
+	return page.Results
+}
