jujubebatch: plan the items of all instances alike, the longest first

Ruled out: loads told by each instance in its beats, as they are 0.8 s old. Change: each instance plans all items from the log; the plans agree, so the engines fill evenly. Longest expected first. Loads that a version leaves over are saved for the next one.

--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -184,3 +184,60 @@
 	_, err = decoder.Add(records[len(records)-1])
 	assert.ErrorType(t, err, jujubebatch.ErrRecord{})
 }
+
+// TestInstancesFillEnginesEvenly plays the burst of the grown sites: four submissions of 160 items at once, 31 instances,
+// 18 engines of 8 slots. The instances don't speak with each other, and no engine may get more than it can queue.
+func TestInstancesFillEnginesEvenly(t *testing.T) {
+	const instances, engines = 31, 18
+	var names []model.InstanceID
+	for i := range instances {
+		names = append(names, model.InstanceID(fmt.Sprintf("i%02d", i)))
+	}
+	running := map[model.EndpointID]int{}
+	total := 0
+	for _, self := range names {
+		w := newWorld(t, 0)
+		w.Batches = jujubebatch.New(self, jujubebatch.DefaultSettings())
+		w.SetDesired(&jujubedesired.State{Version: 1, Routes: []jujubedesired.Route{{
+			Host: "h", PathPrefix: "/p/", Kind: jujubedesired.Rollout, MaxAttempts: 3, Retention: 40 * time.Second,
+			Targets: []jujubedesired.Target{{Service: "s", Weight: 1}},
+		}}})
+		w.SetLive(names)
+		for i := range engines {
+			w.PutEngine(w.now, jujubebatch.Engine{
+				ID: model.EndpointID(fmt.Sprintf("e%02d", i)), Incarnation: 1, Service: "s", Slots: 8,
+				Versions: map[model.ModelName]model.WeightVersion{"m": 1},
+			})
+		}
+		for i := range 4 {
+			w.accept(submission(fmt.Sprintf("s%d", i), 160, names...))
+		}
+		for _, run := range tick[jujubebatch.StartRun](w) {
+			running[run.Engine]++
+			total++
+		}
+	}
+	assert.Equal(t, total, engines*10, "slots and a quarter are filled")
+	for id, count := range running {
+		assert.Equal(t, count, 10, "%s", id)
+	}
+}
+
+// TestLongestItemsFirst starts the items first that will take longest, when the engines have room for some only. Load
+// pattern: a step comes with a new version, and few engines have its weights.
+func TestLongestItemsFirst(t *testing.T) {
+	w := newWorld(t, 1)
+	s := submission("s", 30, "a")
+	for i := range s.Items {
+		s.Items[i].ExpectedTokens = 100 * (i % 10)
+	}
+	w.accept(s)
+	started := tick[jujubebatch.StartRun](w)
+	assert.Equal(t, len(started), 15)
+	for _, run := range started {
+		var index int
+		_, err := fmt.Sscanf(string(run.Item), "s-%d", &index)
+		assert.NilError(t, err)
+		assert.Assert(t, index%10 >= 5, "%s", run.Item)
+	}
+}
--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -1,6 +1,7 @@
 package jujubebatch
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -18,9 +19,11 @@
 	items   map[ItemID]*item
 	// order holds the items in the submission's order.
 	order []*item
-	ended bool
-	// open counts the items without a result.
-	open int
+	// longest holds the items with the longest expected texts first.
+	longest []*item
+	ended   bool
+	// open counts the items without a result, unplanned those of them without an engine.
+	open, unplanned int
 }
 
 // item is one item of a submission.
@@ -37,6 +40,8 @@
 	written   int
 	writtenAt time.Time
 	run       *run
+	// planned is the engine that the item is meant for or runs on; empty for none.
+	planned   model.EndpointID
 	notBefore time.Time
 	avoid     model.EndpointID
 	// failures counts the engines' own failures of the item, crashes the runs that broke off before their first event.
@@ -81,7 +86,9 @@
 		one.items[row.ID] = row
 		one.order = append(one.order, row)
 	}
-	one.open = len(one.order)
+	one.open, one.unplanned = len(one.order), len(one.order)
+	one.longest = slices.Clone(one.order)
+	slices.SortStableFunc(one.longest, func(x, y *item) int { return cmp.Compare(y.ExpectedTokens, x.ExpectedTokens) })
 	b.submissions.Put(s.ID, one)
 	b.reuse(one)
 	return true
@@ -127,6 +134,8 @@
 	if row.run != nil {
 		b.cancel(row.run, "the item has a result")
 	}
+	b.unplan(row)
+	one.unplanned--
 	if b.parts[row.ID] == row {
 		delete(b.parts, row.ID)
 	}
@@ -164,6 +173,7 @@
 		if row.run != nil {
 			b.cancel(row.run, "the submission has ended")
 		}
+		b.unplan(row)
 	}
 	return true
 }
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -25,6 +25,8 @@
 	Engine
 	// inFlight counts this instance's runs.
 	inFlight int
+	// planned counts the items without a result that are planned for the engine, of all instances.
+	planned int
 	// avoidUntil keeps new runs away after a failure; loading does so for one model.
 	avoidUntil time.Time
 	loading    map[model.ModelName]time.Time
@@ -39,8 +41,8 @@
 	// paceMemory is how long a measured pace is trusted without a new one. A slow engine gets no work, so it has to be
 	// tried again after a while.
 	paceMemory = 4 * time.Second
-	// queueShare is how many requests an engine gets for each slot: engines queue a few more than they run, and a queued
-	// request starts without a round trip.
+	// queueShare is how many items are planned for each slot: engines queue a few more than they run, and a queued request
+	// starts without a round trip.
 	queueShare = 1.25
 )
 
@@ -50,6 +52,7 @@
 	if !ok || e.Incarnation > known.Incarnation {
 		if ok {
 			b.dropRuns(known, "the engine has started again")
+			b.unplanAll(e.ID)
 		}
 		known = &engine{loading: map[model.ModelName]time.Time{}}
 		b.engines.Put(e.ID, known)
@@ -74,7 +77,10 @@
 }
 
 // RemoveEngine forgets an engine; its runs go on elsewhere once they break.
-func (b *Batches) RemoveEngine(id model.EndpointID) { b.engines.Delete(id) }
+func (b *Batches) RemoveEngine(id model.EndpointID) {
+	b.engines.Delete(id)
+	b.unplanAll(id)
+}
 
 // MarkLoading keeps a model's new runs off an engine that loads its weights.
 func (b *Batches) MarkLoading(id model.EndpointID, name model.ModelName, until time.Time) {
@@ -102,12 +108,6 @@
 	}
 }
 
-// limit is how many runs this instance may have on an engine, so that all instances together fill its slots.
-func (b *Batches) limit(e *engine) int {
-	share := queueShare * float64(e.Slots) / float64(max(1, len(b.live)))
-	return max(2, int(share)+1)
-}
-
 // measure takes the time from one event of a run to the next.
 func (e *engine) measure(now time.Time, gap time.Duration) {
 	if e.pace == 0 {
@@ -141,33 +141,21 @@
 	return typical > 0 && e.pace > time.Duration(b.settings.SlowFactor*float64(typical))
 }
 
-// choose returns the engine for an item, or nil when none can take it now. Each instance starts at another engine and
-// goes on from there, so that the instances' equal parts of a submission spread evenly without a word between them.
+// limit is how many items are planned for an engine at once.
+func (e *engine) limit() int { return max(1, int(queueShare*float64(e.Slots))) }
+
+// choose returns the engine with the fewest planned items for its slots that may run an item, nil when all are full. Slow
+// ones are taken only when all are slow.
 func (b *Batches) choose(now time.Time, row *item, service model.ServiceName, single bool, typical time.Duration) *engine {
-	var candidates []*engine
-	slow := true
+	var best *engine
+	bestSlow := false
 	for _, e := range b.engines.All() {
-		if !b.isEligible(now, e, row, service, single) {
+		if e.planned >= e.limit() || !b.isEligible(now, e, row, service, single) {
 			continue
 		}
-		eSlow := b.isSlow(e, typical)
-		if slow && !eSlow {
-			slow, candidates = false, candidates[:0]
-		}
-		if eSlow == slow {
-			candidates = append(candidates, e)
-		}
-	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	instances := max(1, len(row.of.Instances))
-	start := (row.index/instances + row.index%instances) % len(candidates)
-	best := candidates[start]
-	for i := range candidates {
-		e := candidates[(start+i)%len(candidates)]
-		if e.inFlight < best.inFlight {
-			best = e
+		slow := b.isSlow(e, typical)
+		if best == nil || bestSlow && !slow || bestSlow == slow && e.planned*best.Slots < best.planned*e.Slots {
+			best, bestSlow = e, slow
 		}
 	}
 	return best
@@ -176,7 +164,7 @@
 func (b *Batches) isEligible(now time.Time, e *engine, row *item, service model.ServiceName, single bool) bool {
 	name := row.of.Model
 	version := e.Versions[name]
-	if e.Service != service || e.Leaving || version < row.of.MinVersion || e.inFlight >= b.limit(e) {
+	if e.Service != service || e.Leaving || version < row.of.MinVersion {
 		return false
 	}
 	if single && len(row.versions) > 0 && version != row.versions[0] {
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -46,7 +46,9 @@
 	Body    []byte
 	// Tokens is the sum of the prompt and the most that may be generated.
 	Tokens int
-	Group  GroupID
+	// ExpectedTokens is the caller's estimate of what will be generated, often far off; 0 for none.
+	ExpectedTokens int `json:",omitempty"`
+	Group          GroupID
 }
 
 // ResultState tells how an item ended.
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -32,8 +32,10 @@
 	ExpectVersion model.WeightVersion
 	// KnownVersion is the engine's version that the choice was based on.
 	KnownVersion model.WeightVersion
-	InFlight     int
-	Pace         time.Duration
+	// InFlight counts this instance's runs on the engine, Planned the items that all instances are expected to have there.
+	InFlight int
+	Planned  int
+	Pace     time.Duration
 }
 
 // CancelRun closes a run's connection.
@@ -152,7 +154,8 @@
 	b.checkRuns(now, typical)
 	if !b.draining && !b.behind {
 		for _, one := range b.sortOpen() {
-			b.startItems(now, one, typical)
+			b.planItems(now, one, typical)
+			b.startItems(now, one)
 		}
 	}
 	actions := b.actions
@@ -172,26 +175,26 @@
 	return open
 }
 
-func (b *Batches) startItems(now time.Time, one *submission, typical time.Duration) {
+// startItems starts this instance's items on the engines that they are planned for.
+func (b *Batches) startItems(now time.Time, one *submission) {
 	for _, row := range one.order {
 		if row.listed || row.finished || row.run != nil || now.Before(row.notBefore) || !b.isOwn(row) {
 			continue
 		}
 		route, ok := b.desired.Match(one.Host, row.Path)
-		if !ok {
-			if b.desired.Version > 0 {
-				b.finish(row, Errored)
-			}
+		if !ok && b.desired.Version > 0 || ok && b.isOver(now, one, route) {
+			b.finish(row, Errored)
 			continue
 		}
-		if route.Retention > 0 && now.Sub(one.accepted) > route.Retention {
-			b.finish(row, Errored)
+		if !ok || row.planned == "" {
 			continue
 		}
-		service := route.Choose(string(row.ID))
-		if e := b.choose(now, row, service, route.SingleVersion, typical); e != nil {
-			b.start(now, row, e, route)
+		e, ok := b.engines.Get(row.planned)
+		if !ok || !b.isEligible(now, e, row, route.Choose(string(row.ID)), route.SingleVersion) {
+			b.unplan(row)
+			continue
 		}
+		b.start(now, row, e, route)
 	}
 }
 
@@ -206,7 +209,7 @@
 	start := StartRun{
 		Run: r.id, Engine: e.ID, Address: e.Address, Submission: row.of.ID, Item: row.ID, Host: row.of.Host,
 		Path: row.Path, Headers: row.Headers, Body: row.Body, After: len(row.events),
-		KnownVersion: e.Versions[row.of.Model], InFlight: e.inFlight, Pace: e.pace,
+		KnownVersion: e.Versions[row.of.Model], InFlight: e.inFlight, Planned: e.planned, Pace: e.pace,
 	}
 	if route.SingleVersion {
 		start.ExpectVersion = start.KnownVersion
@@ -257,6 +260,7 @@
 	}
 	if r.item.run == r {
 		r.item.run = nil
+		b.unplan(r.item)
 	}
 }
 
--- a/core/services/jujubefleet/fleet.go
+++ b/core/services/jujubefleet/fleet.go
@@ -109,8 +109,8 @@
 // target is the newest version of a model.
 type target struct {
 	version model.WeightVersion
-	// loads counts the orders for it.
-	loads int
+	// versions counts the announced versions, and loads the orders for them.
+	versions, loads int
 }
 
 // New returns a fleet without engines or targets.
@@ -126,10 +126,16 @@
 
 // Announce sets a model's newest version; lower ones have no effect.
 func (f *Fleet) Announce(name model.ModelName, version model.WeightVersion) bool {
-	if known, ok := f.targets.Get(name); ok && version <= known.version {
+	t, ok := f.targets.Get(name)
+	if !ok {
+		t = &target{}
+		f.targets.Put(name, t)
+	}
+	if version <= t.version {
 		return false
 	}
-	f.targets.Put(name, &target{version: version})
+	t.version = version
+	t.versions++
 	return true
 }
 
@@ -210,7 +216,7 @@
 
 // drop settles an order that the engine hasn't taken, which doesn't count as a load.
 func (f *Fleet) drop(e *engine) {
-	if t, ok := f.targets.Get(e.order.Model); ok && t.version == e.order.Version {
+	if t, ok := f.targets.Get(e.order.Model); ok {
 		t.loads--
 	}
 	f.settle(e)
@@ -347,7 +353,7 @@
 				continue
 			}
 			lag := min(t.version-e.Versions[name], 2)
-			if lag == 1 && t.loads >= count/max(1, f.targets.Len()) {
+			if lag == 1 && t.loads*max(1, f.targets.Len()) >= t.versions*count {
 				continue
 			}
 			if best == nil || lag > bestLag || lag == bestLag && serving[name] < serving[bestModel] {
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -268,7 +268,7 @@
 	return jujubepeer.Serve(ctx, listener, &Relay{store: n.direct, ctx: ctx})
 }
 
-// peerAddresses returns where the other live instances serve their peers. Before any is known, the seeds stand in.
+// peerAddresses returns where the other live instances serve their peers.
 func (n *Node) peerAddresses() map[model.InstanceID]string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -278,12 +278,5 @@
 			addresses[beat.Instance] = beat.PeerAddress
 		}
 	}
-	if len(addresses) == 0 {
-		for _, seed := range n.settings.Seeds {
-			if seed != n.identity.PeerAddress {
-				addresses[model.InstanceID(seed)] = seed
-			}
-		}
-	}
 	return addresses
 }
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -43,7 +43,7 @@
 	n.log.Write(jujubeevent.ItemStarted, func() logrus.Fields {
 		return logrus.Fields{
 			"Submission": start.Submission, "Item": start.Item, "Run": start.Run, "Endpoint": start.Engine, "After": start.After,
-			"KnownVersion": start.KnownVersion, "InFlight": start.InFlight, "Pace": start.Pace.String(),
+			"KnownVersion": start.KnownVersion, "InFlight": start.InFlight, "Planned": start.Planned, "Pace": start.Pace.String(),
 		}
 	})
 	n.tomb.Go(func() error {
--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -10,8 +10,6 @@
 	LeaseTime time.Duration `validate:"min=500ms,max=1m" usage:"least time between the orders of two instances to one engine"`
 	// AddressValidity is how long callers may keep an address answer.
 	AddressValidity time.Duration `validate:"min=500ms,max=1m" usage:"how long callers may keep an address answer"`
-	// Seeds are peer addresses to ask for the store before any instance is known.
-	Seeds []string `validate:"dive,hostname_port" usage:"peer addresses to ask while no instance is known"`
 	// MaxRecordBytes and MaxAppendBytes bound what the store takes.
 	MaxRecordBytes int `validate:"min=1024" usage:"largest record of the store's log, in bytes"`
 	MaxAppendBytes int `validate:"min=1024" usage:"largest append to the store's log, in bytes"`
