jujubefleet: three of 11 engines load at once; bound the address answer

Ruled out: a wait for the order's answer (2 loads a second, as configured). An address answer has 64 addresses at most.

--- a/core/services/jujubefleet/fleet.go
+++ b/core/services/jujubefleet/fleet.go
@@ -56,7 +56,8 @@
 	// Spread is how many engines a model has, as a multiple of its equal part of all engines. The platform's loads suffice
 	// for about 0.8 of that part each version, and each load lasts for two versions.
 	Spread float64
-	// LoadShare is the share of the engines that load at once. More at once make each load longer.
+	// LoadShare is the share of the engines that load at once. Beyond a fifth each load takes longer, but all together
+	// take less time; with more than a third the engines that are left are too few.
 	LoadShare float64
 	// LoadTime is how long an engine is expected to load; its state is read after that.
 	LoadTime time.Duration
@@ -68,10 +69,10 @@
 	LeaseTime time.Duration
 }
 
-// DefaultSettings returns the constants for engines that load in about 0.9 s, a fifth of them at once.
+// DefaultSettings returns the constants for engines that load in about 0.9 s, and 3 of 11 at once.
 func DefaultSettings() Settings {
 	return Settings{
-		Spread: 1.6, LoadShare: 0.2, LoadTime: 950 * time.Millisecond, OrderTimeout: 4 * time.Second, RetryPause: 400 * time.Millisecond,
+		Spread: 1.6, LoadShare: 0.28, LoadTime: 950 * time.Millisecond, OrderTimeout: 4 * time.Second, RetryPause: 400 * time.Millisecond,
 		LeaseTime: 3 * time.Second,
 	}
 }
--- a/entry/services/jujubenode/beat.go
+++ b/entry/services/jujubenode/beat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -110,17 +111,31 @@
 	})
 }
 
-// Addresses returns the addresses of the instances that callers should use.
-func (n *Node) Addresses() []string {
+// maxAddresses bounds an address answer, as the platform's clients take no more.
+const maxAddresses = 64
+
+// Addresses returns the addresses of the instances that callers in a data centre should use. Where there are too many for
+// one answer, those of the own data centre go first, and chance picks among the others.
+func (n *Node) Addresses(dataCentre model.DataCentre) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var addresses []string
+	var near, far []string
 	for _, beat := range n.live {
-		if beat.State == jujuberegistry.Ready && beat.CallerAddress != "" {
-			addresses = append(addresses, beat.CallerAddress)
+		if beat.State != jujuberegistry.Ready || beat.CallerAddress == "" {
+			continue
+		}
+		if beat.DataCentre == dataCentre {
+			near = append(near, beat.CallerAddress)
+		} else {
+			far = append(far, beat.CallerAddress)
 		}
 	}
-	return addresses
+	if len(near)+len(far) > maxAddresses {
+		rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+		rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	}
+	addresses := append(near, far...)
+	return addresses[:min(len(addresses), maxAddresses)]
 }
 
 // AddressValidity is how long callers may keep the addresses.
