jujubenode: trim the submissions' log, drop submissions that nobody ends

Ruled out: trimming at each end, as results stay readable after it. Change: the leader drops records older than the oldest submission that is still readable; one without an end goes after 280 s. Before: nothing was trimmed.

--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -241,3 +241,31 @@
 		assert.Assert(t, index%10 >= 5, "%s", run.Item)
 	}
 }
+
+// TestForgetting keeps an ended submission readable for a while and drops one that nobody ends before its records expire.
+func TestForgetting(t *testing.T) {
+	w := newWorld(t, 1)
+	w.accept(submission("ended", 1, "a"))
+	w.Apply(w.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "ended"}})
+	w.now = w.now.Add(10 * time.Second)
+	w.accept(submission("open", 1, "a"))
+	check := func(after time.Duration, ended, open bool) {
+		t.Helper()
+		w.now = start.Add(after)
+		w.Tick(w.now)
+		known, _ := w.Known("ended")
+		assert.Equal(t, known, ended)
+		known, _ = w.Known("open")
+		assert.Equal(t, known, open)
+	}
+	check(120*time.Second, true, true)
+	oldest, ok := w.OldestKept()
+	assert.Assert(t, ok && oldest.Equal(start))
+	check(140*time.Second, false, true)
+	oldest, ok = w.OldestKept()
+	assert.Assert(t, ok && oldest.Equal(start.Add(10*time.Second)))
+	check(300*time.Second, false, false)
+	_, ok = w.OldestKept()
+	assert.Assert(t, !ok)
+	assert.Equal(t, w.Runs(), 0)
+}
--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -90,6 +90,7 @@
 	one.longest = slices.Clone(one.order)
 	slices.SortStableFunc(one.longest, func(x, y *item) int { return cmp.Compare(y.ExpectedTokens, x.ExpectedTokens) })
 	b.submissions.Put(s.ID, one)
+	b.openings = append(b.openings, ending{id: s.ID, at: now})
 	b.reuse(one)
 	return true
 }
@@ -221,22 +222,48 @@
 // joinText returns a result's text.
 func joinText(events []string) string { return strings.Join(events, "\n") }
 
-// forget drops submissions that ended long ago.
+// forget drops submissions that ended long ago or that nobody ends.
 func (b *Batches) forget(now time.Time) {
 	for len(b.endings) > 0 && now.Sub(b.endings[0].at) > b.settings.Keep {
-		if one, ok := b.submissions.Get(b.endings[0].id); ok {
-			for _, row := range one.order {
-				if b.parts[row.ID] == row {
-					delete(b.parts, row.ID)
-				}
-			}
-			b.submissions.Delete(b.endings[0].id)
-		}
+		b.drop(b.endings[0].id)
 		b.endings = b.endings[1:]
 	}
+	for len(b.openings) > 0 {
+		one, ok := b.submissions.Get(b.openings[0].id)
+		if ok && now.Sub(b.openings[0].at) <= b.settings.MaxOpen {
+			return
+		}
+		if ok && !one.ended {
+			b.end(now, one.ID) // its runs stop
+		}
+		b.drop(b.openings[0].id)
+		b.openings = b.openings[1:]
+	}
+}
+
+func (b *Batches) drop(id SubmissionID) {
+	one, ok := b.submissions.Get(id)
+	if !ok {
+		return
+	}
+	for _, row := range one.order {
+		if b.parts[row.ID] == row {
+			delete(b.parts, row.ID)
+		}
+	}
+	b.submissions.Delete(id)
+}
+
+// OldestKept returns when the oldest submission that is still readable was read; ok is false when there is none. Records
+// from before are of no use to anybody.
+func (b *Batches) OldestKept() (at time.Time, ok bool) {
+	if len(b.openings) == 0 {
+		return time.Time{}, false
+	}
+	return b.openings[0].at, true
 }
 
-// ending is a submission that can be dropped after Settings.Keep.
+// ending is a submission and the time from which on its keeping counts.
 type ending struct {
 	id SubmissionID
 	at time.Time
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -115,6 +115,8 @@
 	CheckpointAfter time.Duration
 	// Keep is how long an ended submission stays readable.
 	Keep time.Duration
+	// MaxOpen is when a submission that nobody ends is dropped: the log keeps its records for 300 s at most.
+	MaxOpen time.Duration
 }
 
 // DefaultSettings returns the constants for engines with events of about 50 ms.
@@ -122,6 +124,6 @@
 	return Settings{
 		FirstEventTimeout: 1500 * time.Millisecond, StallTimeout: time.Second, AvoidLoading: 250 * time.Millisecond,
 		AvoidFailed: time.Second, RetryPause: 30 * time.Millisecond, SlowFactor: 2,
-		CheckpointAfter: time.Second, Keep: 130 * time.Second,
+		CheckpointAfter: time.Second, Keep: 130 * time.Second, MaxOpen: 280 * time.Second,
 	}
 }
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -96,7 +96,9 @@
 	engines     *jujubetable.Table[model.EndpointID, *engine]
 	runs        *jujubetable.Table[RunID, *run]
 	// parts finds the latest submission's row of an item that isn't listed, for groups that come again.
-	parts    map[ItemID]*item
+	parts map[ItemID]*item
+	// openings are in the order of the submissions' records, endings in that of their ends.
+	openings []ending
 	endings  []ending
 	actions  []Action
 	lastRun  RunID
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -32,6 +32,43 @@
 	follower *follower
 	decoder  jujubebatch.Decoder
 	queue    chan jujubebatch.Entry
+	// marks are offsets with the times at which they were read, trimPeriod apart, the oldest first.
+	marks []mark
+	// trimmed is the offset before which the records were dropped.
+	trimmed int64
+}
+
+// mark is a place in the log.
+type mark struct {
+	at     time.Time
+	offset int64
+}
+
+// trimPeriod is the time between two trims. The store holds 400 MB; a grown site writes 15 MB in this time.
+const trimPeriod = 10 * time.Second
+
+// trim drops the records that are older than the oldest submission that is still readable.
+func (p *partition) trim(ctx context.Context) {
+	n := p.node
+	n.mu.Lock()
+	oldest, any := n.batches.OldestKept()
+	before := p.trimmed
+	for len(p.marks) > 0 && any && p.marks[0].at.Before(oldest) {
+		before, p.marks = p.marks[0].offset, p.marks[1:]
+	}
+	n.mu.Unlock()
+	if before <= p.trimmed {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	if err := n.direct.Trim(call, topicSubmissions, p.number, before); err != nil {
+		n.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
+			return logrus.Fields{"Partition": p.number, "TrimBefore": before, "Error": err.Error()}
+		})
+		return
+	}
+	p.trimmed = before
 }
 
 func newPartition(n *Node, number int) *partition {
@@ -47,6 +84,9 @@
 
 func (p *partition) apply(now time.Time, offset int64, record Record) {
 	n := p.node
+	if len(p.marks) == 0 || now.Sub(p.marks[len(p.marks)-1].at) >= trimPeriod {
+		p.marks = append(p.marks, mark{now, offset})
+	}
 	entry, err := p.decoder.Add(record.Value)
 	if err != nil {
 		n.log.Write(jujubeevent.RecordUnusable, func() logrus.Fields {
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -30,9 +30,16 @@
 
 // rollOut keeps the lease and, while this instance holds it, orders weights.
 func (n *Node) rollOut(ctx context.Context) error {
+	trimmed := time.Now()
 	for ctx.Err() == nil {
 		n.keepLease(ctx)
 		n.order(ctx)
+		if n.isLeading() && time.Since(trimmed) > trimPeriod {
+			trimmed = time.Now()
+			for _, p := range n.partitions {
+				p.trim(ctx)
+			}
+		}
 		sleep(ctx, rolloutPeriod)
 	}
 	return nil
@@ -122,6 +129,12 @@
 // leaseCandidates is how many instances claim a free lease: two may be lost at once.
 const leaseCandidates = 3
 
+func (n *Node) isLeading() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.leading.IsZero()
+}
+
 func (n *Node) rank() int {
 	for i, beat := range n.live {
 		if beat.Instance == n.identity.Instance {
--- a/entry/services/jujubenode/store.go
+++ b/entry/services/jujubenode/store.go
@@ -28,6 +28,8 @@
 	Append(ctx context.Context, topic Topic, part int, records []Record, position int64) (offset int64, err error)
 	// Read returns the records from an offset on; without any it waits for the first one.
 	Read(ctx context.Context, topic Topic, part int, from int64, wait time.Duration) (LogBatch, error)
+	// Trim drops the records before an offset.
+	Trim(ctx context.Context, topic Topic, part int, before int64) error
 	// Newest returns the newest record of each key of a keyed topic's first partition.
 	Newest(ctx context.Context, topic Topic) (LogSnapshot, error)
 }
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -72,6 +72,8 @@
 	}
 }
 
+func (s *memoryStore) Trim(context.Context, jujubenode.Topic, int, int64) error { return nil }
+
 func (s *memoryStore) Newest(_ context.Context, topic jujubenode.Topic) (jujubenode.LogSnapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
