jujubenode: keep contents and texts apart from the index of submissions

Ruled out: partitions of which each instance follows some, as all plan the items of all. Change: the records of submissions point at blobs of a second topic; an instance reads the chunk of its own items and the texts that its callers ask for, through a cache of 8 MB.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -26,6 +26,7 @@
 	ItemStopped        Number = 2106
 	ItemEnded          Number = 2107
 	ItemListed         Number = 2108
+	ProgressLost       Number = 2109
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -107,6 +108,7 @@
 		{ItemStopped, "ItemStopped", info, "A run was given up by this instance; Reason says why."},
 		{ItemEnded, "ItemEnded", info, "A run ended by itself; Outcome and Error say how."},
 		{ItemListed, "ItemListed", debug, "An item's result was read from the log and has its position."},
+		{ProgressLost, "ProgressLost", warn, "What an earlier run of an item had brought couldn't be read; the item starts from its beginning."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic began to fail. What was read stays in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance had read them."},
--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -47,7 +47,7 @@
 func submission(id string, items int, instances ...model.InstanceID) *jujubebatch.Submission {
 	s := &jujubebatch.Submission{ID: jujubebatch.SubmissionID(id), Host: "h", Path: "/p/x", Model: "m", MinVersion: 1, Instances: instances}
 	for i := range items {
-		s.Items = append(s.Items, jujubebatch.Item{ID: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, i)), Path: "/p/i", Body: []byte{1}})
+		s.Items = append(s.Items, jujubebatch.Item{ID: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, i)), Path: "/p/i"})
 	}
 	return s
 }
@@ -136,17 +136,20 @@
 	w.SetLive([]model.InstanceID{"a", "b"})
 	w.accept(submission("s", 6, "a", "b"))
 	assert.Equal(t, len(tick[jujubebatch.StartRun](w)), 3)
-	progress := &jujubebatch.Progress{Submission: "s", Item: "s-1", Events: []string{"x", "y"}, Versions: []model.WeightVersion{1}}
+	progress := &jujubebatch.Progress{Submission: "s", Item: "s-1", Count: 2, Versions: []model.WeightVersion{1}}
 	w.Apply(w.now, &jujubebatch.Entry{Progress: progress})
 	w.SetLive([]model.InstanceID{"a"})
 	taken := tick[jujubebatch.StartRun](w)
 	assert.Equal(t, len(taken), 3)
 	for _, run := range taken {
-		want := 0
-		if run.Item == "s-1" {
-			want = 2
+		assert.Equal(t, run.Progress != nil, run.Item == "s-1", "%s", run.Item)
+		if run.Progress == nil {
+			continue
 		}
-		assert.Equal(t, run.After, want, "%s", run.Item)
+		after, ok := w.Restore(run.Run, []string{"x", "y"})
+		assert.Assert(t, ok)
+		assert.Equal(t, after, 2)
+		assert.Assert(t, w.Event(w.now, run.Run, 3, "z", 1))
 	}
 }
 
--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -33,9 +33,11 @@
 	index int
 	// listed is true once the item has a result.
 	listed bool
-	// events and versions are the longest known part of the text.
+	// events and versions are the part of the text that this instance has.
 	events   []string
 	versions []model.WeightVersion
+	// progress is the longest part that the log has, if it is longer than events and its versions fit; nil for none.
+	progress *Progress
 	// written is how many events the log has.
 	written   int
 	writtenAt time.Time
@@ -99,23 +101,22 @@
 func (b *Batches) reuse(one *submission) {
 	for _, row := range one.order {
 		if earlier := b.parts[row.ID]; earlier != nil && earlier.of.Model == one.Model && earlier.of != one {
-			b.adopt(row, earlier.events, earlier.versions)
+			if row.fits(earlier.versions) {
+				row.events, row.versions = slices.Clone(earlier.events), slices.Clone(earlier.versions)
+			}
+			// What the log has of it lies in the other submission's partition and is of use only there.
 		}
 		b.parts[row.ID] = row
 	}
 }
 
-// adopt replaces an item's known text by a longer one.
-func (b *Batches) adopt(row *item, events []string, versions []model.WeightVersion) bool {
-	if row.run != nil || len(events) <= len(row.events) {
-		return false
-	}
+// fits tells whether a text of these versions may be part of an item's result.
+func (row *item) fits(versions []model.WeightVersion) bool {
 	for _, version := range versions {
 		if version < row.of.MinVersion {
 			return false
 		}
 	}
-	row.events, row.versions = slices.Clone(events), slices.Clone(versions)
 	return true
 }
 
@@ -129,7 +130,7 @@
 		return false
 	}
 	row.listed = true
-	row.events, row.versions = nil, nil
+	row.events, row.versions, row.progress = nil, nil, nil
 	one.open--
 	one.results = append(one.results, *result)
 	if row.run != nil {
@@ -153,13 +154,14 @@
 		return false
 	}
 	if row.run != nil {
-		row.written = max(row.written, min(len(progress.Events), len(row.events)))
+		row.written = max(row.written, min(progress.Count, len(row.events)))
 		return false
 	}
-	if !b.adopt(row, progress.Events, progress.Versions) {
+	if progress.Count <= len(row.events) || !row.fits(progress.Versions) ||
+		row.progress != nil && progress.Count <= row.progress.Count {
 		return false
 	}
-	row.written = len(row.events)
+	row.progress = progress
 	return true
 }
 
@@ -194,7 +196,7 @@
 	page := Page{Total: len(one.order), Ended: one.ended}
 	size := 0
 	for i := max(after, 0); i < len(one.results); i++ {
-		size += len(one.results[i].Text) + resultOverhead
+		size += one.results[i].Data.Size*textGrowth + resultOverhead
 		if size > maxBytes && len(page.Results) > 0 {
 			break
 		}
@@ -203,20 +205,24 @@
 	return page, true
 }
 
+// textGrowth is how many times larger a text may be than its compressed form, generously: texts of an engine shrink to a
+// half at most.
+const textGrowth = 3
+
 // resultOverhead covers a result's id, state and versions in an answer, in bytes.
 const resultOverhead = 160
 
-// Body returns the body of an item.
-func (b *Batches) Body(id SubmissionID, name ItemID) ([]byte, bool) {
+// Body returns where the body of an item lies.
+func (b *Batches) Body(id SubmissionID, name ItemID) (Place, bool) {
 	one, ok := b.submissions.Get(id)
 	if !ok {
-		return nil, false
+		return Place{}, false
 	}
 	row, ok := one.items[name]
 	if !ok {
-		return nil, false
+		return Place{}, false
 	}
-	return row.Body, true
+	return row.place()
 }
 
 // joinText returns a result's text.
--- /dev/null
+++ b/core/services/jujubebatch/chunk.go
@@ -0,0 +1,46 @@
+package jujubebatch
+
+// Chunk holds the contents of some of a submission's items.
+type Chunk struct {
+	// Contents are by the items' places in the submission.
+	Contents map[int]Content
+}
+
+// chunkBytes is about how large a chunk gets at most: well below a record, as chunks are read one by one.
+const chunkBytes = 128 << 10
+
+// Split puts a submission's contents into chunks, a multiple of the number of instances that share the items.
+func (s *Submission) Split() []Chunk {
+	size := 0
+	for i := range s.Items {
+		size += len(s.Items[i].Content.Body)
+	}
+	instances := max(1, len(s.Instances))
+	count := instances
+	for size/count > chunkBytes && count < len(s.Items) {
+		count += instances
+	}
+	chunks := make([]Chunk, count)
+	for i := range s.Items {
+		c := &chunks[i%count]
+		if c.Contents == nil {
+			c.Contents = map[int]Content{}
+		}
+		c.Contents[i] = s.Items[i].Content
+	}
+	return chunks
+}
+
+// Place is where an item's content lies.
+type Place struct {
+	Chunk Pointer
+	Index int
+}
+
+// place returns where an item's content lies; ok is false for a submission whose record names no chunks.
+func (row *item) place() (Place, bool) {
+	if len(row.of.Chunks) == 0 {
+		return Place{}, false
+	}
+	return Place{Chunk: row.of.Chunks[row.index%len(row.of.Chunks)], Index: row.index}, true
+}
--- a/core/services/jujubebatch/codec.go
+++ b/core/services/jujubebatch/codec.go
@@ -34,9 +34,14 @@
 
 // EncodeEntry returns the records of an entry, which have to be appended together.
 func EncodeEntry(entry Entry, maxRecord int) ([][]byte, error) {
-	data, err := json.Marshal(entry)
+	return EncodeBlob(entry, maxRecord)
+}
+
+// EncodeBlob returns the records of a value, which have to be appended together.
+func EncodeBlob(value any, maxRecord int) ([][]byte, error) {
+	data, err := json.Marshal(value)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode entry")
+		return nil, errors.Wrap(err, "encode record")
 	}
 	if data, err = pack(data); err != nil {
 		return nil, err
@@ -56,6 +61,36 @@
 	return records, nil
 }
 
+// DecodeBlob reads a value from all of its records.
+func DecodeBlob(records [][]byte, value any) error {
+	var decoder Decoder
+	for i, record := range records {
+		data, err := decoder.join(record)
+		if err != nil {
+			return err
+		}
+		if data == nil {
+			continue
+		}
+		if i != len(records)-1 {
+			return ErrRecord{"more records than one value has"}
+		}
+		return decode(data, value)
+	}
+	return ErrRecord{"its last part is missing"}
+}
+
+func decode(data []byte, value any) error {
+	data, err := unpack(data)
+	if err == nil {
+		err = json.Unmarshal(data, value)
+	}
+	if err != nil {
+		return ErrRecord{err.Error()}
+	}
+	return nil
+}
+
 // Decoder joins the records of one partition to entries.
 type Decoder struct {
 	// partial holds the records of an entry of which the last one hasn't been read; nil for none.
@@ -64,6 +99,19 @@
 
 // Add takes the next record and returns an entry when it is complete.
 func (d *Decoder) Add(record []byte) (*Entry, error) {
+	data, err := d.join(record)
+	if err != nil || data == nil {
+		return nil, err
+	}
+	entry := &Entry{}
+	if err := decode(data, entry); err != nil {
+		return nil, err
+	}
+	return entry, nil
+}
+
+// join takes the next record and returns the whole once its last part is there.
+func (d *Decoder) join(record []byte) ([]byte, error) {
 	if len(record) == 0 {
 		return nil, ErrRecord{"empty"}
 	}
@@ -71,6 +119,7 @@
 	switch kind {
 	case recordWhole:
 		d.partial = nil
+		return data, nil
 	case recordFirst:
 		d.partial = append([]byte{}, data...)
 		return nil, nil
@@ -83,18 +132,9 @@
 			return nil, nil
 		}
 		data, d.partial = d.partial, nil
-	default:
-		return nil, ErrRecord{"unknown kind"}
-	}
-	entry := &Entry{}
-	data, err := unpack(data)
-	if err != nil {
-		return nil, ErrRecord{err.Error()}
-	}
-	if err := json.Unmarshal(data, entry); err != nil {
-		return nil, ErrRecord{err.Error()}
+		return data, nil
 	}
-	return entry, nil
+	return nil, ErrRecord{"unknown kind"}
 }
 
 // pack compresses a large entry. An entry in plain JSON begins with a brace, a compressed one with packed.
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -1,7 +1,8 @@
 // Package jujubebatch keeps submissions of many items, decides which item runs on which engine, and lists the results.
 //
 // All state that outlives an instance is a fold of log records: each submission belongs to one partition, and all
-// instances read the same records in the same order. The first record of a submission, of an item's result and of an end
+// instances read the same records in the same order. Bodies and texts lie in a partition of their own, and the records
+// point at them, so that only who needs one reads it. The first record of a submission, of an item's result and of an end
 // counts and later ones have no effect, so that repeated and late appends are harmless and no partition needs an owner.
 // Who runs an item is only a matter of economy: two runs of one item cost engine time and change nothing that is listed.
 package jujubebatch
@@ -36,16 +37,31 @@
 	Accepted int64
 	// Instances shared the items when the submission was accepted, sorted by name.
 	Instances []model.InstanceID
+	// Chunks are where the items' contents lie: item i in chunk i modulo their number, which is a multiple of the number of
+	// instances, so that each instance needs the chunks of its own items only.
+	Chunks []Pointer
 }
 
-// Item is one request for tokens.
-type Item struct {
-	ID      ItemID
-	Path    string
+// Pointer is where a blob lies in the texts' partition with the number of the submission's own partition.
+type Pointer struct {
+	Offset int64
+	// Count is the number of consecutive records, Size their bytes.
+	Count int
+	Size  int
+}
+
+// Content is what an item sends to an engine, besides its path.
+type Content struct {
 	Headers map[string]string
 	Body    []byte
-	// Tokens is the sum of the prompt and the most that may be generated.
-	Tokens int
+}
+
+// Item is one request for tokens.
+type Item struct {
+	ID   ItemID
+	Path string
+	// Content isn't part of the record; it lies in a chunk.
+	Content Content `json:"-"`
 	// ExpectedTokens is the caller's estimate of what will be generated, often far off; 0 for none.
 	ExpectedTokens int `json:",omitempty"`
 	Group          GroupID
@@ -66,7 +82,9 @@
 	Submission SubmissionID
 	Item       ItemID
 	State      ResultState
-	Text       string
+	// Text isn't part of the record; Data says where it lies. An errored item has none.
+	Text string  `json:"-"`
+	Data Pointer `json:",omitzero"`
 	// Versions generated an event of the text, each named once.
 	Versions []model.WeightVersion
 }
@@ -76,8 +94,11 @@
 type Progress struct {
 	Submission SubmissionID
 	Item       ItemID
-	// Events are the data of the events from the first one on.
-	Events   []string
+	// Events are the data of the events from the first one on, Count their number. They aren't part of the record; Data says
+	// where they lie.
+	Events   []string `json:"-"`
+	Count    int
+	Data     Pointer
 	Versions []model.WeightVersion
 }
 
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -24,8 +24,10 @@
 	Item       ItemID
 	Host       string
 	Path       string
-	Headers    map[string]string
-	Body       []byte
+	// Content is where the rest of the request lies.
+	Content Place
+	// Progress is a part of the text that the log has and this instance hasn't; nil for none. Restore takes it.
+	Progress *Progress
 	// After is the id of the last event that is known, 0 for none.
 	After int
 	// ExpectVersion makes the engine refuse the run unless it has this version; 0 for any.
@@ -69,6 +71,8 @@
 	RunBroken EndKind = "Broken"
 	// RunFailed is the engine's own failure of the request.
 	RunFailed EndKind = "Failed"
+	// RunUnsent means that nothing was sent to the engine.
+	RunUnsent EndKind = "Unsent"
 	// RunRejected means that the request can never be served.
 	RunRejected EndKind = "Rejected"
 )
@@ -210,9 +214,10 @@
 	b.runs.Put(r.id, r)
 	start := StartRun{
 		Run: r.id, Engine: e.ID, Address: e.Address, Submission: row.of.ID, Item: row.ID, Host: row.of.Host,
-		Path: row.Path, Headers: row.Headers, Body: row.Body, After: len(row.events),
+		Path: row.Path, Progress: row.progress, After: len(row.events),
 		KnownVersion: e.Versions[row.of.Model], InFlight: e.inFlight, Planned: e.planned, Pace: e.pace,
 	}
+	start.Content, _ = row.place()
 	if route.SingleVersion {
 		start.ExpectVersion = start.KnownVersion
 	}
@@ -313,7 +318,7 @@
 func (b *Batches) checkpoint(now time.Time, row *item) {
 	row.writtenAt = now
 	progress := &Progress{
-		Submission: row.of.ID, Item: row.ID, Events: slices.Clone(row.events), Versions: slices.Clone(row.versions),
+		Submission: row.of.ID, Item: row.ID, Events: slices.Clone(row.events), Count: len(row.events), Versions: slices.Clone(row.versions),
 	}
 	b.actions = append(b.actions, AppendEntry{row.of.ID, Entry{Progress: progress}})
 }
@@ -336,6 +341,21 @@
 	}
 }
 
+// Restore gives a run that hasn't begun the part of the text that the log has. It returns the id of the last event that
+// is known then; ok is false when the run is over.
+func (b *Batches) Restore(id RunID, events []string) (after int, ok bool) {
+	r, ok := b.runs.Get(id)
+	if !ok {
+		return 0, false
+	}
+	row := r.item
+	if p := row.progress; p != nil && len(events) == p.Count && len(events) > len(row.events) {
+		row.events, row.versions, row.written = events, slices.Clone(p.Versions), len(events)
+	}
+	row.progress = nil
+	return len(row.events), true
+}
+
 // Accepted says that an engine began a run with a weight version. It returns false when the run has to be given up.
 func (b *Batches) Accepted(_ time.Time, id RunID, version model.WeightVersion) bool {
 	r, ok := b.runs.Get(id)
@@ -404,6 +424,8 @@
 		if route, ok := b.desired.Match(row.of.Host, row.Path); ok && row.failures >= max(1, route.MaxAttempts) {
 			b.finish(row, Errored)
 		}
+	case RunUnsent:
+		row.notBefore = now.Add(unsentPause)
 	case RunRefused:
 		b.MarkLoading(r.engine, row.of.Model, now.Add(b.settings.AvoidLoading))
 	case RunMisdirected:
@@ -422,6 +444,9 @@
 	}
 }
 
+// unsentPause is the pause of an item whose content couldn't be read; the store is away then.
+const unsentPause = 200 * time.Millisecond
+
 const (
 	// patientCrashes is how many runs of an item may break off before their first event until it is started less often:
 	// some requests crash each engine that runs them.
--- /dev/null
+++ b/entry/services/jujubenode/blob.go
@@ -0,0 +1,227 @@
+package jujubenode
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jujubepier.example/core/services/jujubebatch"
+)
+
+const (
+	// cacheBytes bounds the records that an instance keeps in memory. Trainers read results soon after they were listed,
+	// and the largest site lists 1 MB a second.
+	cacheBytes = 8 << 20
+	// fetchTimeout bounds the fetching of one answer's texts or of an item's content, with a second way to the store.
+	fetchTimeout = 1500 * time.Millisecond
+	// fetchSlack is read beyond what is asked for, as the records of others lie between the wanted ones.
+	fetchSlack = 32 << 10
+)
+
+// blobKey names a blob of a texts' partition.
+type blobKey struct {
+	part    int
+	pointer jujubebatch.Pointer
+}
+
+// blobCache keeps the records of the blobs that were written or read last.
+type blobCache struct {
+	mu      sync.Mutex
+	records map[blobKey][][]byte
+	// order holds the keys, the oldest first; bytes is the size of all.
+	order []blobKey
+	bytes int
+}
+
+func newBlobCache() *blobCache { return &blobCache{records: make(map[blobKey][][]byte)} }
+
+func (c *blobCache) get(key blobKey) ([][]byte, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	records, ok := c.records[key]
+	return records, ok
+}
+
+func (c *blobCache) put(key blobKey, records [][]byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.records[key]; ok {
+		return
+	}
+	c.records[key] = records
+	c.order = append(c.order, key)
+	c.bytes += key.pointer.Size
+	for c.bytes > cacheBytes && len(c.order) > 1 {
+		c.bytes -= c.order[0].pointer.Size
+		delete(c.records, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+// blobs are encoded values that wait for their place in the log.
+type blobs struct {
+	records []Record
+	size    int
+	// pointers are relative to the first record until place.
+	pointers []jujubebatch.Pointer
+}
+
+// add encodes a value as the next blob.
+func (b *blobs) add(value any, maxRecord int) error {
+	parts, err := jujubebatch.EncodeBlob(value, maxRecord)
+	if err != nil {
+		return err
+	}
+	pointer := jujubebatch.Pointer{Offset: int64(len(b.records)), Count: len(parts)}
+	for _, part := range parts {
+		pointer.Size += len(part)
+		b.records = append(b.records, Record{Value: part})
+	}
+	b.size += pointer.Size
+	b.pointers = append(b.pointers, pointer)
+	return nil
+}
+
+// writeBlobs appends blobs to the texts' partition and makes their pointers absolute. One append has all of them, or as
+// many as the store takes.
+func (p *partition) writeBlobs(ctx context.Context, b *blobs) error {
+	n := p.node
+	for first := 0; first < len(b.pointers); {
+		last, size := first, 0
+		for last < len(b.pointers) && (last == first || size+b.pointers[last].Size <= n.settings.MaxAppendBytes) {
+			size += b.pointers[last].Size
+			last++
+		}
+		if size > n.settings.MaxAppendBytes {
+			return ErrTooLarge{Size: size, Limit: n.settings.MaxAppendBytes}
+		}
+		from := b.pointers[first].Offset
+		end := b.pointers[last-1].Offset + int64(b.pointers[last-1].Count)
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		offset, err := n.store.Append(call, topicTexts, p.number, b.records[from:end], NoCondition)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for i := first; i < last; i++ {
+			relative := b.pointers[i].Offset
+			b.pointers[i].Offset = offset + relative - from
+			n.cacheBlob(p.number, b.pointers[i], b.records[relative:relative+int64(b.pointers[i].Count)])
+		}
+		first = last
+	}
+	return nil
+}
+
+func (n *Node) cacheBlob(part int, pointer jujubebatch.Pointer, records []Record) {
+	values := make([][]byte, len(records))
+	for i, record := range records {
+		values[i] = record.Value
+	}
+	n.cache.put(blobKey{part, pointer}, values)
+}
+
+// fetchBlobs returns the records of some pointers' blobs, from the cache or the store.
+func (p *partition) fetchBlobs(ctx context.Context, pointers []jujubebatch.Pointer) (map[jujubebatch.Pointer][][]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	pointers = slices.Clone(pointers)
+	slices.SortFunc(pointers, func(a, b jujubebatch.Pointer) int { return cmp.Compare(a.Offset, b.Offset) })
+	found := make(map[jujubebatch.Pointer][][]byte, len(pointers))
+	missing := 0
+	for _, pointer := range pointers {
+		if records, ok := p.node.cache.get(blobKey{p.number, pointer}); ok {
+			found[pointer] = records
+		} else {
+			missing += pointer.Size
+		}
+	}
+	for _, pointer := range pointers {
+		if _, ok := found[pointer]; ok {
+			continue
+		}
+		if err := p.readBlob(ctx, pointer, pointers, missing+fetchSlack, found); err != nil {
+			return nil, err
+		}
+	}
+	return found, nil
+}
+
+// readBlob reads from a blob on until it is whole, and takes what other wanted blobs come with it.
+func (p *partition) readBlob(ctx context.Context, wanted jujubebatch.Pointer, all []jujubebatch.Pointer, bytes int,
+	found map[jujubebatch.Pointer][][]byte,
+) error {
+	var records []Record
+	for len(records) < wanted.Count {
+		batch, err := p.node.store.Read(ctx, topicTexts, p.number, wanted.Offset+int64(len(records)), 0, bytes)
+		if err != nil {
+			return err
+		}
+		if len(batch.Records) == 0 {
+			return errors.Errorf("the text at %d of partition %d isn't there", wanted.Offset, p.number)
+		}
+		records = append(records, batch.Records...)
+	}
+	for _, pointer := range all {
+		from := pointer.Offset - wanted.Offset
+		if from < 0 || from+int64(pointer.Count) > int64(len(records)) {
+			continue
+		}
+		p.node.cacheBlob(p.number, pointer, records[from:from+int64(pointer.Count)])
+		values := make([][]byte, 0, pointer.Count)
+		for _, record := range records[from : from+int64(pointer.Count)] {
+			values = append(values, record.Value)
+		}
+		found[pointer] = values
+	}
+	return nil
+}
+
+// fetch reads one blob into a value.
+func (p *partition) fetch(ctx context.Context, pointer jujubebatch.Pointer, value any) error {
+	found, err := p.fetchBlobs(ctx, []jujubebatch.Pointer{pointer})
+	if err != nil {
+		return err
+	}
+	return jujubebatch.DecodeBlob(found[pointer], value)
+}
+
+// fetchContent reads what an item sends to an engine.
+func (p *partition) fetchContent(ctx context.Context, place jujubebatch.Place) (jujubebatch.Content, error) {
+	var chunk jujubebatch.Chunk
+	if err := p.fetch(ctx, place.Chunk, &chunk); err != nil {
+		return jujubebatch.Content{}, err
+	}
+	content, ok := chunk.Contents[place.Index]
+	if !ok {
+		return content, errors.Errorf("the chunk at %d has no item %d", place.Chunk.Offset, place.Index)
+	}
+	return content, nil
+}
+
+// fetchTexts fills in the texts of results.
+func (p *partition) fetchTexts(ctx context.Context, results []jujubebatch.Result) error {
+	var pointers []jujubebatch.Pointer
+	for i := range results {
+		if results[i].Data.Count > 0 {
+			pointers = append(pointers, results[i].Data)
+		}
+	}
+	found, err := p.fetchBlobs(ctx, pointers)
+	if err != nil {
+		return err
+	}
+	for i := range results {
+		if results[i].Data.Count == 0 {
+			continue
+		}
+		if err := jujubebatch.DecodeBlob(found[results[i].Data], &results[i].Text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -19,6 +19,8 @@
 	// readShare is the part of the store's reads that the instances together use for following the log at most; pauses
 	// between the reads see to it. The rest is for reads on behalf of callers and for starts.
 	readShare = 0.4
+	// maxReadBytes bounds the records of one read, so that a read that shares the store with many others ends in time.
+	maxReadBytes = 256 << 10
 	// readPauseMin and readPauseMax bound the pause after a failed read.
 	readPauseMin = 50 * time.Millisecond
 	readPauseMax = 400 * time.Millisecond
@@ -92,7 +94,7 @@
 	f.node.mu.Lock()
 	from := f.next
 	f.node.mu.Unlock()
-	batch, err := f.node.store.Read(ctx, f.topic, f.part, from, wait)
+	batch, err := f.node.store.Read(ctx, f.topic, f.part, from, wait, maxReadBytes)
 	var trimmed ErrTrimmed
 	if errors.As(err, &trimmed) {
 		if f.topic.Keyed {
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -28,6 +28,8 @@
 	topicInstances   = Topic{Name: "instances", Keyed: true}
 	topicRollout     = Topic{Name: "rollout"}
 	topicSubmissions = Topic{Name: "submissions"}
+	// topicTexts holds what the records of submissions point at: contents of items and texts of results.
+	topicTexts = Topic{Name: "texts"}
 )
 
 const (
@@ -65,7 +67,7 @@
 // Engines are the calls to model engines.
 type Engines interface {
 	// Run streams an item's events into the sink until it ends or the context does.
-	Run(ctx context.Context, start jujubebatch.StartRun, sink RunSink) (jujubebatch.EndKind, error)
+	Run(ctx context.Context, start jujubebatch.StartRun, content jujubebatch.Content, sink RunSink) (jujubebatch.EndKind, error)
 	// Order gives an order on behalf of a holder.
 	Order(ctx context.Context, order jujubefleet.Order, holder string) (jujubefleet.Outcome, error)
 	// ReadState reads what an engine says of itself.
@@ -102,6 +104,7 @@
 	metrics *nodeMetrics
 	tomb    *tomb.Tomb
 	wake    chan struct{}
+	cache   *blobCache
 
 	// mu guards all below. Decisions are made under it; no call is made under it.
 	mu       sync.Mutex
@@ -144,6 +147,7 @@
 		identity: options.Identity, settings: options.Settings, incarnation: incarnation, direct: options.Store,
 		engines: options.Engines, caller: options.Caller, log: jujubeevent.NewLog(logger), tomb: new(tomb.Tomb),
 		wake:     make(chan struct{}, 1),
+		cache:    newBlobCache(),
 		batches:  jujubebatch.New(id, jujubebatch.DefaultSettings()),
 		fleet:    jujubefleet.New(id, fleetSettings),
 		lease:    jujubelease.New("rollout", id, incarnation, lease),
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -39,12 +39,14 @@
 	marks []mark
 	// trimmed is the offset before which the records were dropped.
 	trimmed int64
+	// texts is the highest offset that a submission's record has pointed at.
+	texts int64
 }
 
-// mark is a place in the log.
+// mark is a place in the log, and in the texts that the records before it point at.
 type mark struct {
-	at     time.Time
-	offset int64
+	at            time.Time
+	offset, texts int64
 }
 
 // trimPeriod is the time between two trims. The store holds 400 MB; a grown site writes 15 MB in this time.
@@ -55,9 +57,10 @@
 	n := p.node
 	n.mu.Lock()
 	oldest, any := n.batches.OldestKept()
-	before := p.trimmed
-	for len(p.marks) > 0 && any && p.marks[0].at.Before(oldest) {
-		before, p.marks = p.marks[0].offset, p.marks[1:]
+	before, texts := p.trimmed, int64(0)
+	for len(p.marks) > 1 && any && p.marks[1].at.Before(oldest) {
+		// Contents are written a moment before their record, so the texts go by the mark of a period before.
+		before, texts, p.marks = p.marks[1].offset, p.marks[0].texts, p.marks[1:]
 	}
 	n.mu.Unlock()
 	if before <= p.trimmed {
@@ -65,7 +68,11 @@
 	}
 	call, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
-	if err := n.direct.Trim(call, topicSubmissions, p.number, before); err != nil {
+	err := n.direct.Trim(call, topicSubmissions, p.number, before)
+	if err == nil && texts > 0 {
+		err = n.direct.Trim(call, topicTexts, p.number, texts)
+	}
+	if err != nil {
 		n.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
 			return logrus.Fields{"Partition": p.number, "TrimBefore": before, "Error": err.Error()}
 		})
@@ -88,7 +95,7 @@
 func (p *partition) apply(now time.Time, offset int64, record Record) {
 	n := p.node
 	if len(p.marks) == 0 || now.Sub(p.marks[len(p.marks)-1].at) >= trimPeriod {
-		p.marks = append(p.marks, mark{now, offset})
+		p.marks = append(p.marks, mark{now, offset, p.texts})
 	}
 	entry, err := p.decoder.Add(record.Value)
 	if err != nil {
@@ -100,6 +107,9 @@
 	if entry == nil || !n.batches.Apply(now, entry) {
 		return
 	}
+	if s := entry.Submission; s != nil && len(s.Chunks) > 0 {
+		p.texts = max(p.texts, s.Chunks[0].Offset)
+	}
 	n.logEntry(p.number, offset, entry)
 }
 
@@ -144,8 +154,20 @@
 	return records, size, nil
 }
 
-// append writes one entry and returns when the store has it.
+// append writes one entry and returns when the store has it. What a submission's record points at is written before it.
 func (p *partition) append(ctx context.Context, entry jujubebatch.Entry) error {
+	if s := entry.Submission; s != nil {
+		var contents blobs
+		for _, chunk := range s.Split() {
+			if err := contents.add(chunk, p.node.settings.MaxRecordBytes); err != nil {
+				return err
+			}
+		}
+		if err := p.writeBlobs(ctx, &contents); err != nil {
+			return ErrUnwritten{Cause: err}
+		}
+		s.Chunks = contents.pointers
+	}
 	records, size, err := p.node.encode(entry)
 	if err != nil {
 		return err
@@ -159,6 +181,17 @@
 	return err
 }
 
+// ErrUnwritten is an entry whose contents couldn't be written before it, so that it surely isn't on the log.
+type ErrUnwritten struct {
+	Cause error
+}
+
+// Error gives the cause.
+func (e ErrUnwritten) Error() string { return "contents not written: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e ErrUnwritten) Unwrap() error { return e.Cause }
+
 // ErrTooLarge is an entry that the store doesn't take in one append, which is what makes it whole or absent.
 type ErrTooLarge struct {
 	Size, Limit int
@@ -221,8 +254,38 @@
 	}
 }
 
-// appendAll writes entries in as few appends as the store's limit allows.
+// writeTexts writes the texts that entries point at. Entries that were written before keep their pointers.
+func (p *partition) writeTexts(ctx context.Context, entries []jujubebatch.Entry) error {
+	var texts blobs
+	var pointers []*jujubebatch.Pointer
+	for _, entry := range entries {
+		var err error
+		switch {
+		case entry.Result != nil && entry.Result.State == jujubebatch.Completed && entry.Result.Data.Count == 0:
+			pointers = append(pointers, &entry.Result.Data)
+			err = texts.add(entry.Result.Text, p.node.settings.MaxRecordBytes)
+		case entry.Progress != nil && entry.Progress.Data.Count == 0:
+			pointers = append(pointers, &entry.Progress.Data)
+			err = texts.add(entry.Progress.Events, p.node.settings.MaxRecordBytes)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if err := p.writeBlobs(ctx, &texts); err != nil {
+		return err
+	}
+	for i, pointer := range pointers {
+		*pointer = texts.pointers[i]
+	}
+	return nil
+}
+
+// appendAll writes entries in as few appends as the store's limit allows, after the texts that they point at.
 func (p *partition) appendAll(ctx context.Context, entries []jujubebatch.Entry) error {
+	if err := p.writeTexts(ctx, entries); err != nil {
+		return err
+	}
 	var pending []Record
 	size := 0
 	flush := func() error {
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -58,14 +58,14 @@
 }
 
 // Read returns records from an offset on. A read that doesn't wait for new ones has records to bring and gets more time.
-func (s *relayedStore) Read(ctx context.Context, topic Topic, part int, from int64, wait time.Duration) (LogBatch, error) {
-	args := RelayArgs{Topic: topic, Part: part, Position: from, Wait: wait}
+func (s *relayedStore) Read(ctx context.Context, topic Topic, part int, from int64, wait time.Duration, maxBytes int) (LogBatch, error) {
+	args := RelayArgs{Topic: topic, Part: part, Position: from, Wait: wait, MaxBytes: maxBytes}
 	timeout := wait + directTimeout
 	if wait == 0 {
 		timeout = catchUpTimeout
 	}
 	reply, err := s.call(ctx, "Relay.Read", args, timeout, true, func(ctx context.Context) (RelayReply, error) {
-		batch, err := s.direct.Read(ctx, topic, part, from, wait)
+		batch, err := s.direct.Read(ctx, topic, part, from, wait, maxBytes)
 		return RelayReply{Records: batch.Records, Offset: batch.End}, err
 	})
 	return LogBatch{Records: reply.Records, End: reply.Offset}, err
@@ -190,6 +190,7 @@
 	// Position is the condition of an append or the offset of a read.
 	Position int64
 	Wait     time.Duration
+	MaxBytes int
 	Timeout  time.Duration
 }
 
@@ -254,7 +255,7 @@
 func (r *Relay) Read(args RelayArgs, reply *RelayReply) error {
 	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
 	defer cancel()
-	batch, err := r.store.Read(ctx, args.Topic, args.Part, args.Position, args.Wait)
+	batch, err := r.store.Read(ctx, args.Topic, args.Part, args.Position, args.Wait, args.MaxBytes)
 	reply.Records, reply.Offset = batch.Records, batch.End
 	reply.set(err)
 	return nil
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -65,7 +65,7 @@
 
 func (n *Node) runItem(ctx context.Context, start jujubebatch.StartRun) {
 	began := time.Now()
-	kind, err := n.engines.Run(ctx, start, runSink{n, start.Run})
+	kind, err := n.callRun(ctx, start)
 	n.metrics.runs.UpdateDuration(began)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -84,6 +84,32 @@
 	n.wakeUp()
 }
 
+// callRun brings together what a run needs and calls the engine.
+func (n *Node) callRun(ctx context.Context, start jujubebatch.StartRun) (jujubebatch.EndKind, error) {
+	p := n.partitionOf(start.Submission)
+	content, err := p.fetchContent(ctx, start.Content)
+	if err != nil {
+		// Nothing was sent. The item is tried again after a pause.
+		return jujubebatch.RunUnsent, err
+	}
+	if start.Progress != nil {
+		var events []string
+		if err := p.fetch(ctx, start.Progress.Data, &events); err != nil {
+			n.log.Write(jujubeevent.ProgressLost, func() logrus.Fields {
+				return logrus.Fields{"Submission": start.Submission, "Item": start.Item, "Run": start.Run, "Error": err.Error()}
+			})
+		}
+		n.mu.Lock()
+		after, ok := n.batches.Restore(start.Run, events)
+		n.mu.Unlock()
+		if !ok {
+			return jujubebatch.RunUnsent, context.Canceled
+		}
+		start.After = after
+	}
+	return n.engines.Run(ctx, start, content, runSink{n, start.Run})
+}
+
 // runSink hands a run's events to the core.
 type runSink struct {
 	node *Node
--- a/entry/services/jujubenode/store.go
+++ b/entry/services/jujubenode/store.go
@@ -26,8 +26,8 @@
 type Store interface {
 	// Append adds records, all or none. With a position other than NoCondition it does so only if the partition ends there.
 	Append(ctx context.Context, topic Topic, part int, records []Record, position int64) (offset int64, err error)
-	// Read returns the records from an offset on; without any it waits for the first one.
-	Read(ctx context.Context, topic Topic, part int, from int64, wait time.Duration) (LogBatch, error)
+	// Read returns the records from an offset on, up to a size but one at least; without any it waits for the first one.
+	Read(ctx context.Context, topic Topic, part int, from int64, wait time.Duration, maxBytes int) (LogBatch, error)
 	// Trim drops the records before an offset.
 	Trim(ctx context.Context, topic Topic, part int, before int64) error
 	// Newest returns the newest record of each key of a keyed topic's first partition.
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -79,13 +79,16 @@
 	err := n.partitionOf(id).append(ctx, entry)
 	var failed ErrStore
 	var large ErrTooLarge
+	var unwritten ErrUnwritten
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &failed) && !failed.Done:
-		return refuse(jujubeerror.CodeStoreFailed, err.Error())
 	case errors.As(err, &large):
 		return refuse(jujubeerror.CodeTooLarge, err.Error())
+	case errors.As(err, &unwritten):
+		return refuse(jujubeerror.CodeStoreFailed, err.Error())
+	case errors.As(err, &failed) && !failed.Done:
+		return refuse(jujubeerror.CodeStoreFailed, err.Error())
 	}
 	return unsure(err.Error())
 }
@@ -106,7 +109,12 @@
 		switch {
 		case !ok:
 			return page, ErrUnknownSubmission{ID: id}
-		case len(page.Results) > 0 || wait <= 0 && fresh:
+		case len(page.Results) > 0:
+			if err := n.partitionOf(id).fetchTexts(ctx, page.Results); err != nil {
+				return page, refuse(jujubeerror.CodeStoreFailed, err.Error())
+			}
+			return page, nil
+		case wait <= 0 && fresh:
 			return page, nil
 		case !fresh && wait <= 0:
 			return page, refuse(jujubeerror.CodeStoreFailed, "the log hasn't been read lately")
@@ -164,12 +172,16 @@
 		return nil, err
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	body, ok := n.batches.Body(id, item)
+	place, ok := n.batches.Body(id, item)
+	n.mu.Unlock()
 	if !ok {
 		return nil, ErrUnknownSubmission{ID: id}
 	}
-	return body, nil
+	content, err := n.partitionOf(id).fetchContent(ctx, place)
+	if err != nil {
+		return nil, refuse(jujubeerror.CodeStoreFailed, err.Error())
+	}
+	return content.Body, nil
 }
 
 // End ends a submission; doing so again has no effect.
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -51,7 +51,7 @@
 	return int64(len(log)), nil
 }
 
-func (s *memoryStore) Read(ctx context.Context, topic jujubenode.Topic, part int, from int64, wait time.Duration) (jujubenode.LogBatch, error) {
+func (s *memoryStore) Read(ctx context.Context, topic jujubenode.Topic, part int, from int64, wait time.Duration, _ int) (jujubenode.LogBatch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -120,11 +120,11 @@
 	return g.Store.Append(ctx, topic, part, records, position)
 }
 
-func (g *gate) Read(ctx context.Context, topic jujubenode.Topic, part int, from int64, wait time.Duration) (jujubenode.LogBatch, error) {
+func (g *gate) Read(ctx context.Context, topic jujubenode.Topic, part int, from int64, wait time.Duration, maxBytes int) (jujubenode.LogBatch, error) {
 	if err := g.err(); err != nil {
 		return jujubenode.LogBatch{}, err
 	}
-	batch, err := g.Store.Read(ctx, topic, part, from, wait)
+	batch, err := g.Store.Read(ctx, topic, part, from, wait, maxBytes)
 	if shut := g.err(); shut != nil {
 		return jujubenode.LogBatch{}, shut
 	}
@@ -146,7 +146,7 @@
 	hold chan struct{}
 }
 
-func (e *engines) Run(ctx context.Context, start jujubebatch.StartRun, sink jujubenode.RunSink) (jujubebatch.EndKind, error) {
+func (e *engines) Run(ctx context.Context, start jujubebatch.StartRun, _ jujubebatch.Content, sink jujubenode.RunSink) (jujubebatch.EndKind, error) {
 	e.mu.Lock()
 	e.runs[start.Item]++
 	hold := e.hold
@@ -264,7 +264,7 @@
 func newSubmission(id string, items int) *jujubebatch.Submission {
 	s := &jujubebatch.Submission{ID: jujubebatch.SubmissionID(id), Host: "h", Path: "/p/" + id, Model: "m", MinVersion: 1}
 	for i := range items {
-		s.Items = append(s.Items, jujubebatch.Item{ID: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, i)), Path: "/p/i", Body: []byte{byte(i)}})
+		s.Items = append(s.Items, jujubebatch.Item{ID: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, i)), Path: "/p/i", Content: jujubebatch.Content{Body: []byte{byte(i)}}})
 	}
 	return s
 }
