jujubenode: load weights on while the store is away; hand over what can't be written

Ruled out: a longer lease, which delays the next leader by as much. Change: a holder whose log went away for all, as another instance confirms, goes on with its fence and tells loads to its peers; a leaving instance hands unwritten entries to another one and tells all that it is gone.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -27,6 +27,8 @@
 	ItemEnded          Number = 2107
 	ItemListed         Number = 2108
 	ProgressLost       Number = 2109
+	EntriesHandedOver  Number = 2110
+	EntriesTaken       Number = 2111
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -58,6 +60,7 @@
 	EndpointGone      Number = 5109
 	SettingsRead      Number = 5110
 	StorePathChanged  Number = 5111
+	PeersTold         Number = 5112
 
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
@@ -109,6 +112,8 @@
 		{ItemEnded, "ItemEnded", info, "A run ended by itself; Outcome and Error say how."},
 		{ItemListed, "ItemListed", debug, "An item's result was read from the log and has its position."},
 		{ProgressLost, "ProgressLost", warn, "What an earlier run of an item had brought couldn't be read; the item starts from its beginning."},
+		{EntriesHandedOver, "EntriesHandedOver", info, "Results that this leaving instance couldn't append were given to another one."},
+		{EntriesTaken, "EntriesTaken", info, "Results of an instance that has left were taken over and are appended here."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic began to fail. What was read stays in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance had read them."},
@@ -120,6 +125,7 @@
 		{EndpointGone, "EndpointGone", info, "An endpoint's entry is gone and it gets no more work."},
 		{SettingsRead, "SettingsRead", info, "The platform's settings were read, at the start or after a signal."},
 		{StorePathChanged, "StorePathChanged", info, "The store is reached through another instance from now on, or directly again."},
+		{PeersTold, "PeersTold", info, "The other instances were told directly of what couldn't be written to the store."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed to a successor."},
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -110,6 +110,21 @@
 	End        *End        `json:",omitempty"`
 }
 
+// Of returns the submission that an entry concerns; ok is false for an empty entry.
+func (e Entry) Of() (id SubmissionID, ok bool) {
+	switch {
+	case e.Submission != nil:
+		return e.Submission.ID, true
+	case e.Result != nil:
+		return e.Result.Submission, true
+	case e.Progress != nil:
+		return e.Progress.Submission, true
+	case e.End != nil:
+		return e.End.Submission, true
+	}
+	return "", false
+}
+
 // End says that the submission's caller wants no more results.
 type End struct {
 	Submission SubmissionID
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -235,6 +235,26 @@
 	b.actions = append(b.actions, AppendEntry{row.of.ID, Entry{Result: result}})
 }
 
+// handedOverPause is how long an item whose result another instance has taken over isn't run again: longer than the
+// store is usually away.
+const handedOverPause = 10 * time.Second
+
+// NoteHandedOver says that an instance that has left gave an item's result to another one, or to this one when own is
+// true.
+func (b *Batches) NoteHandedOver(now time.Time, entry Entry, own bool) {
+	if entry.Result == nil {
+		return
+	}
+	one, ok := b.submissions.Get(entry.Result.Submission)
+	if !ok {
+		return
+	}
+	if row, ok := one.items[entry.Result.Item]; ok {
+		row.finished = row.finished || own
+		row.notBefore = now.Add(handedOverPause)
+	}
+}
+
 // Unlist takes back that a result was asked to be listed, because it can't be written down.
 func (b *Batches) Unlist(entry Entry) {
 	if entry.Result == nil {
--- a/entry/services/jujubenode/leave.go
+++ b/entry/services/jujubenode/leave.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujuberegistry"
 )
 
@@ -36,12 +37,21 @@
 	n.do(n.batches.Checkpoint(time.Now()))
 	n.mu.Unlock()
 	sleep(background, time.Until(n.leaveAt)-handOverTime/2)
+	var unwritten []jujubebatch.Entry
+	for _, p := range n.partitions {
+		unwritten = append(unwritten, p.takeUnwritten()...)
+	}
+	var handedOver []jujubebatch.Entry
+	if len(unwritten) > 0 {
+		handedOver = n.handOver(background, unwritten)
+	}
 	ctx, cancel := context.WithTimeout(background, handOverTime/2)
 	defer cancel()
 	if err := n.putRow(ctx, nil); err != nil {
 		n.log.Write(jujubeevent.BeatFailed, func() logrus.Fields {
 			return logrus.Fields{"Number": n.beatNumber, "Error": err.Error()}
 		})
+		n.tellPeers(background, "Relay.Left", LeftArgs{Instance: n.identity.Instance, HandedOver: handedOver})
 	}
 }
 
--- a/entry/services/jujubenode/node_test.go
+++ b/entry/services/jujubenode/node_test.go
@@ -102,3 +102,25 @@
 	assert.NilError(t, b.Submit(t.Context(), route, newSubmission("s2", 2)))
 	assert.Equal(t, len(readAll(t, b, "s2")), 2)
 }
+
+// TestLeavingWhileStoreIsAway hands what a leaving instance couldn't write to another one, which writes it once the store
+// is back. Load pattern: instances are replaced one after the other while the store is down.
+func TestLeavingWhileStoreIsAway(t *testing.T) {
+	s := newSite(t)
+	s.engines.hold = make(chan struct{})
+	a, gateA, _ := s.start("a")
+	b, gateB, _ := s.start("b")
+	wait(t, "both are known", func() bool { return len(a.Addresses("dc")) == 2 && len(b.Addresses("dc")) == 2 })
+	assert.NilError(t, a.Submit(t.Context(), route, newSubmission("s1", 8)))
+	wait(t, "both instances run items", func() bool { return a.Runs() == 4 && b.Runs() == 4 })
+	gateA.set(true)
+	gateB.set(true)
+	close(s.engines.hold)
+	wait(t, "all runs end", func() bool { return a.Runs()+b.Runs() == 0 })
+	s.leave("b")
+	gateA.set(false)
+	assert.Equal(t, len(readAll(t, a, "s1")), 8)
+	for _, item := range newSubmission("s1", 8).Items {
+		assert.Equal(t, s.engines.count(item.ID), 1, "%s", item.ID)
+	}
+}
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -35,6 +35,8 @@
 	follower *follower
 	decoder  jujubebatch.Decoder
 	queue    chan jujubebatch.Entry
+	// unwritten is the batch that is being appended; guarded by the node's lock.
+	unwritten []jujubebatch.Entry
 	// marks are offsets with the times at which they were read, trimPeriod apart, the oldest first.
 	marks []mark
 	// trimmed is the offset before which the records were dropped.
@@ -215,10 +217,12 @@
 		}
 		sleep(ctx, p.pause())
 		entries = p.gather(entries)
+		p.setUnwritten(entries)
 		pause := appendRetryMin
 		for {
 			err := p.appendAll(ctx, entries)
 			if err == nil {
+				p.setUnwritten(nil)
 				break
 			}
 			if ctx.Err() != nil {
@@ -242,6 +246,20 @@
 	return max(appendPause, time.Duration(float64(time.Second)/max(1, writes)))
 }
 
+func (p *partition) setUnwritten(entries []jujubebatch.Entry) {
+	p.node.mu.Lock()
+	defer p.node.mu.Unlock()
+	p.unwritten = entries
+}
+
+// takeUnwritten returns all entries that aren't known to be on the log.
+func (p *partition) takeUnwritten() []jujubebatch.Entry {
+	p.node.mu.Lock()
+	entries := p.unwritten
+	p.node.mu.Unlock()
+	return p.gather(append([]jujubebatch.Entry(nil), entries...))
+}
+
 // gather adds what else is queued.
 func (p *partition) gather(entries []jujubebatch.Entry) []jujubebatch.Entry {
 	for {
--- /dev/null
+++ b/entry/services/jujubenode/peers.go
@@ -0,0 +1,125 @@
+package jujubenode
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujuberegistry"
+)
+
+// peerTimeout bounds a message to another instance.
+const peerTimeout = 400 * time.Millisecond
+
+// Empty is the reply of a call that has none.
+type Empty struct{ Unused bool }
+
+// LeftArgs say that an instance has left and runs nothing any more.
+type LeftArgs struct {
+	Instance model.InstanceID
+	// HandedOver are the entries, without their texts, that another instance appends.
+	HandedOver []jujubebatch.Entry
+}
+
+// HandOverArgs carry entries that an instance couldn't append before it left.
+type HandOverArgs struct {
+	Entries []jujubebatch.Entry
+}
+
+// Tell takes a load that couldn't be written to the log.
+func (r *Relay) Tell(load LoadRecord, _ *Empty) error {
+	n := r.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.takeLoad(time.Now(), load)
+	n.wakeUp()
+	return nil
+}
+
+// Left takes the leave of an instance that couldn't remove its row.
+func (r *Relay) Left(args LeftArgs, _ *Empty) error {
+	n := r.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.registry.Remove(args.Instance)
+	for _, entry := range args.HandedOver {
+		n.batches.NoteHandedOver(time.Now(), entry, false)
+	}
+	n.wakeUp()
+	return nil
+}
+
+// HandOver takes entries to append. A copy of an entry that is on the log already has no effect.
+func (r *Relay) HandOver(args HandOverArgs, _ *Empty) error {
+	n := r.node
+	n.log.Write(jujubeevent.EntriesTaken, func() logrus.Fields { return logrus.Fields{"Entries": len(args.Entries)} })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, entry := range args.Entries {
+		if id, ok := entry.Of(); ok {
+			n.batches.NoteHandedOver(time.Now(), entry, true)
+			n.enqueue(jujubebatch.AppendEntry{Submission: id, Entry: entry})
+		}
+	}
+	return nil
+}
+
+// tellPeers sends a message to all other live instances at once and waits for their answers.
+func (n *Node) tellPeers(ctx context.Context, method string, args any) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	addresses := n.peerAddresses()
+	done := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() { done <- n.store.pool.Call(ctx, address, method, args, &Empty{}) }()
+	}
+	failed := 0
+	for range addresses {
+		if err := <-done; err != nil {
+			failed++
+		}
+	}
+	n.log.Write(jujubeevent.PeersTold, func() logrus.Fields {
+		return logrus.Fields{"Method": method, "Peers": len(addresses), "Failed": failed}
+	})
+}
+
+// handOver gives entries to one other instance that goes on, and returns them without their texts.
+func (n *Node) handOver(ctx context.Context, entries []jujubebatch.Entry) []jujubebatch.Entry {
+	n.mu.Lock()
+	var addresses []string
+	for _, beat := range n.live {
+		if beat.Instance != n.identity.Instance && beat.State == jujuberegistry.Ready && beat.PeerAddress != "" {
+			addresses = append(addresses, beat.PeerAddress)
+		}
+	}
+	n.mu.Unlock()
+	for _, address := range addresses {
+		call, cancel := context.WithTimeout(ctx, peerTimeout)
+		err := n.store.pool.Call(call, address, "Relay.HandOver", HandOverArgs{Entries: entries}, &Empty{})
+		cancel()
+		n.log.Write(jujubeevent.EntriesHandedOver, func() logrus.Fields {
+			return logrus.Fields{"Entries": len(entries), "Peer": address, "Error": errorText(err)}
+		})
+		if err == nil {
+			return withoutTexts(entries)
+		}
+	}
+	return nil
+}
+
+func withoutTexts(entries []jujubebatch.Entry) []jujubebatch.Entry {
+	var short []jujubebatch.Entry
+	for _, entry := range entries {
+		if entry.Result != nil {
+			result := *entry.Result
+			result.Text = ""
+			short = append(short, jujubebatch.Entry{Result: &result})
+		}
+	}
+	return short
+}
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -38,6 +38,8 @@
 
 	mu   sync.Mutex
 	path *jujubepath.Path
+	// awayForAll is when another instance last said that it can't reach the store either; zero after any success.
+	awayForAll time.Time
 }
 
 func newRelayedStore(direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string) *relayedStore {
@@ -125,6 +127,9 @@
 	ok := !errors.As(err, &failed)
 	s.mu.Lock()
 	changed := s.path.NoteDirect(time.Now(), ok)
+	if ok {
+		s.awayForAll = time.Time{}
+	}
 	s.mu.Unlock()
 	if changed {
 		s.log.Write(jujubeevent.StorePathChanged, func() logrus.Fields {
@@ -151,18 +156,37 @@
 	defer cancel()
 	var reply RelayReply
 	err := s.pool.Call(call, addresses[id], method, args, &reply)
-	if err == nil {
+	answered := err == nil
+	if answered {
 		err = reply.failure()
 	} else {
 		err = ErrStore{Call: method, Done: true, Reason: err.Error()}
 	}
 	var failed ErrStore
+	ok = !errors.As(err, &failed)
 	s.mu.Lock()
-	s.path.NotePeer(time.Now(), id, !errors.As(err, &failed))
+	s.path.NotePeer(time.Now(), id, ok)
+	switch {
+	case ok:
+		s.awayForAll = time.Time{}
+	case answered:
+		s.awayForAll = time.Now()
+	}
 	s.mu.Unlock()
 	return reply, true, err
 }
 
+// awayMemory is how long the word of another instance that the store is away is trusted. While it lasts, one is asked
+// about each second.
+const awayMemory = 2 * time.Second
+
+// isAwayForAll tells whether another instance said lately that it can't reach the store either.
+func (s *relayedStore) isAwayForAll(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.awayForAll.IsZero() && now.Sub(s.awayForAll) < awayMemory
+}
+
 // probe tries the store directly from time to time while other instances are used.
 func (s *relayedStore) probe(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -237,6 +261,7 @@
 
 // Relay serves other instances that can't reach the store. It makes each call directly and never passes it on further.
 type Relay struct {
+	node  *Node
 	store Store
 	ctx   context.Context
 }
@@ -273,7 +298,7 @@
 
 // servePeers relays for other instances until the context ends.
 func (n *Node) servePeers(ctx context.Context, listener net.Listener) error {
-	return jujubepeer.Serve(ctx, listener, &Relay{store: n.direct, ctx: ctx})
+	return jujubepeer.Serve(ctx, listener, &Relay{node: n, store: n.direct, ctx: ctx})
 }
 
 // peerAddresses returns where the other live instances serve their peers.
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -11,6 +11,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubefleet"
+	"jujubepier.example/core/services/jujubelease"
 	"jujubepier.example/core/services/jujuberegistry"
 )
 
@@ -45,9 +46,9 @@
 	return nil
 }
 
-// loadRecord tells all instances of a load, so that they know at once where to send a model's items. It shares a topic
+// LoadRecord tells all instances of a load, so that they know at once where to send a model's items. It shares a topic
 // with the records of the lease.
-type loadRecord struct {
+type LoadRecord struct {
 	Engine  model.EndpointID
 	Model   model.ModelName
 	Version model.WeightVersion
@@ -59,7 +60,7 @@
 
 // rolloutRecord is a record of the topic that isn't the lease's.
 type rolloutRecord struct {
-	Load *loadRecord
+	Load *LoadRecord
 }
 
 func (n *Node) applyRollout(now time.Time, offset int64, record Record) {
@@ -69,7 +70,11 @@
 	if err := json.Unmarshal(record.Value, &other); err != nil || other.Load == nil {
 		return
 	}
-	load := other.Load
+	n.takeLoad(now, *other.Load)
+}
+
+// takeLoad takes note of a load; the lock is held.
+func (n *Node) takeLoad(now time.Time, load LoadRecord) {
 	if load.Ended {
 		n.batches.SetVersion(load.Engine, load.Model, load.Version)
 		n.fleet.SetVersion(load.Engine, load.Model, load.Version)
@@ -83,7 +88,11 @@
 const loadNotice = 1500 * time.Millisecond
 
 // tellLoad writes a load for the other instances.
-func (n *Node) tellLoad(ctx context.Context, load loadRecord) error {
+func (n *Node) tellLoad(ctx context.Context, load LoadRecord) error {
+	if n.store.isAwayForAll(time.Now()) {
+		n.tellPeers(ctx, "Relay.Tell", load)
+		return ErrStore{Call: "load", Reason: "the store is away for all"}
+	}
 	value, err := json.Marshal(rolloutRecord{Load: &load})
 	if err == nil {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
@@ -105,13 +114,18 @@
 	// A holder stays one when others come back: each change of hands costs a lease time without orders.
 	candidate := n.state == jujuberegistry.Ready &&
 		(!n.leading.IsZero() || n.rank() < leaseCandidates && n.rollout.isFresh(now) && now.Sub(n.rollout.recovered) > leaseCalm)
-	n.lease.SetLogAway(now, !n.rollout.failing.IsZero())
+	if n.rollout.failing.IsZero() {
+		n.lease.SetLogAway(now, false)
+	} else {
+		// Whoever held the lease when the log was last read still does; a failing read shows only after its timeout.
+		n.lease.SetLogAway(n.rollout.caughtUp, true)
+	}
 	if n.rollout.failing.IsZero() && !n.rollout.caughtUp.IsZero() {
 		n.lease.Skip(n.rollout.next)
 	}
 	records := n.lease.Tick(now, candidate)
 	state := n.lease.State(now)
-	held := state.Held && n.state == jujuberegistry.Ready
+	held := (state.Held || n.leadsAlone(state)) && n.state == jujuberegistry.Ready
 	switch {
 	case held && (n.leading.IsZero() || n.leadFence != state.Fence):
 		n.leading, n.leadFence = now, state.Fence
@@ -126,6 +140,12 @@
 	}
 }
 
+// leadsAlone tells whether this instance held the lease when the log went away, and the log is away for all: nobody can
+// have claimed it since, and the engines' fences keep out whoever leads next.
+func (n *Node) leadsAlone(state jujubelease.State) bool {
+	return state.Degraded && n.store.isAwayForAll(time.Now())
+}
+
 // leaseCandidates is how many instances claim a free lease: two may be lost at once.
 const leaseCandidates = 3
 
@@ -225,14 +245,15 @@
 
 // callOrder announces an order and gives it if this instance still leads then.
 func (n *Node) callOrder(ctx context.Context, order jujubefleet.Order) (jujubefleet.Outcome, error) {
-	load := loadRecord{Engine: order.Engine, Model: order.Model, Version: order.Version, Holder: n.identity.Instance}
-	if err := n.tellLoad(ctx, load); err != nil {
-		return jujubefleet.Refused, err
-	}
+	load := LoadRecord{Engine: order.Engine, Model: order.Model, Version: order.Version, Holder: n.identity.Instance}
+	err := n.tellLoad(ctx, load)
 	n.mu.Lock()
 	state := n.lease.State(time.Now())
 	n.mu.Unlock()
-	if !state.Held || state.Fence != order.Fence {
+	if err != nil && !n.leadsAlone(state) {
+		return jujubefleet.Refused, err
+	}
+	if !state.Held && !n.leadsAlone(state) || state.Fence != order.Fence {
 		return jujubefleet.Refused, errors.New("the lease has ended")
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -252,7 +273,7 @@
 	}
 	if order, ok := n.takeReport(state); ok && state.Versions[order.Model] >= order.Version {
 		// Without the record the others learn of the version from the engine's entry.
-		_ = n.tellLoad(ctx, loadRecord{Engine: engine.ID, Model: order.Model, Version: order.Version, Ended: true})
+		_ = n.tellLoad(ctx, LoadRecord{Engine: engine.ID, Model: order.Model, Version: order.Version, Ended: true})
 	}
 }
 
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -194,13 +194,18 @@
 	t       *testing.T
 	store   *memoryStore
 	engines *engines
+	// leaves ends the instances in the orderly way.
+	leaves map[model.InstanceID]func()
 }
 
+// leave ends an instance in the orderly way and waits.
+func (s *site) leave(id model.InstanceID) { s.leaves[id]() }
+
 func newSite(t *testing.T) *site {
 	store := newMemoryStore()
 	_, err := store.Append(t.Context(), topicDesired, 0, []jujubenode.Record{{Key: "desired", Value: []byte("1")}}, jujubenode.NoCondition)
 	assert.NilError(t, err)
-	return &site{t: t, store: store, engines: &engines{runs: map[jujubebatch.ItemID]int{}}}
+	return &site{t: t, store: store, engines: &engines{runs: map[jujubebatch.ItemID]int{}}, leaves: map[model.InstanceID]func(){}}
 }
 
 var route = &jujubedesired.Route{
@@ -238,7 +243,8 @@
 		}
 	}})
 	ended := make(chan error, 1)
-	go func() { ended <- node.Run(context.Background(), listener) }()
+	ctx, leave := context.WithCancel(context.Background())
+	go func() { ended <- node.Run(ctx, listener) }()
 	wait(s.t, "the instance is ready", node.IsReady)
 	stopped := false
 	stop := func() {
@@ -248,7 +254,13 @@
 			assert.NilError(s.t, <-ended)
 		}
 	}
+	s.leaves[id] = func() {
+		stopped = true
+		leave()
+		assert.NilError(s.t, <-ended)
+	}
 	s.t.Cleanup(stop)
+	s.t.Cleanup(leave)
 	return node, g, stop
 }
 
