--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -38,7 +38,7 @@
 }
 
 func (w *world) putEngine(i int, incarnation model.Incarnation, version model.WeightVersion) {
-	w.PutEngine(w.now, jujubebatch.Engine{
+	w.PutEngine(jujubebatch.Engine{
 		ID: model.EndpointID(fmt.Sprintf("e%d", i)), Incarnation: incarnation, Service: "s", Slots: 12,
 		Versions: map[model.ModelName]model.WeightVersion{"m": version},
 	})
@@ -207,7 +207,7 @@
 		}}})
 		w.SetLive(names)
 		for i := range engines {
-			w.PutEngine(w.now, jujubebatch.Engine{
+			w.PutEngine(jujubebatch.Engine{
 				ID: model.EndpointID(fmt.Sprintf("e%02d", i)), Incarnation: 1, Service: "s", Slots: 8,
 				Versions: map[model.ModelName]model.WeightVersion{"m": 1},
 			})
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -47,7 +47,7 @@
 )
 
 // PutEngine adds an engine or updates it. A higher incarnation has lost what its predecessor held.
-func (b *Batches) PutEngine(now time.Time, e Engine) {
+func (b *Batches) PutEngine(e Engine) {
 	known, ok := b.engines.Get(e.ID)
 	if !ok || e.Incarnation > known.Incarnation {
 		if ok {
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -21,9 +21,9 @@
 	readShare = 0.4
 	// maxReadBytes bounds the records of one read, so that a read that shares the store with many others ends in time.
 	maxReadBytes = 256 << 10
-	// readPauseMin and readPauseMax bound the pause after a failed read.
-	readPauseMin = 50 * time.Millisecond
-	readPauseMax = 400 * time.Millisecond
+	// leastReadPause and mostReadPause bound the pause after a failed read.
+	leastReadPause = 50 * time.Millisecond
+	mostReadPause  = 400 * time.Millisecond
 	// freshness is the age up to which an instance answers from what it has read. Half a second is left of the second
 	// after which any instance has to know what another one has shown.
 	freshness = 500 * time.Millisecond
@@ -57,7 +57,7 @@
 
 // run reads until the context ends.
 func (f *follower) run(ctx context.Context) error {
-	pause := readPauseMin
+	pause := leastReadPause
 	first := true
 	for ctx.Err() == nil {
 		var err error
@@ -68,7 +68,7 @@
 		}
 		switch {
 		case err == nil:
-			first, pause = false, readPauseMin
+			first, pause = false, leastReadPause
 			if !f.isBehind() {
 				sleep(ctx, f.node.readPause())
 			}
@@ -78,7 +78,7 @@
 		}
 		f.noteFailure(err)
 		sleep(ctx, pause)
-		pause = min(2*pause, readPauseMax)
+		pause = min(2*pause, mostReadPause)
 	}
 	return nil
 }
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -20,9 +20,9 @@
 	// writeShare is the part of the store's writes that the instances together use for results at most; beats, orders,
 	// submissions and their ends take the rest.
 	writeShare = 0.5
-	// appendRetryMin and appendRetryMax bound the pause after a failed append of results.
-	appendRetryMin = 50 * time.Millisecond
-	appendRetryMax = 400 * time.Millisecond
+	// leastAppendRetry and mostAppendRetry bound the pause after a failed append of results.
+	leastAppendRetry = 50 * time.Millisecond
+	mostAppendRetry  = 400 * time.Millisecond
 	// appendQueue bounds the entries that wait; it holds what an instance produces in a minute without the store.
 	appendQueue = 16384
 )
@@ -58,9 +58,9 @@
 func (p *partition) trim(ctx context.Context) {
 	n := p.node
 	n.mu.Lock()
-	oldest, any := n.batches.OldestKept()
+	oldest, ok := n.batches.OldestKept()
 	before, texts := p.trimmed, int64(0)
-	for len(p.marks) > 1 && any && p.marks[1].at.Before(oldest) {
+	for len(p.marks) > 1 && ok && p.marks[1].at.Before(oldest) {
 		// Contents are written a moment before their record, so the texts go by the mark of a period before.
 		before, texts, p.marks = p.marks[1].offset, p.marks[0].texts, p.marks[1:]
 	}
@@ -218,7 +218,7 @@
 		sleep(ctx, p.pause())
 		entries = p.gather(entries)
 		p.setUnwritten(entries)
-		pause := appendRetryMin
+		pause := leastAppendRetry
 		for {
 			err := p.appendAll(ctx, entries)
 			if err == nil {
@@ -232,7 +232,7 @@
 				return logrus.Fields{"Partition": p.number, "Entries": len(entries), "Error": err.Error(), "RetryAfter": pause.String()}
 			})
 			sleep(ctx, pause)
-			pause = min(2*pause, appendRetryMax)
+			pause = min(2*pause, mostAppendRetry)
 		}
 	}
 }
--- a/entry/services/jujubenode/servers.go
+++ b/entry/services/jujubenode/servers.go
@@ -42,7 +42,7 @@
 			}
 		})
 	}
-	n.batches.PutEngine(now, jujubebatch.Engine{
+	n.batches.PutEngine(jujubebatch.Engine{
 		ID: s.ID, Incarnation: s.Incarnation, Service: s.Service, Address: s.Address, Slots: s.Slots, Leaving: s.Leaving,
 		Versions: maps.Clone(s.Versions),
 	})
