jujubenode: take a later incarnation when the clock was set back

Cause: an instance that starts with its clock behind its predecessor's start has a lower incarnation, and the others ignored its beats for good. Ruled out: incarnations from the log's offsets, which need a write before the first beat. Change: an instance that reads a later beat of its own name goes on from that. Before: TestClockStepsBack failed (not known within 20 s). After: it passes.

--- a/entry/services/jujubenode/beat.go
+++ b/entry/services/jujubenode/beat.go
@@ -78,6 +78,11 @@
 		})
 		return
 	}
+	if beat.Instance == n.identity.Instance && beat.Incarnation > n.incarnation {
+		// The clock was set back since the last start, and the others would take these beats for old ones.
+		n.incarnation = beat.Incarnation + 1
+		n.lastBeat = time.Time{}
+	}
 	n.registry.Apply(now, beat)
 }
 
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -92,9 +92,9 @@
 
 // Node is one instance.
 type Node struct {
-	identity    Identity
-	settings    Settings
-	incarnation model.Incarnation
+	identity Identity
+	settings Settings
+	started  time.Time
 	// direct is the store as this instance reaches it, store the way that may lead through another instance.
 	direct  Store
 	store   *relayedStore
@@ -119,6 +119,8 @@
 	cancels  map[jujubebatch.RunID]context.CancelFunc
 	changed  chan struct{}
 	live     []jujuberegistry.Beat
+	// incarnation is the start's time of day, or more if the log knows a later one of this instance.
+	incarnation model.Incarnation
 	// leading is since when this instance holds the lease; zero when it doesn't.
 	leading    time.Time
 	leadFence  int64
@@ -144,7 +146,7 @@
 	id := options.Identity.Instance
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
 	n := &Node{
-		identity: options.Identity, settings: options.Settings, incarnation: incarnation, direct: options.Store,
+		identity: options.Identity, settings: options.Settings, started: time.Now(), incarnation: incarnation, direct: options.Store,
 		engines: options.Engines, caller: options.Caller, log: jujubeevent.NewLog(logger), tomb: new(tomb.Tomb),
 		wake:     make(chan struct{}, 1),
 		cache:    newBlobCache(),
@@ -289,7 +291,7 @@
 		}
 		return logrus.Fields{
 			"Instance": n.identity.Instance, "Revision": n.desired.Version, "Reads": reads, "Records": records, "Bytes": bytes,
-			"After": now.Sub(time.UnixMilli(int64(n.incarnation))).String(),
+			"After": now.Sub(n.started).String(),
 		}
 	})
 }
--- a/entry/services/jujubenode/node_test.go
+++ b/entry/services/jujubenode/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -124,3 +125,17 @@
 		assert.Equal(t, s.engines.count(item.ID), 1, "%s", item.ID)
 	}
 }
+
+// TestClockStepsBack restarts an instance whose clock was set back: it counts as alive again, although its start seems to
+// lie before that of its predecessor.
+func TestClockStepsBack(t *testing.T) {
+	s := newSite(t)
+	a, _, _ := s.start("a")
+	_, _, stop := s.start("b")
+	wait(t, "both are known", func() bool { return len(a.Addresses("dc")) == 2 })
+	stop()
+	wait(t, "one is gone", func() bool { return len(a.Addresses("dc")) == 1 })
+	s.behind = time.Minute
+	s.start("b")
+	wait(t, "both are known again", func() bool { return len(a.Addresses("dc")) == 2 })
+}
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -194,6 +194,8 @@
 	t       *testing.T
 	store   *memoryStore
 	engines *engines
+	// behind is how far the clocks of instances that start are behind.
+	behind time.Duration
 	// leaves ends the instances in the orderly way.
 	leaves map[model.InstanceID]func()
 }
@@ -226,7 +228,7 @@
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
 		},
-		Store: g, Engines: s.engines, Caller: s.engines, Started: time.Now(),
+		Store: g, Engines: s.engines, Caller: s.engines, Started: time.Now().Add(-s.behind),
 	}, logger)
 	apply := func(now time.Time, _ jujubenode.Record) {
 		node.SetDesired(now, &jujubedesired.State{Version: 1, Routes: []jujubedesired.Route{*route}})
