jujubenode: get texts from their writers while the store is away

Ruled out: reading all texts ahead, which is what the index avoids. Change: records name who wrote a blob, and that instance is asked when the store doesn't give it. Before: no test. After: TestReadWhileStoreIsAway passes.

--- a/core/services/jujubebatch/chunk.go
+++ b/core/services/jujubebatch/chunk.go
@@ -1,5 +1,7 @@
 package jujubebatch
 
+import model "jujubepier.example/core/models/jujubemodel"
+
 // Chunk holds the contents of some of a submission's items.
 type Chunk struct {
 	// Contents are by the items' places in the submission.
@@ -35,6 +37,8 @@
 type Place struct {
 	Chunk Pointer
 	Index int
+	// By is the instance that wrote the chunk.
+	By model.InstanceID
 }
 
 // place returns where an item's content lies; ok is false for a submission whose record names no chunks.
@@ -42,5 +46,5 @@
 	if len(row.of.Chunks) == 0 {
 		return Place{}, false
 	}
-	return Place{Chunk: row.of.Chunks[row.index%len(row.of.Chunks)], Index: row.index}, true
+	return Place{Chunk: row.of.Chunks[row.index%len(row.of.Chunks)], Index: row.index, By: row.of.By}, true
 }
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -40,6 +40,8 @@
 	// Chunks are where the items' contents lie: item i in chunk i modulo their number, which is a multiple of the number of
 	// instances, so that each instance needs the chunks of its own items only.
 	Chunks []Pointer
+	// By is the instance that accepted the submission and keeps the chunks for a while.
+	By model.InstanceID
 }
 
 // Pointer is where a blob lies in the texts' partition with the number of the submission's own partition.
@@ -85,6 +87,8 @@
 	// Text isn't part of the record; Data says where it lies. An errored item has none.
 	Text string  `json:"-"`
 	Data Pointer `json:",omitzero"`
+	// By is the instance that wrote the text and keeps it for a while.
+	By model.InstanceID `json:",omitempty"`
 	// Versions generated an event of the text, each named once.
 	Versions []model.WeightVersion
 }
@@ -99,6 +103,7 @@
 	Events   []string `json:"-"`
 	Count    int
 	Data     Pointer
+	By       model.InstanceID
 	Versions []model.WeightVersion
 }
 
--- a/entry/services/jujubenode/blob.go
+++ b/entry/services/jujubenode/blob.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubebatch"
 )
 
@@ -125,30 +126,89 @@
 	n.cache.put(blobKey{part, pointer}, values)
 }
 
-// fetchBlobs returns the records of some pointers' blobs, from the cache or the store.
-func (p *partition) fetchBlobs(ctx context.Context, pointers []jujubebatch.Pointer) (map[jujubebatch.Pointer][][]byte, error) {
+// source is a blob that is wanted and the instance that wrote it.
+type source struct {
+	pointer jujubebatch.Pointer
+	by      model.InstanceID
+}
+
+// fetchBlobs returns the records of blobs, from the cache, the store, or the instances that wrote them while the store is
+// away.
+func (p *partition) fetchBlobs(ctx context.Context, sources []source) (map[jujubebatch.Pointer][][]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	pointers = slices.Clone(pointers)
-	slices.SortFunc(pointers, func(a, b jujubebatch.Pointer) int { return cmp.Compare(a.Offset, b.Offset) })
-	found := make(map[jujubebatch.Pointer][][]byte, len(pointers))
-	missing := 0
-	for _, pointer := range pointers {
-		if records, ok := p.node.cache.get(blobKey{p.number, pointer}); ok {
-			found[pointer] = records
+	found := make(map[jujubebatch.Pointer][][]byte, len(sources))
+	var missing []source
+	for _, one := range sources {
+		if records, ok := p.node.cache.get(blobKey{p.number, one.pointer}); ok {
+			found[one.pointer] = records
 		} else {
-			missing += pointer.Size
+			missing = append(missing, one)
 		}
 	}
+	if len(missing) == 0 {
+		return found, nil
+	}
+	if p.node.store.isAwayForAll(time.Now()) && p.askWriters(ctx, missing, found) {
+		return found, nil
+	}
+	err := p.readBlobs(ctx, missing, found)
+	if err != nil && p.askWriters(ctx, missing, found) {
+		return found, nil
+	}
+	return found, err
+}
+
+// readBlobs reads blobs from the store, in the order of their offsets.
+func (p *partition) readBlobs(ctx context.Context, sources []source, found map[jujubebatch.Pointer][][]byte) error {
+	pointers := make([]jujubebatch.Pointer, len(sources))
+	size := fetchSlack
+	for i, one := range sources {
+		pointers[i] = one.pointer
+		size += one.pointer.Size
+	}
+	slices.SortFunc(pointers, func(a, b jujubebatch.Pointer) int { return cmp.Compare(a.Offset, b.Offset) })
 	for _, pointer := range pointers {
 		if _, ok := found[pointer]; ok {
 			continue
 		}
-		if err := p.readBlob(ctx, pointer, pointers, missing+fetchSlack, found); err != nil {
-			return nil, err
+		if err := p.readBlob(ctx, pointer, pointers, size, found); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// askWriters asks the instances that wrote blobs for them, and tells whether all were found.
+func (p *partition) askWriters(ctx context.Context, sources []source, found map[jujubebatch.Pointer][][]byte) bool {
+	wanted := map[model.InstanceID][]jujubebatch.Pointer{}
+	for _, one := range sources {
+		if _, ok := found[one.pointer]; !ok {
+			wanted[one.by] = append(wanted[one.by], one.pointer)
+		}
+	}
+	addresses := p.node.peerAddresses()
+	for writer, pointers := range wanted {
+		address, ok := addresses[writer]
+		if !ok {
+			return false
+		}
+		call, cancel := context.WithTimeout(ctx, peerTimeout)
+		var reply BlobsReply
+		err := p.node.store.pool.Call(call, address, "Relay.GiveBlobs", BlobsArgs{Part: p.number, Pointers: pointers}, &reply)
+		cancel()
+		if err != nil || len(reply.Blobs) != len(pointers) {
+			return false
+		}
+		for i, pointer := range pointers {
+			if len(reply.Blobs[i]) != pointer.Count {
+				return false
+			}
+			found[pointer] = reply.Blobs[i]
+			p.node.cache.put(blobKey{p.number, pointer}, reply.Blobs[i])
 		}
 	}
-	return found, nil
+	return true
 }
 
 // readBlob reads from a blob on until it is whole, and takes what other wanted blobs come with it.
@@ -182,18 +242,18 @@
 }
 
 // fetch reads one blob into a value.
-func (p *partition) fetch(ctx context.Context, pointer jujubebatch.Pointer, value any) error {
-	found, err := p.fetchBlobs(ctx, []jujubebatch.Pointer{pointer})
+func (p *partition) fetch(ctx context.Context, one source, value any) error {
+	found, err := p.fetchBlobs(ctx, []source{one})
 	if err != nil {
 		return err
 	}
-	return jujubebatch.DecodeBlob(found[pointer], value)
+	return jujubebatch.DecodeBlob(found[one.pointer], value)
 }
 
 // fetchContent reads what an item sends to an engine.
 func (p *partition) fetchContent(ctx context.Context, place jujubebatch.Place) (jujubebatch.Content, error) {
 	var chunk jujubebatch.Chunk
-	if err := p.fetch(ctx, place.Chunk, &chunk); err != nil {
+	if err := p.fetch(ctx, source{place.Chunk, place.By}, &chunk); err != nil {
 		return jujubebatch.Content{}, err
 	}
 	content, ok := chunk.Contents[place.Index]
@@ -205,13 +265,13 @@
 
 // fetchTexts fills in the texts of results.
 func (p *partition) fetchTexts(ctx context.Context, results []jujubebatch.Result) error {
-	var pointers []jujubebatch.Pointer
+	var sources []source
 	for i := range results {
 		if results[i].Data.Count > 0 {
-			pointers = append(pointers, results[i].Data)
+			sources = append(sources, source{results[i].Data, results[i].By})
 		}
 	}
-	found, err := p.fetchBlobs(ctx, pointers)
+	found, err := p.fetchBlobs(ctx, sources)
 	if err != nil {
 		return err
 	}
--- a/entry/services/jujubenode/node_test.go
+++ b/entry/services/jujubenode/node_test.go
@@ -139,3 +139,23 @@
 	s.start("b")
 	wait(t, "both are known again", func() bool { return len(a.Addresses("dc")) == 2 })
 }
+
+// TestReadWhileStoreIsAway reads results at an instance that hasn't read their texts, while the store is away for all: the
+// instance that wrote them still has them. Load pattern: the store is down while trainers wait for their last groups.
+func TestReadWhileStoreIsAway(t *testing.T) {
+	s := newSite(t)
+	a, gateA, _ := s.start("a")
+	b, gateB, _ := s.start("b")
+	wait(t, "both are known", func() bool { return len(a.Addresses("dc")) == 2 && len(b.Addresses("dc")) == 2 })
+	assert.NilError(t, a.Submit(t.Context(), route, newSubmission("s1", 8)))
+	wait(t, "all are listed", func() bool {
+		page, err := a.Read(t.Context(), "s1", 7, 0)
+		return err == nil && len(page.Results) == 1
+	})
+	gateA.set(true)
+	gateB.set(true)
+	assert.Equal(t, len(readAll(t, b, "s1")), 8)
+	body, err := b.Body(t.Context(), "s1", "s1-3")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, body, []byte{3})
+}
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -168,7 +168,7 @@
 		if err := p.writeBlobs(ctx, &contents); err != nil {
 			return ErrUnwritten{Cause: err}
 		}
-		s.Chunks = contents.pointers
+		s.Chunks, s.By = contents.pointers, p.node.identity.Instance
 	}
 	records, size, err := p.node.encode(entry)
 	if err != nil {
@@ -281,9 +281,11 @@
 		switch {
 		case entry.Result != nil && entry.Result.State == jujubebatch.Completed && entry.Result.Data.Count == 0:
 			pointers = append(pointers, &entry.Result.Data)
+			entry.Result.By = p.node.identity.Instance
 			err = texts.add(entry.Result.Text, p.node.settings.MaxRecordBytes)
 		case entry.Progress != nil && entry.Progress.Data.Count == 0:
 			pointers = append(pointers, &entry.Progress.Data)
+			entry.Progress.By = p.node.identity.Instance
 			err = texts.add(entry.Progress.Events, p.node.settings.MaxRecordBytes)
 		}
 		if err != nil {
--- a/entry/services/jujubenode/peers.go
+++ b/entry/services/jujubenode/peers.go
@@ -30,6 +30,26 @@
 	Entries []jujubebatch.Entry
 }
 
+// BlobsArgs ask for blobs that the asked instance has written.
+type BlobsArgs struct {
+	Part     int
+	Pointers []jujubebatch.Pointer
+}
+
+// BlobsReply holds the records of each blob, none for one that isn't kept any more.
+type BlobsReply struct {
+	Blobs [][][]byte
+}
+
+// GiveBlobs gives blobs to another instance that can't read them from the store.
+func (r *Relay) GiveBlobs(args BlobsArgs, reply *BlobsReply) error {
+	for _, pointer := range args.Pointers {
+		records, _ := r.node.cache.get(blobKey{args.Part, pointer})
+		reply.Blobs = append(reply.Blobs, records)
+	}
+	return nil
+}
+
 // Tell takes a load that couldn't be written to the log.
 func (r *Relay) Tell(load LoadRecord, _ *Empty) error {
 	n := r.node
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -94,7 +94,7 @@
 	}
 	if start.Progress != nil {
 		var events []string
-		if err := p.fetch(ctx, start.Progress.Data, &events); err != nil {
+		if err := p.fetch(ctx, source{start.Progress.Data, start.Progress.By}, &events); err != nil {
 			n.log.Write(jujubeevent.ProgressLost, func() logrus.Fields {
 				return logrus.Fields{"Submission": start.Submission, "Item": start.Item, "Run": start.Run, "Error": err.Error()}
 			})
