jujubehttp: close the listener first, so that no accepted request is dropped

Ruled out: a second call of Shutdown (the new test still failed), a reset of connections that were never accepted (the test allows these). Before: TestShutdownAnswersLateConnection failed, cut off without an answer. After: it passes, five times with the race detector.

--- a/entry/routers/jujubeserver/server.go
+++ b/entry/routers/jujubeserver/server.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/modules/jujubehttp"
 	"jujubepier.example/entry/routers/jujubecallerapi"
 	"jujubepier.example/entry/routers/jujubeoperatorapi"
 	"jujubepier.example/entry/routers/jujubepeerapi"
@@ -33,8 +34,8 @@
 	Done chan struct{}
 	Err  error
 
-	callers   *http.Server
-	operators *http.Server
+	callers   *jujubehttp.Server
+	operators *jujubehttp.Server
 }
 
 // Start listens and serves until the context ends; then the instance shuts down gracefully and Done is closed. The
@@ -50,18 +51,19 @@
 		return nil, nil, err
 	}
 	s := &Server{Settings: settings, Service: service, Done: make(chan struct{})}
-	s.callers = newHTTPServer(settings, limitBody(jujubecallerapi.New(service, settings.MaxBodyBytes), settings.BodyTimeout))
-	s.operators = newHTTPServer(settings, jujubeoperatorapi.New(service))
+	callers := newHTTPServer(settings, limitBody(jujubecallerapi.New(service, settings.MaxBodyBytes), settings.BodyTimeout))
+	s.callers = jujubehttp.Serve(callers, listeners.callers)
+	s.operators = jujubehttp.Serve(newHTTPServer(settings, jujubeoperatorapi.New(service)), listeners.operators)
 	serving, stop := context.WithCancel(context.Background())
 	failures := make(chan error, 3)
-	go func() { failures <- serveHTTP(s.callers, listeners.callers) }()
-	go func() { failures <- serveHTTP(s.operators, listeners.operators) }()
+	go func() { failures <- <-s.callers.Failed() }()
+	go func() { failures <- <-s.operators.Failed() }()
 	go func() { failures <- jujubepeerapi.Serve(serving, listeners.peers, service) }()
 	go s.run(ctx, stop, cleanService, failures, logger)
 	kill := func() {
 		service.Kill()
-		_ = s.callers.Close()
-		_ = s.operators.Close()
+		s.callers.Close()
+		s.operators.Close()
 		stop()
 		<-s.Done
 	}
@@ -90,8 +92,8 @@
 	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	// Answers that are still being written get closeTimeout; what is left then is cut off.
-	_ = s.callers.Shutdown(closing)
-	_ = s.operators.Shutdown(closing)
+	s.callers.Shutdown(closing)
+	s.operators.Shutdown(closing)
 	stop()
 	for ; failed < cap(failures); failed++ {
 		<-failures
@@ -151,10 +153,3 @@
 		Handler: handler, ReadHeaderTimeout: settings.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
-
-func serveHTTP(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve HTTP")
-	}
-	return nil
-}
--- a/entry/services/jujubenode/leave.go
+++ b/entry/services/jujubenode/leave.go
@@ -14,6 +14,8 @@
 const (
 	// exitMargin is left of the drain time when the process ends, for closing what is open.
 	exitMargin = 900 * time.Millisecond
+	// closeTime is for the answers that are being written when no more requests are taken.
+	closeTime = 400 * time.Millisecond
 	// handOverTime is the part before that in which progress is written for the instances that take over.
 	handOverTime = 700 * time.Millisecond
 )
@@ -37,6 +39,11 @@
 	n.do(n.batches.Checkpoint(time.Now()))
 	n.mu.Unlock()
 	sleep(background, time.Until(n.leaveAt)-handOverTime/2)
+	if n.stopServing != nil {
+		closing, cancel := context.WithTimeout(background, closeTime)
+		n.stopServing(closing)
+		cancel()
+	}
 	var unwritten []jujubebatch.Entry
 	for _, p := range n.partitions {
 		unwritten = append(unwritten, p.takeUnwritten()...)
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -88,6 +88,9 @@
 	Engines  Engines
 	Caller   EndpointCaller
 	Started  time.Time
+	// StopServing stops taking requests and waits, until the context ends, for those that were taken. A leaving node calls
+	// it before it ends, as answers need the node.
+	StopServing func(ctx context.Context)
 }
 
 // Node is one instance.
@@ -129,7 +132,8 @@
 	lastBeat   time.Time
 	ready      bool
 	// leaveAt is when a leaving instance ends; zero before it leaves.
-	leaveAt time.Time
+	leaveAt     time.Time
+	stopServing func(ctx context.Context)
 
 	followers  []*follower
 	partitions []*partition
@@ -147,7 +151,7 @@
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
 	n := &Node{
 		identity: options.Identity, settings: options.Settings, started: time.Now(), incarnation: incarnation, direct: options.Store,
-		engines: options.Engines, caller: options.Caller, log: jujubeevent.NewLog(logger), tomb: new(tomb.Tomb),
+		engines: options.Engines, caller: options.Caller, stopServing: options.StopServing, log: jujubeevent.NewLog(logger), tomb: new(tomb.Tomb),
 		wake:     make(chan struct{}, 1),
 		cache:    newBlobCache(),
 		batches:  jujubebatch.New(id, jujubebatch.DefaultSettings()),
