batch: the better hardware first, long runs leave weaker engines

Cause: a third of the engines of three of the four sites need three tenths longer for an event. Items were given to the engine with the fewest items whatever its hardware, so the longest item of a step, which the step waits for, took 8.3 s instead of 6.4 s as often as not, and a trainer that fell behind never caught up.

Ruled out: moving runs by their recent pace alone. It is forgotten after 4 s and doubles only for disturbed engines.

Change: each engine's usual pace is kept beside the recent one; engines above 1.18 times the fleet's lower quartile come after the others, and a run of 32 events there goes on elsewhere once a better engine has a free slot. A free slot goes before a place in a queue.

--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -245,6 +245,90 @@
 	}
 }
 
+// stream plays a run's events with a pause between them, the first one at once.
+func (w *world) stream(run jujubebatch.RunID, from, count int, gap time.Duration) {
+	w.t.Helper()
+	for i := range count {
+		if i > 0 {
+			w.now = w.now.Add(gap)
+		}
+		assert.Assert(w.t, w.Event(w.now, run, from+i, "x", 1))
+	}
+}
+
+// timeEngines runs an item of 20 events on each engine, the last one with weaker hardware.
+func (w *world) timeEngines(engines int) {
+	w.t.Helper()
+	w.accept(submission("timed", engines, "a"))
+	runs := tick[jujubebatch.StartRun](w)
+	assert.Equal(w.t, len(runs), engines)
+	for _, run := range runs {
+		gap := 50 * time.Millisecond
+		if run.Engine == model.EndpointID(fmt.Sprintf("e%d", engines-1)) {
+			gap = 65 * time.Millisecond
+		}
+		w.stream(run.Run, 1, 20, gap)
+		w.Ended(w.now, run.Run, jujubebatch.RunComplete)
+	}
+	w.Tick(w.now)
+}
+
+// TestWeakerHardwareLast fills the engines of the better hardware before the others and gives nobody a place in a queue
+// while there are free slots. Load pattern: a step of which most engines could take each item, and which ends with its
+// longest one.
+func TestWeakerHardwareLast(t *testing.T) {
+	w := newWorld(t, 4)
+	w.timeEngines(4)
+	s := submission("s", 40, "a")
+	for i := range s.Items {
+		s.Items[i].ExpectedTokens = 100 * i
+	}
+	w.accept(s)
+	weak := 0
+	for _, run := range tick[jujubebatch.StartRun](w) {
+		var index int
+		_, err := fmt.Sscanf(string(run.Item), "s-%d", &index)
+		assert.NilError(t, err)
+		if run.Engine == "e3" {
+			weak++
+			assert.Assert(t, index < 4, "item %d is among the longest and runs on weaker hardware", index)
+		}
+	}
+	assert.Equal(t, weak, 4)
+}
+
+// TestLongRunLeavesWeakerHardware moves a run that turns out to be long, with its text, once an engine of the better
+// hardware has room. Load pattern: an item whose estimate was far too low and which its step waits for.
+func TestLongRunLeavesWeakerHardware(t *testing.T) {
+	w := newWorld(t, 4)
+	w.timeEngines(4)
+	w.accept(submission("s", 37, "a"))
+	var long jujubebatch.StartRun
+	others := map[jujubebatch.RunID]bool{}
+	for _, run := range tick[jujubebatch.StartRun](w) {
+		if run.Engine == "e3" {
+			long = run
+		} else {
+			others[run.Run] = true
+		}
+	}
+	assert.Equal(t, len(others), 36)
+	w.stream(long.Run, 1, 40, 65*time.Millisecond)
+	for run := range others {
+		assert.Assert(t, w.Event(w.now, run, 1, "x", 1))
+	}
+	assert.Equal(t, len(tick[jujubebatch.CancelRun](w)), 0, "the others have no room")
+	for run := range others {
+		w.Ended(w.now, run, jujubebatch.RunComplete)
+	}
+	moved := tick[jujubebatch.StartRun](w)
+	assert.Equal(t, len(moved), 1)
+	assert.Equal(t, moved[0].Item, long.Item)
+	assert.Assert(t, moved[0].Engine != "e3")
+	assert.Equal(t, moved[0].After, 40)
+	assert.Assert(t, !w.Event(w.now, long.Run, 41, "late", 1), "the first run is over")
+}
+
 // TestForgetting keeps an ended submission readable for a while and drops one that nobody ends before its records expire.
 func TestForgetting(t *testing.T) {
 	w := newWorld(t, 1)
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -1,7 +1,7 @@
 package jujubebatch
 
 import (
-	"slices"
+	"cmp"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -30,17 +30,10 @@
 	// avoidUntil keeps new runs away after a failure; loading does so for one model.
 	avoidUntil time.Time
 	loading    map[model.ModelName]time.Time
-	// pace averages the time from one event to the next; zero while unknown.
-	pace    time.Duration
-	pacedAt time.Time
+	pace       enginePace
 }
 
 const (
-	// paceWeight is the share of a new measurement in an engine's pace: about five events settle it.
-	paceWeight = 0.25
-	// paceMemory is how long a measured pace is trusted without a new one. A slow engine gets no work, so it has to be
-	// tried again after a while.
-	paceMemory = 4 * time.Second
 	// queueShare is how many items are planned for each slot: engines queue a few more than they run, and a queued request
 	// starts without a round trip.
 	queueShare = 1.25
@@ -108,59 +101,50 @@
 	}
 }
 
-// measure takes the time from one event of a run to the next.
-func (e *engine) measure(now time.Time, gap time.Duration) {
-	if e.pace == 0 {
-		e.pace = gap
-	} else {
-		e.pace += time.Duration(paceWeight * float64(gap-e.pace))
-	}
-	e.pacedAt = now
-}
-
-// typicalPace returns the median pace of the engines, zero when fewer than three are known.
-func (b *Batches) typicalPace(now time.Time) time.Duration {
-	var paces []time.Duration
-	for _, e := range b.engines.All() {
-		if now.Sub(e.pacedAt) > paceMemory {
-			e.pace = 0
-		}
-		if e.pace > 0 {
-			paces = append(paces, e.pace)
-		}
-	}
-	if len(paces) < 3 {
-		return 0
-	}
-	slices.Sort(paces)
-	return paces[len(paces)/2]
-}
-
-// isSlow tells whether an engine needs much longer for an event than the others.
-func (b *Batches) isSlow(e *engine, typical time.Duration) bool {
-	return typical > 0 && e.pace > time.Duration(b.settings.SlowFactor*float64(typical))
-}
-
 // limit is how many items are planned for an engine at once.
 func (e *engine) limit() int { return max(1, int(queueShare*float64(e.Slots))) }
 
-// choose returns the engine with the fewest planned items for its slots that may run an item, nil when all are full. Slow
-// ones are taken only when all are slow.
-func (b *Batches) choose(now time.Time, row *item, service model.ServiceName, single bool, typical time.Duration) *engine {
+// choose returns the engine that should run an item, nil when all that may are full. Slow ones are taken only when all are
+// slow. A free slot goes before a place in a queue, and of the engines with free slots those of the better hardware come
+// first; they take the longest items, which are planned first and which a step waits for.
+func (b *Batches) choose(now time.Time, row *item, service model.ServiceName, single bool, pace fleetPace) *engine {
 	var best *engine
-	bestSlow := false
+	var bestRank engineRank
 	for _, e := range b.engines.All() {
 		if e.planned >= e.limit() || !b.isEligible(now, e, row, service, single) {
 			continue
 		}
-		slow := b.isSlow(e, typical)
-		if best == nil || bestSlow && !slow || bestSlow == slow && e.planned*best.Slots < best.planned*e.Slots {
-			best, bestSlow = e, slow
+		rank := b.rankEngine(e, pace)
+		if best == nil || rank.compare(bestRank) < 0 {
+			best, bestRank = e, rank
 		}
 	}
 	return best
 }
 
+// engineRank orders engines for an item; lower is better.
+type engineRank struct {
+	class   int
+	planned float64
+}
+
+func (b *Batches) rankEngine(e *engine, pace fleetPace) engineRank {
+	rank := engineRank{planned: float64(e.planned) / float64(max(1, e.Slots))}
+	switch {
+	case b.isSlow(e, pace):
+		rank.class = 3
+	case e.planned >= e.Slots:
+		rank.class = 2
+	case pace.isSluggish(e):
+		rank.class = 1
+	}
+	return rank
+}
+
+func (r engineRank) compare(other engineRank) int {
+	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.planned, other.planned))
+}
+
 func (b *Batches) isEligible(now time.Time, e *engine, row *item, service model.ServiceName, single bool) bool {
 	name := row.of.Model
 	version := e.Versions[name]
--- a/core/services/jujubebatch/plan.go
+++ b/core/services/jujubebatch/plan.go
@@ -13,7 +13,7 @@
 
 // planItems gives engines to the items that have none, the longest ones first: a step ends with its longest items, and
 // right after a new version only some engines can take them.
-func (b *Batches) planItems(now time.Time, one *submission, typical time.Duration) {
+func (b *Batches) planItems(now time.Time, one *submission, pace fleetPace) {
 	if one.unplanned == 0 {
 		return
 	}
@@ -25,7 +25,7 @@
 		if !ok || b.isOver(now, one, route) {
 			continue // its owner lists it as errored
 		}
-		e := b.choose(now, row, route.Choose(string(row.ID)), route.SingleVersion, typical)
+		e := b.choose(now, row, route.Choose(string(row.ID)), route.SingleVersion, pace)
 		if e == nil {
 			return
 		}
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -130,7 +130,7 @@
 	}
 	e, ok := b.engines.Get(r.engine)
 	if ok && !r.first {
-		e.measure(now, now.Sub(r.last))
+		e.pace.measure(now, now.Sub(r.last))
 	}
 	r.first, r.last = false, now
 	row.events = append(row.events, data)
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -75,11 +75,11 @@
 // Tick returns the actions that are due.
 func (b *Batches) Tick(now time.Time) []Action {
 	b.forget(now)
-	typical := b.typicalPace(now)
-	b.checkRuns(now, typical)
+	pace := b.measureFleet(now)
+	b.checkRuns(now, pace)
 	if !b.draining && !b.behind {
 		for _, one := range b.sortOpen() {
-			b.planItems(now, one, typical)
+			b.planItems(now, one, pace)
 			b.startItems(now, one)
 		}
 	}
@@ -134,7 +134,7 @@
 	start := StartRun{
 		Run: r.id, Engine: e.ID, Address: e.Address, Submission: row.of.ID, Item: row.ID, Host: row.of.Host,
 		Path: row.Path, Progress: row.progress, After: len(row.events),
-		KnownVersion: e.Versions[row.of.Model], InFlight: e.inFlight, Planned: e.planned, Pace: e.pace,
+		KnownVersion: e.Versions[row.of.Model], InFlight: e.inFlight, Planned: e.planned, Pace: e.pace.recent,
 	}
 	start.Content, _ = row.place()
 	if route.SingleVersion {
@@ -211,7 +211,7 @@
 }
 
 // checkRuns ends runs that have stalled or sit on a slow engine, and writes down long ones.
-func (b *Batches) checkRuns(now time.Time, typical time.Duration) {
+func (b *Batches) checkRuns(now time.Time, pace fleetPace) {
 	moves := 0
 	for _, r := range b.runs.All() {
 		row := r.item
@@ -224,10 +224,12 @@
 			b.cancel(r, "no event in time")
 			continue
 		}
-		if b.canMove(now, r, typical, moves) {
-			moves++
-			b.cancel(r, "the engine is slow")
-			continue
+		if moves < movesPerTick {
+			if reason, ok := b.shouldMove(now, r, pace); ok {
+				moves++
+				b.cancel(r, reason)
+				continue
+			}
 		}
 		// Each writing holds the whole text, so a text is written again only once it is twice as long.
 		if b.settings.CheckpointAfter > 0 && len(row.events) > 2*row.written &&
@@ -240,18 +242,33 @@
 // movesPerTick bounds the runs that change engines at once, so that a wrong judgement is seen before all have moved.
 const movesPerTick = 4
 
-// canMove tells whether a run should go on at another engine: its own is slow, and one that isn't has room.
-func (b *Batches) canMove(now time.Time, r *run, typical time.Duration, moves int) bool {
-	e, ok := b.engines.Get(r.engine)
-	if !ok || r.first || moves >= movesPerTick || !b.isSlow(e, typical) {
-		return false
+// longRun is how many events a run has had when it counts as long. Most items end before; the step waits for these. Going
+// on elsewhere costs a connection and a few tens of milliseconds, which the better hardware makes up for in ten events.
+const longRun = 32
+
+// shouldMove tells whether a run should go on at another engine that has room, and why: its own is slow, or it is a long
+// run on weaker hardware.
+func (b *Batches) shouldMove(now time.Time, r *run, pace fleetPace) (reason string, ok bool) {
+	e, known := b.engines.Get(r.engine)
+	if !known || r.first {
+		return "", false
+	}
+	slow, long := b.isSlow(e, pace), len(r.item.events) >= longRun && pace.isSluggish(e)
+	if !slow && !long {
+		return "", false
+	}
+	route, found := b.desired.Match(r.item.of.Host, r.item.Path)
+	if !found || route.SingleVersion {
+		return "", false
 	}
-	route, ok := b.desired.Match(r.item.of.Host, r.item.Path)
-	if !ok || route.SingleVersion {
-		return false
+	other := b.choose(now, r.item, e.Service, false, pace)
+	switch {
+	case other == nil || b.isSlow(other, pace):
+		return "", false
+	case slow:
+		return "the engine is slow", true
 	}
-	other := b.choose(now, r.item, e.Service, false, typical)
-	return other != nil && !b.isSlow(other, typical)
+	return "a long run on weaker hardware", other.planned < other.Slots && !pace.isSluggish(other)
 }
 
 func (b *Batches) checkpoint(now time.Time, row *item) {
