batch: engines are reached through one instance each

Change: each engine has a keeper, the ready instance of its data centre with the highest hash. The instance that accepted a submission plans its items and lends them to the keepers over net/rpc, asks for them each 0.5 s and takes back what is lost; engines of a keeper that doesn't answer are reached directly. Keepers refuse what an engine has no place for and tell in their beats how fast and how loaded their engines are. A run moves only once its new keeper has taken it. Nothing of this is on the log.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -29,6 +29,9 @@
 	ProgressLost       Number = 2109
 	EntriesHandedOver  Number = 2110
 	EntriesTaken       Number = 2111
+	ItemsOffered       Number = 2112
+	ItemsTaken         Number = 2113
+	LoanUnconfirmed    Number = 2114
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -114,6 +117,9 @@
 		{ProgressLost, "ProgressLost", warn, "What an earlier run of an item had brought couldn't be read; the item starts from its beginning."},
 		{EntriesHandedOver, "EntriesHandedOver", info, "Results that this leaving instance couldn't append were given to another one."},
 		{EntriesTaken, "EntriesTaken", info, "Results of an instance that has left were taken over and are appended here."},
+		{ItemsOffered, "ItemsOffered", info, "Items were offered to the instance that keeps their engines."},
+		{ItemsTaken, "ItemsTaken", info, "Items were taken from the instance that plans them, to run them here."},
+		{LoanUnconfirmed, "LoanUnconfirmed", warn, "An instance didn't say whether it still has the items that it was lent."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic began to fail. What was read stays in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance had read them."},
--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -22,8 +22,8 @@
 	// longest holds the items with the longest expected texts first.
 	longest []*item
 	ended   bool
-	// open counts the items without a result, unplanned those of them without an engine.
-	open, unplanned int
+	// open counts the items without a result, unplanned those of them without an engine, adopted those of lenders.
+	open, unplanned, adopted int
 }
 
 // item is one item of a submission.
@@ -37,7 +37,15 @@
 	events   []string
 	versions []model.WeightVersion
 	// progress is the longest part that the log has, if it is longer than events and its versions fit; nil for none.
-	progress *Progress
+	progress   *Progress
+	progressAt time.Time
+	// loan is set while another instance sees to the item, adopted is true when this one does for a lender.
+	loan    *loan
+	adopted bool
+	// here is the engine for which a lender has chosen this instance; the item isn't lent on for it.
+	here model.EndpointID
+	// movedAt is when its run was last meant to go on elsewhere.
+	movedAt time.Time
 	// written is how many events the log has.
 	written   int
 	writtenAt time.Time
@@ -68,7 +76,7 @@
 	case entry.Result != nil:
 		return b.list(entry.Result)
 	case entry.Progress != nil:
-		return b.advance(entry.Progress)
+		return b.advance(now, entry.Progress)
 	case entry.End != nil:
 		return b.end(now, entry.End.Submission)
 	}
@@ -94,6 +102,7 @@
 	b.submissions.Put(s.ID, one)
 	b.openings = append(b.openings, ending{id: s.ID, at: now})
 	b.reuse(one)
+	b.adoptEarly(now, one)
 	return true
 }
 
@@ -130,8 +139,11 @@
 		return false
 	}
 	row.listed = true
-	row.events, row.versions, row.progress = nil, nil, nil
+	row.events, row.versions, row.progress, row.Content = nil, nil, nil, Content{}
 	one.open--
+	if row.adopted {
+		one.adopted--
+	}
 	one.results = append(one.results, *result)
 	if row.run != nil {
 		b.cancel(row.run, "the item has a result")
@@ -144,7 +156,7 @@
 	return true
 }
 
-func (b *Batches) advance(progress *Progress) bool {
+func (b *Batches) advance(now time.Time, progress *Progress) bool {
 	one, ok := b.submissions.Get(progress.Submission)
 	if !ok {
 		return false
@@ -161,7 +173,7 @@
 		row.progress != nil && progress.Count <= row.progress.Count {
 		return false
 	}
-	row.progress = progress
+	row.progress, row.progressAt = progress, now
 	return true
 }
 
@@ -230,6 +242,7 @@
 
 // forget drops submissions that ended long ago or that nobody ends.
 func (b *Batches) forget(now time.Time) {
+	b.early = slices.DeleteFunc(b.early, func(early earlyOffer) bool { return now.Sub(early.at) > earlyMemory })
 	for len(b.endings) > 0 && now.Sub(b.endings[0].at) > b.settings.Keep {
 		b.drop(b.endings[0].id)
 		b.endings = b.endings[1:]
--- a/core/services/jujubebatch/chunk.go
+++ b/core/services/jujubebatch/chunk.go
@@ -8,20 +8,16 @@
 	Contents map[int]Content
 }
 
-// chunkBytes is about how large a chunk gets at most: well below a record, as chunks are read one by one.
-const chunkBytes = 128 << 10
+// chunkBytes is about how large a chunk gets: well below a record, as chunks are read one by one.
+const chunkBytes = 32 << 10
 
-// Split puts a submission's contents into chunks, a multiple of the number of instances that share the items.
+// Split puts a submission's contents into chunks.
 func (s *Submission) Split() []Chunk {
 	size := 0
 	for i := range s.Items {
 		size += len(s.Items[i].Content.Body)
 	}
-	instances := max(1, len(s.Instances))
-	count := instances
-	for size/count > chunkBytes && count < len(s.Items) {
-		count += instances
-	}
+	count := min(1+size/chunkBytes, max(1, len(s.Items)))
 	chunks := make([]Chunk, count)
 	for i := range s.Items {
 		c := &chunks[i%count]
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -13,6 +13,7 @@
 	Incarnation model.Incarnation
 	Service     model.ServiceName
 	Address     string
+	DataCentre  model.DataCentre
 	// Slots is how many requests the engine runs at once.
 	Slots   int
 	Leaving bool
@@ -25,8 +26,13 @@
 	Engine
 	// inFlight counts this instance's runs.
 	inFlight int
-	// planned counts the items without a result that are planned for the engine, of all instances.
+	// planned counts the items without a result that this instance runs there, has lent to the keeper or means to.
 	planned int
+	// others is how many more items the keeper said that it had at othersAt.
+	others   int
+	othersAt time.Time
+	// keeper is the instance through which items reach the engine; empty for none.
+	keeper model.InstanceID
 	// avoidUntil keeps new runs away after a failure; loading does so for one model.
 	avoidUntil time.Time
 	loading    map[model.ModelName]time.Time
@@ -58,6 +64,7 @@
 		}
 	}
 	known.Engine = e
+	b.setKeeper(known)
 }
 
 // EngineState returns what is known of an engine.
@@ -111,10 +118,11 @@
 	var best *engine
 	var bestRank engineRank
 	for _, e := range b.engines.All() {
-		if e.planned >= e.limit() || !b.isEligible(now, e, row, service, single) {
+		load := e.loadOf(now)
+		if load >= e.limit() || !b.isEligible(now, e, row, service, single) {
 			continue
 		}
-		rank := b.rankEngine(e, pace)
+		rank := b.rankEngine(e, load, pace)
 		if best == nil || rank.compare(bestRank) < 0 {
 			best, bestRank = e, rank
 		}
@@ -124,16 +132,16 @@
 
 // engineRank orders engines for an item; lower is better.
 type engineRank struct {
-	class   int
-	planned float64
+	class int
+	load  float64
 }
 
-func (b *Batches) rankEngine(e *engine, pace fleetPace) engineRank {
-	rank := engineRank{planned: float64(e.planned) / float64(max(1, e.Slots))}
+func (b *Batches) rankEngine(e *engine, load int, pace fleetPace) engineRank {
+	rank := engineRank{load: float64(load) / float64(max(1, e.Slots))}
 	switch {
 	case b.isSlow(e, pace):
 		rank.class = 3
-	case e.planned >= e.Slots:
+	case load >= e.Slots:
 		rank.class = 2
 	case pace.isSluggish(e):
 		rank.class = 1
@@ -142,7 +150,7 @@
 }
 
 func (r engineRank) compare(other engineRank) int {
-	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.planned, other.planned))
+	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.load, other.load))
 }
 
 func (b *Batches) isEligible(now time.Time, e *engine, row *item, service model.ServiceName, single bool) bool {
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -35,12 +35,9 @@
 	Items      []Item
 	// Accepted is the accepting instance's time of day, in Unix milliseconds.
 	Accepted int64
-	// Instances shared the items when the submission was accepted, sorted by name.
-	Instances []model.InstanceID
-	// Chunks are where the items' contents lie: item i in chunk i modulo their number, which is a multiple of the number of
-	// instances, so that each instance needs the chunks of its own items only.
+	// Chunks are where the items' contents lie: item i in chunk i modulo their number.
 	Chunks []Pointer
-	// By is the instance that accepted the submission and keeps the chunks for a while.
+	// By is the instance that accepted the submission. It keeps the chunks for a while and sees to the items.
 	By model.InstanceID
 }
 
--- a/core/services/jujubebatch/plan.go
+++ b/core/services/jujubebatch/plan.go
@@ -7,10 +7,6 @@
 	"jujubepier.example/core/services/jujubedesired"
 )
 
-// Each instance plans the items of all instances, from the same log and the same entries of engines. The plans agree but
-// for moments, so the instances fill the engines evenly without a word between them. An instance starts its own items
-// only; where its view differs from the others', an engine gets a few items more and another one less.
-
 // planItems gives engines to the items that have none, the longest ones first: a step ends with its longest items, and
 // right after a new version only some engines can take them.
 func (b *Batches) planItems(now time.Time, one *submission, pace fleetPace) {
@@ -18,7 +14,7 @@
 		return
 	}
 	for _, row := range one.longest {
-		if row.planned != "" || row.listed || row.finished || now.Before(row.notBefore) {
+		if row.planned != "" || row.listed || row.finished || now.Before(row.notBefore) || !b.isOwn(now, row) {
 			continue
 		}
 		route, ok := b.desired.Match(one.Host, row.Path)
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -10,7 +10,7 @@
 // RunID numbers the runs of one instance.
 type RunID int64
 
-// Action is one of StartRun, CancelRun and AppendEntry.
+// Action is one of StartRun, CancelRun, AppendEntry, OfferItems and ConfirmItems.
 type Action interface{ isAction() }
 
 // StartRun asks an engine for an item's events, from the one after After.
@@ -22,8 +22,9 @@
 	Item       ItemID
 	Host       string
 	Path       string
-	// Content is where the rest of the request lies.
+	// Content is where the rest of the request lies, and Given is the rest itself if a lender has sent it along.
 	Content Place
+	Given   Content
 	// Progress is a part of the text that the log has and this instance hasn't; nil for none. Restore takes it.
 	Progress *Progress
 	// After is the id of the last event that is known, 0 for none.
@@ -32,7 +33,7 @@
 	ExpectVersion model.WeightVersion
 	// KnownVersion is the engine's version that the choice was based on.
 	KnownVersion model.WeightVersion
-	// InFlight counts this instance's runs on the engine, Planned the items that all instances are expected to have there.
+	// InFlight counts this instance's runs on the engine, Planned the items that it has for it.
 	InFlight int
 	Planned  int
 	Pace     time.Duration
--- a/core/services/jujuberegistry/registry.go
+++ b/core/services/jujuberegistry/registry.go
@@ -31,6 +31,8 @@
 	CallerAddress string
 	PeerAddress   string
 	State         State
+	// Engines are those that the instance keeps, with what it knows of them.
+	Engines []model.EngineNote `json:",omitempty"`
 	// Number grows with each beat of an incarnation.
 	Number int64
 }
--- a/entry/services/jujubenode/beat.go
+++ b/entry/services/jujubenode/beat.go
@@ -10,6 +10,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujuberegistry"
 )
 
@@ -33,6 +34,7 @@
 			beat = jujuberegistry.Beat{
 				Instance: n.identity.Instance, Incarnation: n.incarnation, DataCentre: n.identity.DataCentre,
 				CallerAddress: n.identity.CallerAddress, PeerAddress: n.identity.PeerAddress, State: n.state, Number: n.beatNumber,
+				Engines: n.batches.Notes(),
 			}
 		}
 		n.mu.Unlock()
@@ -84,6 +86,11 @@
 		n.lastBeat = time.Time{}
 	}
 	n.registry.Apply(now, beat)
+	if beat.Instance != n.identity.Instance {
+		for _, note := range beat.Engines {
+			n.batches.TakeNote(now, note)
+		}
+	}
 }
 
 func (n *Node) resetBeats(now time.Time, records []Record) {
@@ -95,10 +102,12 @@
 // refreshLive takes over which instances are alive; the lock is held.
 func (n *Node) refreshLive(now time.Time) {
 	live := n.registry.Live(now)
-	ids := make([]model.InstanceID, 0, len(live)+1)
+	members := make([]jujubebatch.Member, 0, len(live))
 	changed := len(live) != len(n.live)
 	for i, beat := range live {
-		ids = append(ids, beat.Instance)
+		members = append(members, jujubebatch.Member{
+			ID: beat.Instance, DataCentre: beat.DataCentre, Ready: beat.State == jujuberegistry.Ready,
+		})
 		changed = changed || n.live[i].Instance != beat.Instance || n.live[i].State != beat.State ||
 			n.live[i].Incarnation != beat.Incarnation
 	}
@@ -106,7 +115,7 @@
 	if !changed {
 		return
 	}
-	n.batches.SetLive(ids)
+	n.batches.SetLive(members)
 	n.log.Write(jujubeevent.MemberChanged, func() logrus.Fields {
 		states := map[string]string{}
 		for _, beat := range live {
--- a/entry/services/jujubenode/blob.go
+++ b/entry/services/jujubenode/blob.go
@@ -250,10 +250,15 @@
 	return jujubebatch.DecodeBlob(found[one.pointer], value)
 }
 
+func (p *partition) fetchChunk(ctx context.Context, place jujubebatch.Place) (chunk jujubebatch.Chunk, err error) {
+	err = p.fetch(ctx, source{place.Chunk, place.By}, &chunk)
+	return chunk, err
+}
+
 // fetchContent reads what an item sends to an engine.
 func (p *partition) fetchContent(ctx context.Context, place jujubebatch.Place) (jujubebatch.Content, error) {
-	var chunk jujubebatch.Chunk
-	if err := p.fetch(ctx, source{place.Chunk, place.By}, &chunk); err != nil {
+	chunk, err := p.fetchChunk(ctx, place)
+	if err != nil {
 		return jujubebatch.Content{}, err
 	}
 	content, ok := chunk.Contents[place.Index]
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -122,7 +122,7 @@
 			s := entry.Submission
 			return logrus.Fields{
 				"Submission": s.ID, "Partition": part, "Offset": offset, "Items": len(s.Items), "Model": s.Model,
-				"MinVersion": s.MinVersion, "Instances": len(s.Instances),
+				"MinVersion": s.MinVersion, "By": s.By,
 			}
 		})
 	case entry.Result != nil:
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -21,6 +21,10 @@
 			n.cancelRun(a)
 		case jujubebatch.AppendEntry:
 			n.enqueue(a)
+		case jujubebatch.OfferItems:
+			n.tomb.Go(func() error { n.offer(a); return nil })
+		case jujubebatch.ConfirmItems:
+			n.tomb.Go(func() error { n.confirm(a); return nil })
 		}
 	}
 }
@@ -87,10 +91,13 @@
 // callRun brings together what a run needs and calls the engine.
 func (n *Node) callRun(ctx context.Context, start jujubebatch.StartRun) (jujubebatch.EndKind, error) {
 	p := n.partitionOf(start.Submission)
-	content, err := p.fetchContent(ctx, start.Content)
-	if err != nil {
-		// Nothing was sent. The item is tried again after a pause.
-		return jujubebatch.RunUnsent, err
+	content := start.Given
+	if content.Headers == nil {
+		var err error
+		if content, err = p.fetchContent(ctx, start.Content); err != nil {
+			// Nothing was sent. The item is tried again after a pause.
+			return jujubebatch.RunUnsent, err
+		}
 	}
 	if start.Progress != nil {
 		var events []string
--- a/entry/services/jujubenode/servers.go
+++ b/entry/services/jujubenode/servers.go
@@ -43,8 +43,8 @@
 		})
 	}
 	n.batches.PutEngine(jujubebatch.Engine{
-		ID: s.ID, Incarnation: s.Incarnation, Service: s.Service, Address: s.Address, Slots: s.Slots, Leaving: s.Leaving,
-		Versions: maps.Clone(s.Versions),
+		ID: s.ID, Incarnation: s.Incarnation, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Slots: s.Slots,
+		Leaving: s.Leaving, Versions: maps.Clone(s.Versions),
 	})
 	if len(s.Versions) == 0 {
 		return
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -38,12 +38,6 @@
 	n.mu.Lock()
 	ready, state := n.ready, n.state
 	known, _ := n.batches.Known(submission.ID)
-	submission.Instances = submission.Instances[:0]
-	for _, beat := range n.live {
-		if beat.State == jujuberegistry.Ready {
-			submission.Instances = append(submission.Instances, beat.Instance)
-		}
-	}
 	away := !n.partitionOf(submission.ID).follower.failing.IsZero()
 	n.mu.Unlock()
 	var err error
@@ -69,7 +63,6 @@
 	n.log.Write(event, func() logrus.Fields {
 		return logrus.Fields{
 			"Submission": s.ID, "Route": route.Name, "Items": len(s.Items), "Known": known, "Error": errorText(err),
-			"Instances": len(s.Instances),
 		}
 	})
 }
