--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -307,6 +307,32 @@
 	assert.Assert(t, !w.Event(w.now, long.Run, 41, "late", 1), "the first run is over")
 }
 
+// TestSparesWantedEngines fills the engines that no other model's next step wants before the others. Load pattern: the steps
+// of two models begin within half a second, and engines have several models.
+func TestSparesWantedEngines(t *testing.T) {
+	w := newWorld(t, 4)
+	for i := range 2 {
+		w.PutEngine(jujubebatch.Engine{
+			ID: model.EndpointID(fmt.Sprintf("e%d", i)), Incarnation: 1, Service: "s", Slots: 12,
+			Versions: map[model.ModelName]model.WeightVersion{"m": 1, "other": 2},
+		})
+	}
+	other := submission("other", 1, "b")
+	other.Model = "other"
+	w.SetLive(members("a", "b"))
+	w.accept(other)
+	w.SetLive(members("a"))
+	w.accept(submission("s", 30, "a"))
+	counts := map[model.EndpointID]int{}
+	for _, run := range tick[jujubebatch.StartRun](w) {
+		if run.Submission == "s" {
+			counts[run.Engine]++
+		}
+	}
+	assert.Equal(t, counts["e2"]+counts["e3"], 24)
+	assert.Equal(t, counts["e0"]+counts["e1"], 6)
+}
+
 // TestForgetting keeps an ended submission readable for a while and drops one that nobody ends before its records expire.
 func TestForgetting(t *testing.T) {
 	w := newWorld(t, 1)
--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -101,6 +101,7 @@
 	slices.SortStableFunc(one.longest, func(x, y *item) int { return cmp.Compare(y.ExpectedTokens, x.ExpectedTokens) })
 	b.submissions.Put(s.ID, one)
 	b.openings = append(b.openings, ending{id: s.ID, at: now})
+	b.oldest[s.Model] = max(b.oldest[s.Model], s.MinVersion)
 	b.reuse(one)
 	b.adoptEarly(now, one)
 	return true
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -113,7 +113,8 @@
 
 // choose returns the engine that should run an item, nil when all that may are full. Slow ones are taken only when all are
 // slow. A free slot goes before a place in a queue, and of the engines with free slots those of the better hardware come
-// first; they take the longest items, which are planned first and which a step waits for.
+// first; they take the longest items, which are planned first and which a step waits for. Among these, engines that the
+// next steps of other models will want come last.
 func (b *Batches) choose(now time.Time, row *item, service model.ServiceName, single bool, pace fleetPace) *engine {
 	var best *engine
 	var bestRank engineRank
@@ -122,7 +123,7 @@
 		if load >= e.limit() || !b.isEligible(now, e, row, service, single) {
 			continue
 		}
-		rank := b.rankEngine(e, load, pace)
+		rank := b.rankEngine(e, row.of.Model, load, pace)
 		if best == nil || rank.compare(bestRank) < 0 {
 			best, bestRank = e, rank
 		}
@@ -133,11 +134,13 @@
 // engineRank orders engines for an item; lower is better.
 type engineRank struct {
 	class int
-	load  float64
+	// wanted counts the other models of which the engine takes the next step.
+	wanted int
+	load   float64
 }
 
-func (b *Batches) rankEngine(e *engine, load int, pace fleetPace) engineRank {
-	rank := engineRank{load: float64(load) / float64(max(1, e.Slots))}
+func (b *Batches) rankEngine(e *engine, name model.ModelName, load int, pace fleetPace) engineRank {
+	rank := engineRank{wanted: b.countWanted(e, name), load: float64(load) / float64(max(1, e.Slots))}
 	switch {
 	case b.isSlow(e, pace):
 		rank.class = 3
@@ -150,7 +153,17 @@
 }
 
 func (r engineRank) compare(other engineRank) int {
-	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.load, other.load))
+	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.wanted, other.wanted), cmp.Compare(r.load, other.load))
+}
+
+func (b *Batches) countWanted(e *engine, except model.ModelName) int {
+	count := 0
+	for name, version := range e.Versions {
+		if oldest, ok := b.oldest[name]; ok && name != except && version > oldest {
+			count++
+		}
+	}
+	return count
 }
 
 func (b *Batches) isEligible(now time.Time, e *engine, row *item, service model.ServiceName, single bool) bool {
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -20,6 +20,8 @@
 	runs        *jujubetable.Table[RunID, *run]
 	// parts finds the latest submission's row of an item that isn't listed, for groups that come again.
 	parts map[ItemID]*item
+	// oldest holds the oldest version that the latest step of each model takes; its next step wants a newer one.
+	oldest map[model.ModelName]model.WeightVersion
 	// openings are in the order of the submissions' records, endings in that of their ends.
 	openings []ending
 	endings  []ending
@@ -45,6 +47,7 @@
 		engines:     jujubetable.New[model.EndpointID, *engine](),
 		runs:        jujubetable.New[RunID, *run](),
 		parts:       make(map[ItemID]*item),
+		oldest:      make(map[model.ModelName]model.WeightVersion),
 		unreachable: make(map[model.InstanceID]time.Time),
 	}
 }
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -111,9 +111,11 @@
 func (n *Node) keepLease(ctx context.Context) {
 	n.mu.Lock()
 	now := time.Now()
-	// A holder stays one when others come back: each change of hands costs a lease time without orders.
-	candidate := n.state == jujuberegistry.Ready &&
-		(!n.leading.IsZero() || n.rank() < leaseCandidates && n.rollout.isFresh(now) && now.Sub(n.rollout.recovered) > leaseCalm)
+	// A holder stays one when others come back, and the last one goes first after an outage of the log: each change of hands
+	// costs a lease time without orders.
+	isLast := n.lease.State(now).Holder == n.identity.Instance
+	isNext := n.rank() < leaseCandidates && now.Sub(n.rollout.recovered) > leaseCalm
+	candidate := n.state == jujuberegistry.Ready && (!n.leading.IsZero() || n.rollout.isFresh(now) && (isLast || isNext))
 	if n.rollout.failing.IsZero() {
 		n.lease.SetLogAway(now, false)
 	} else {
