--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -307,6 +307,35 @@
 	assert.Assert(t, !w.Event(w.now, long.Run, 41, "late", 1), "the first run is over")
 }
 
+// TestSilentEngine ends all runs on an engine that makes no events any more, and keeps away from it for longer each time,
+// but lets a run wait for its place while others get events. Load pattern: an engine goes dark in the middle of a step.
+func TestSilentEngine(t *testing.T) {
+	w := newWorld(t, 1)
+	w.accept(submission("s", 13, "a"))
+	runs := tick[jujubebatch.StartRun](w)
+	assert.Equal(t, len(runs), 13)
+	for number := 1; number <= 28; number++ {
+		w.now = w.now.Add(50 * time.Millisecond)
+		for _, run := range runs[:12] {
+			assert.Assert(t, w.Event(w.now, run.Run, number, "x", 1))
+		}
+		assert.Equal(t, len(tick[jujubebatch.CancelRun](w)), 0, "the last one waits for its place")
+	}
+	w.now = w.now.Add(650 * time.Millisecond)
+	w.Ended(w.now, runs[12].Run, jujubebatch.RunRefused)
+	assert.Equal(t, len(tick[jujubebatch.CancelRun](w)), 0)
+	w.now = w.now.Add(100 * time.Millisecond)
+	assert.Equal(t, len(tick[jujubebatch.CancelRun](w)), 12)
+	for _, pause := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second} {
+		w.now = w.now.Add(pause - 10*time.Millisecond)
+		assert.Equal(t, len(tick[jujubebatch.StartRun](w)), 0, "%v", pause)
+		w.now = w.now.Add(20 * time.Millisecond)
+		assert.Assert(t, len(tick[jujubebatch.StartRun](w)) > 0, "%v", pause)
+		w.now = w.now.Add(750 * time.Millisecond)
+		assert.Assert(t, len(tick[jujubebatch.CancelRun](w)) > 0, "%v", pause)
+	}
+}
+
 // TestSparesWantedEngines fills the engines that no other model's next step wants before the others. Load pattern: the steps
 // of two models begin within half a second, and engines have several models.
 func TestSparesWantedEngines(t *testing.T) {
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -37,6 +37,9 @@
 	avoidUntil time.Time
 	loading    map[model.ModelName]time.Time
 	pace       enginePace
+	// lastEvent is the time of the latest event of any run here, failures counts the failed runs since then.
+	lastEvent time.Time
+	failures  int
 }
 
 const (
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -139,11 +139,16 @@
 	FirstEventTimeout time.Duration
 	// StallTimeout ends a run without a further event. Engines make an event each 40 ms, and each 150 ms when slow.
 	StallTimeout time.Duration
+	// SilenceTimeout ends all runs on an engine that this instance keeps when none of them had an event. Undisturbed engines
+	// make an event each 50 to 65 ms; 0.5 s was the longest pause seen while weights were loaded or memory ran out.
+	SilenceTimeout time.Duration
 	// AvoidLoading is how long a model is not sent to an engine that refused it: a load takes about one second, and
 	// other engines are asked meanwhile.
 	AvoidLoading time.Duration
-	// AvoidFailed is how long an engine that failed a run without an answer gets no new one.
+	// AvoidFailed is how long an engine that failed a run without an answer gets no new one. It doubles with each failure
+	// until the engine makes an event, up to MaxAvoid.
 	AvoidFailed time.Duration
+	MaxAvoid    time.Duration
 	// RetryPause is the pause before an item is started again, so that a failing item doesn't spin.
 	RetryPause time.Duration
 	// SlowFactor is how many times the median time of an event an engine needs to count as slow.
@@ -159,8 +164,8 @@
 // DefaultSettings returns the constants for engines with events of about 50 ms.
 func DefaultSettings() Settings {
 	return Settings{
-		FirstEventTimeout: 1500 * time.Millisecond, StallTimeout: time.Second, AvoidLoading: 250 * time.Millisecond,
-		AvoidFailed: time.Second, RetryPause: 30 * time.Millisecond, SlowFactor: 2,
+		FirstEventTimeout: 1500 * time.Millisecond, StallTimeout: time.Second, SilenceTimeout: 700 * time.Millisecond, AvoidLoading: 250 * time.Millisecond,
+		AvoidFailed: time.Second, MaxAvoid: 4 * time.Second, RetryPause: 30 * time.Millisecond, SlowFactor: 2,
 		CheckpointAfter: time.Second, Keep: 130 * time.Second, MaxOpen: 280 * time.Second,
 	}
 }
--- a/core/services/jujubebatch/lend_test.go
+++ b/core/services/jujubebatch/lend_test.go
@@ -24,12 +24,15 @@
 	// started are the items' runs in their order.
 	started map[jujubebatch.ItemID][]string
 	offers  int
+	// live are the runs in flight with the number of their events.
+	live map[model.InstanceID]map[jujubebatch.RunID]int
 }
 
 func newGroup(t *testing.T, instances, engines, slots int) *group {
 	g := &group{
 		t: t, now: start, instances: map[model.InstanceID]*world{}, silent: map[model.InstanceID]bool{},
 		runs: map[model.EndpointID]map[model.InstanceID]int{}, started: map[jujubebatch.ItemID][]string{},
+		live: map[model.InstanceID]map[jujubebatch.RunID]int{},
 	}
 	for i := range instances {
 		g.ids = append(g.ids, model.InstanceID(fmt.Sprintf("i%02d", i)))
@@ -72,6 +75,12 @@
 				}
 				g.runs[a.Engine][id]++
 				g.started[a.Item] = append(g.started[a.Item], string(id))
+				if g.live[id] == nil {
+					g.live[id] = map[jujubebatch.RunID]int{}
+				}
+				g.live[id][a.Run] = a.After
+			case jujubebatch.CancelRun:
+				delete(g.live[id], a.Run)
 			case jujubebatch.OfferItems:
 				g.offers++
 				g.offer(w, a)
@@ -82,6 +91,17 @@
 	}
 }
 
+// stream gives each run one more event.
+func (g *group) stream() {
+	for id, runs := range g.live {
+		for run, last := range runs {
+			if !g.silent[id] && g.instances[id].Event(g.now, run, last+1, "x", 1) {
+				runs[run]++
+			}
+		}
+	}
+}
+
 func (g *group) offer(from *world, a jujubebatch.OfferItems) {
 	if g.silent[a.To] {
 		from.FailOffer(g.now, a)
@@ -155,8 +175,9 @@
 	}
 	assert.Assert(t, frozen != "", "all engines have the same keeper")
 	g.silent[frozen] = true
-	for range 28 { // 1.4 s, before runs without an event are given up
+	for range 28 { // 1.4 s
 		g.now = g.now.Add(50 * time.Millisecond)
+		g.stream()
 		g.step()
 	}
 	for item, runs := range g.started {
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -130,8 +130,11 @@
 		return false
 	}
 	e, ok := b.engines.Get(r.engine)
-	if ok && !r.first {
-		e.pace.measure(now, now.Sub(r.last))
+	if ok {
+		e.lastEvent, e.failures = now, 0
+		if !r.first {
+			e.pace.measure(now, now.Sub(r.last))
+		}
 	}
 	r.first, r.last = false, now
 	row.events = append(row.events, data)
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -225,10 +225,15 @@
 		if r.first {
 			limit = b.settings.FirstEventTimeout
 		}
-		if now.Sub(r.last) > limit {
+		switch {
+		case now.Sub(r.last) > limit:
 			b.avoid(now, r, b.settings.AvoidFailed)
 			b.cancel(r, "no event in time")
 			continue
+		case b.isSilent(now, r):
+			b.avoid(now, r, b.settings.AvoidFailed)
+			b.cancel(r, "the engine is silent")
+			continue
 		}
 		if moves < movesPerTick && row.loan == nil && now.Sub(row.movedAt) > movePause {
 			if to, reason := b.shouldMove(now, r, pace); to != nil {
@@ -302,8 +307,19 @@
 	return actions
 }
 
+// isSilent tells whether an engine that this instance keeps has made no event of any run for too long. A run that waits for
+// a place there hasn't stalled while others get theirs.
+func (b *Batches) isSilent(now time.Time, r *run) bool {
+	e, ok := b.engines.Get(r.engine)
+	return ok && e.keeper == b.self && now.Sub(e.lastEvent) > b.settings.SilenceTimeout && now.Sub(r.last) > b.settings.SilenceTimeout
+}
+
+// avoid keeps new runs off a run's engine, longer with each failure in a row. Runs that fail together count once.
 func (b *Batches) avoid(now time.Time, r *run, pause time.Duration) {
-	if e, ok := b.engines.Get(r.engine); ok {
-		e.avoidUntil = now.Add(pause)
+	e, ok := b.engines.Get(r.engine)
+	if !ok || now.Before(e.avoidUntil) {
+		return
 	}
+	e.avoidUntil = now.Add(min(pause<<min(e.failures, 4), b.settings.MaxAvoid))
+	e.failures++
 }
