batch: only silent engines are avoided for longer

Cause: an engine that crashes refuses at once, which costs an item nothing, and is back after some seconds; with the pause that doubles it got work again up to 4 s late.

Change: the doubling is for engines that take requests and answer none.

--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -37,9 +37,9 @@
 	avoidUntil time.Time
 	loading    map[model.ModelName]time.Time
 	pace       enginePace
-	// lastEvent is the time of the latest event of any run here, failures counts the failed runs since then.
+	// lastEvent is the time of the latest event of any run here, stalls how often it has gone silent since.
 	lastEvent time.Time
-	failures  int
+	stalls    int
 }
 
 const (
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -145,8 +145,8 @@
 	// AvoidLoading is how long a model is not sent to an engine that refused it: a load takes about one second, and
 	// other engines are asked meanwhile.
 	AvoidLoading time.Duration
-	// AvoidFailed is how long an engine that failed a run without an answer gets no new one. It doubles with each failure
-	// until the engine makes an event, up to MaxAvoid.
+	// AvoidFailed is how long an engine that failed a run without an answer gets no new one. For a silent engine it doubles
+	// each time until the engine makes an event, up to MaxAvoid.
 	AvoidFailed time.Duration
 	MaxAvoid    time.Duration
 	// RetryPause is the pause before an item is started again, so that a failing item doesn't spin.
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -131,7 +131,7 @@
 	}
 	e, ok := b.engines.Get(r.engine)
 	if ok {
-		e.lastEvent, e.failures = now, 0
+		e.lastEvent, e.stalls = now, 0
 		if !r.first {
 			e.pace.measure(now, now.Sub(r.last))
 		}
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -227,11 +227,11 @@
 		}
 		switch {
 		case now.Sub(r.last) > limit:
-			b.avoid(now, r, b.settings.AvoidFailed)
+			b.avoidSilent(now, r)
 			b.cancel(r, "no event in time")
 			continue
 		case b.isSilent(now, r):
-			b.avoid(now, r, b.settings.AvoidFailed)
+			b.avoidSilent(now, r)
 			b.cancel(r, "the engine is silent")
 			continue
 		}
@@ -314,12 +314,20 @@
 	return ok && e.keeper == b.self && now.Sub(e.lastEvent) > b.settings.SilenceTimeout && now.Sub(r.last) > b.settings.SilenceTimeout
 }
 
-// avoid keeps new runs off a run's engine, longer with each failure in a row. Runs that fail together count once.
+// avoid keeps new runs off a run's engine.
 func (b *Batches) avoid(now time.Time, r *run, pause time.Duration) {
+	if e, ok := b.engines.Get(r.engine); ok {
+		e.avoidUntil = now.Add(pause)
+	}
+}
+
+// avoidSilent keeps new runs off an engine that takes requests and answers none, longer each time, as each try costs its
+// items the whole time limit. Runs that stall together count once.
+func (b *Batches) avoidSilent(now time.Time, r *run) {
 	e, ok := b.engines.Get(r.engine)
 	if !ok || now.Before(e.avoidUntil) {
 		return
 	}
-	e.avoidUntil = now.Add(min(pause<<min(e.failures, 4), b.settings.MaxAvoid))
-	e.failures++
+	e.avoidUntil = now.Add(min(b.settings.AvoidFailed<<min(e.stalls, 4), b.settings.MaxAvoid))
+	e.stalls++
 }
