--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -24,17 +24,22 @@
 func newWorld(t *testing.T, engines int) *world {
 	w := &world{t: t, now: start, Batches: jujubebatch.New("a", jujubebatch.DefaultSettings())}
 	w.SetLive(members("a"))
-	w.SetDesired(&jujubedesired.State{
+	w.SetDesired(oneRoute())
+	for i := range engines {
+		w.putEngine(i, 1, 1)
+	}
+	return w
+}
+
+// oneRoute returns a desired state with the route of all submissions here.
+func oneRoute() *jujubedesired.State {
+	return &jujubedesired.State{
 		Version: 1,
 		Routes: []jujubedesired.Route{{
 			Host: "h", PathPrefix: "/p/", Kind: jujubedesired.Rollout, MaxAttempts: 3, Retention: 40 * time.Second,
 			Targets: []jujubedesired.Target{{Service: "s", Weight: 1}},
 		}},
-	})
-	for i := range engines {
-		w.putEngine(i, 1, 1)
 	}
-	return w
 }
 
 func (w *world) putEngine(i int, incarnation model.Incarnation, version model.WeightVersion) {
--- a/core/services/jujubebatch/lend_test.go
+++ b/core/services/jujubebatch/lend_test.go
@@ -39,9 +39,8 @@
 	}
 	for _, id := range g.ids {
 		w := newWorld(t, 0)
-		desired := w.Batches
 		w.Batches = jujubebatch.New(id, jujubebatch.DefaultSettings())
-		w.SetDesired(desired.Desired())
+		w.SetDesired(oneRoute())
 		w.SetLive(members(g.ids...))
 		for i := range engines {
 			w.PutEngine(jujubebatch.Engine{
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -55,9 +55,6 @@
 // SetDesired puts a desired state in force.
 func (b *Batches) SetDesired(state *jujubedesired.State) { b.desired = state }
 
-// Desired returns the desired state in force.
-func (b *Batches) Desired() *jujubedesired.State { return b.desired }
-
 // Drain stops new runs; running ones go on.
 func (b *Batches) Drain() { b.draining = true }
 
--- a/entry/services/jujubenode/lend.go
+++ b/entry/services/jujubenode/lend.go
@@ -86,13 +86,19 @@
 		args := OfferArgs{From: n.identity.Instance, Offers: action.Offers}
 		err = n.store.pool.Call(ctx, n.peerAddresses()[action.To], "Relay.Offer", args, &reply)
 	}
-	n.log.Write(jujubeevent.ItemsOffered, func() logrus.Fields {
-		taken := 0
-		for _, one := range reply.Taken {
-			if one {
-				taken++
-			}
+	taken := 0
+	for _, one := range reply.Taken {
+		if one {
+			taken++
 		}
+	}
+	if err == nil {
+		n.metrics.countOffers("Taken", taken)
+		n.metrics.countOffers("Refused", len(action.Offers)-taken)
+	} else {
+		n.metrics.countOffers("Unanswered", len(action.Offers))
+	}
+	n.log.Write(jujubeevent.ItemsOffered, func() logrus.Fields {
 		return logrus.Fields{"To": action.To, "Offered": len(action.Offers), "Taken": taken, "Error": errorText(err)}
 	})
 	n.mu.Lock()
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -42,6 +42,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_store_failures_total{topic=%q}", topic)).Inc()
 }
 
+// countOffers counts items that were offered to keepers, by what became of them.
+func (m *nodeMetrics) countOffers(outcome string, items int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_offers_total{outcome=%q}", outcome)).Add(items)
+}
+
 // WriteMetrics writes the node's and the process's metrics in the text format.
 func (n *Node) WriteMetrics(w io.Writer) {
 	n.metrics.set.WritePrometheus(w)
