--- a/ctl/services/jujubeexplain/cause.go
+++ b/ctl/services/jujubeexplain/cause.go
@@ -13,6 +13,11 @@
 	slowStart = 100 * time.Millisecond
 	// slowRun is a run that a step with the usual limit of 7.5 s can't wait for.
 	slowRun = 6500 * time.Millisecond
+	// restartTime is how long after the last line about an id its instance's start may explain why there is no other: a
+	// process is started again within two seconds of its end, and reads the log in one.
+	restartTime = 3 * time.Second
+	// listTime is how long before the store's return a result may wait for it, beside the time that the store was away.
+	listTime = 10 * time.Second
 )
 
 func (s *Story) add(line Line, format string, values ...any) {
@@ -61,3 +66,27 @@
 		}
 	}
 }
+
+// explainBackground adds that the instance of the last line started again with the work in flight, and that results
+// waited for the store.
+func (s *Story) explainBackground(background []Line) {
+	first, last := s.Lines[0], s.Lines[len(s.Lines)-1]
+	isOpen := last.Event == jujubeevent.RouteDispatched || last.Event == jujubeevent.ItemStarted
+	isStored := s.Kind == Submission || s.Kind == Item
+	var back Line
+	var longest time.Duration
+	for _, line := range background {
+		since := line.Time.Sub(last.Time)
+		if isOpen && line.Event == jujubeevent.InstanceStarted && line.Instance == last.Instance && since > 0 && since < restartTime {
+			s.add(line, "the instance started again %v after its last line about this; what it held had no other end", since.Round(time.Millisecond))
+		}
+		away, err := time.ParseDuration(fmt.Sprint(line.Fields["Away"]))
+		if isStored && line.Event == jujubeevent.StoreAvailable && err == nil && away > longest &&
+			line.Time.After(first.Time) && line.Time.Add(-away).Before(last.Time.Add(listTime)) {
+			longest, back = away, line
+		}
+	}
+	if longest > 0 {
+		s.add(back, "the store was back after %v; nothing is accepted or listed while it is away", longest.Round(time.Millisecond))
+	}
+}
--- a/ctl/services/jujubeexplain/explain.go
+++ b/ctl/services/jujubeexplain/explain.go
@@ -69,6 +69,8 @@
 type Reader struct {
 	id    string
 	lines []Line
+	// background are starts of instances and returns of the store, which name no id but explain what others do.
+	background []Line
 	// runs are the item's runs, by instance and number, whose later lines name only the run.
 	runs map[string]bool
 	kind Kind
@@ -89,8 +91,9 @@
 		if start < 0 {
 			continue
 		}
+		isBackground := bytes.Contains(text, []byte(`"msg":"InstanceStarted"`)) || bytes.Contains(text, []byte(`"msg":"StoreAvailable"`))
 		isNamed := bytes.Contains(text, []byte(`"`+r.id+`"`))
-		if !isNamed && len(r.runs) == 0 {
+		if !isNamed && !isBackground && len(r.runs) == 0 {
 			continue
 		}
 		line, ok := decodeLine(text[start:])
@@ -103,6 +106,8 @@
 		}
 		if isNamed && r.names(line) || r.runs[line.runKey()] {
 			r.lines = append(r.lines, line)
+		} else if isBackground {
+			r.background = append(r.background, line)
 		}
 	}
 	return errors.Wrapf(scanner.Err(), "read %s", name)
@@ -159,5 +164,6 @@
 	slices.SortStableFunc(r.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	story := &Story{ID: r.id, Kind: r.kind, Lines: r.lines}
 	story.explain()
+	story.explainBackground(r.background)
 	return story, nil
 }
--- a/ctl/services/jujubeexplain/explain_test.go
+++ b/ctl/services/jujubeexplain/explain_test.go
@@ -16,6 +16,9 @@
 {"Event":2112,"To":"front-b-1","Offered":2,"Taken":2,"Error":"","msg":"ItemsOffered","time":"2026-12-04T10:00:00.020Z"}
 {"Event":1004,"Request":"req1","Endpoint":"pump-2","Error":"connection reset","msg":"RequestFailed","time":"2026-12-04T10:00:01.000Z"}
 {"Event":1003,"Request":"req1","Error":"no endpoint is left","Tries":1,"Took":"20ms","msg":"RouteRefused","time":"2026-12-04T10:00:01.020Z"}
+{"Event":1001,"Request":"req2","Endpoint":"pump-1","msg":"RouteDispatched","time":"2026-12-04T10:00:02.000Z"}
+{"Event":8001,"Instance":"front-a-1","msg":"InstanceStarted","time":"2026-12-04T10:00:03.100Z"}
+{"Event":5102,"Topic":"op","Away":"2.5s","msg":"StoreAvailable","time":"2026-12-04T10:00:09.000Z"}
 {"Event":2105,"Subm`
 	keeper = `
  12.5 front-b-1 {"Event":2105,"Submission":"sub1","Item":"item1","Run":7,"Endpoint":"engine-3","msg":"ItemStarted","time":"2026-12-04T10:00:00.400Z"}
@@ -45,13 +48,18 @@
 			"10:00:01.000 front-a-1: a try at pump-2 failed: connection reset",
 			"10:00:01.020 front-a-1: the caller was refused after 1 tries: no endpoint is left",
 		}},
+		"req2": {jujubeexplain.Request, 1, []string{
+			"10:00:03.100 front-a-1: the instance started again 1.1s after its last line about this; what it held had no other end",
+		}},
 		"item1": {jujubeexplain.Item, 4, []string{
 			"10:00:01.900 front-b-1: run 7 was given up: no event in time",
 			"10:00:08.801 front-b-1: run 9 of item item1 at engine-4 took 6.9s",
+			"10:00:09.000 front-a-1: the store was back after 2.5s; nothing is accepted or listed while it is away",
 		}},
 		"sub1": {jujubeexplain.Submission, 5, []string{
 			"10:00:00.400 front-b-1: the first item started 400ms after the submission: no engine had the weights, or all were full",
 			"10:00:08.801 front-b-1: run 9 of item item1 at engine-4 took 6.9s",
+			"10:00:09.000 front-a-1: the store was back after 2.5s; nothing is accepted or listed while it is away",
 		}},
 		"engine-3": {jujubeexplain.Endpoint, 2, nil},
 	} {
