--- a/ctl/cmd/explain.go
+++ b/ctl/cmd/explain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"jujubepier.example/ctl/services/jujubeday"
 	"jujubepier.example/ctl/services/jujubeexplain"
 	"jujubepier.example/ctl/services/jujubereport"
 )
@@ -40,8 +42,30 @@
 	}
 }
 
+func (p *Program) newDay() *cli.Command {
+	return &cli.Command{
+		Name: "day", Usage: "write a page with plots of steps, engines, versions and refusals from instances' logs",
+		ArgsUsage: "FILE...",
+		Action: p.action(1, maxFiles, func(_ context.Context, command *cli.Command, _ Settings) error {
+			day := jujubeday.New()
+			for _, file := range command.Args().Slice() {
+				if err := readLog(day, file); err != nil {
+					return err
+				}
+			}
+			day.Close()
+			return day.WritePage(p.Output)
+		}),
+	}
+}
+
+// logReader takes an instance's log.
+type logReader interface {
+	Read(name string, input io.Reader) error
+}
+
 // readLog reads a file; the instance is called as the file is, without its ending.
-func readLog(reader *jujubeexplain.Reader, file string) error {
+func readLog(reader logReader, file string) error {
 	input, err := os.Open(file)
 	if err != nil {
 		return errors.Wrap(err, "open log")
--- a/ctl/services/jujubeexplain/cause.go
+++ b/ctl/services/jujubeexplain/cause.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/ctl/services/jujubelines"
 )
 
 const (
@@ -20,7 +21,7 @@
 	listTime = 10 * time.Second
 )
 
-func (s *Story) add(line Line, format string, values ...any) {
+func (s *Story) add(line jujubelines.Line, format string, values ...any) {
 	s.Causes = append(s.Causes, fmt.Sprintf("%s %s: ", line.Time.Format("15:04:05.000"), line.Instance)+fmt.Sprintf(format, values...))
 }
 
@@ -69,11 +70,11 @@
 
 // explainBackground adds that the instance of the last line started again with the work in flight, and that results
 // waited for the store.
-func (s *Story) explainBackground(background []Line) {
+func (s *Story) explainBackground(background []jujubelines.Line) {
 	first, last := s.Lines[0], s.Lines[len(s.Lines)-1]
 	isOpen := last.Event == jujubeevent.RouteDispatched || last.Event == jujubeevent.ItemStarted
 	isStored := s.Kind == Submission || s.Kind == Item
-	var back Line
+	var back jujubelines.Line
 	var longest time.Duration
 	for _, line := range background {
 		since := line.Time.Sub(last.Time)
--- a/ctl/services/jujubeexplain/explain.go
+++ b/ctl/services/jujubeexplain/explain.go
@@ -2,34 +2,15 @@
 package jujubeexplain
 
 import (
-	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
-	"strings"
-	"time"
-
-	"github.com/pkg/errors"
 
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/ctl/services/jujubelines"
 )
 
-// maxLine bounds a log line; the longest are those of member changes, with a state for each instance.
-const maxLine = 1 << 20
-
-// Line is a log line that concerns the id.
-type Line struct {
-	Time time.Time
-	// Instance is what the collector put before the line, or else the file's name.
-	Instance string
-	Event    jujubeevent.Number
-	Name     string
-	// Fields are the others, without those above.
-	Fields map[string]any
-}
-
 // Kind tells what an id names.
 type Kind string
 
@@ -48,7 +29,7 @@
 type Story struct {
 	ID    string
 	Kind  Kind
-	Lines []Line
+	Lines []jujubelines.Line
 	// Causes are what explains a failure or a delay, in the order of time.
 	Causes []string
 }
@@ -68,9 +49,9 @@
 // Reader gathers the lines that name an id from several logs.
 type Reader struct {
 	id    string
-	lines []Line
+	lines []jujubelines.Line
 	// background are starts of instances and returns of the store, which name no id but explain what others do.
-	background []Line
+	background []jujubelines.Line
 	// runs are the item's runs, by instance and number, whose later lines name only the run.
 	runs map[string]bool
 	kind Kind
@@ -80,41 +61,22 @@
 // NewReader returns a reader without lines.
 func NewReader(id string) *Reader { return &Reader{id: id, runs: map[string]bool{}} }
 
-// Read takes a log. Lines that aren't JSON, such as the last one of a process that was killed, are passed over.
+// Read takes a log.
 func (r *Reader) Read(name string, input io.Reader) error {
-	scanner := bufio.NewScanner(input)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
+	return jujubelines.Read(name, input, func(text []byte, line jujubelines.Line) {
 		r.read++
-		text := scanner.Bytes()
-		start := bytes.IndexByte(text, '{')
-		if start < 0 {
-			continue
-		}
-		isBackground := bytes.Contains(text, []byte(`"msg":"InstanceStarted"`)) || bytes.Contains(text, []byte(`"msg":"StoreAvailable"`))
-		isNamed := bytes.Contains(text, []byte(`"`+r.id+`"`))
-		if !isNamed && !isBackground && len(r.runs) == 0 {
-			continue
-		}
-		line, ok := decodeLine(text[start:])
-		if !ok {
-			continue
-		}
-		line.Instance = name
-		if words := strings.Fields(string(text[:start])); len(words) > 0 {
-			line.Instance = words[len(words)-1]
-		}
-		if isNamed && r.names(line) || r.runs[line.runKey()] {
+		isNamed := bytes.Contains(text, []byte(`"`+r.id+`"`)) && r.names(line)
+		switch {
+		case isNamed || r.runs[runKey(line)]:
 			r.lines = append(r.lines, line)
-		} else if isBackground {
+		case line.Event == jujubeevent.InstanceStarted || line.Event == jujubeevent.StoreAvailable:
 			r.background = append(r.background, line)
 		}
-	}
-	return errors.Wrapf(scanner.Err(), "read %s", name)
+	})
 }
 
 // names tells whether a line has the id in one of its fields, and remembers the line's run.
-func (r *Reader) names(line Line) bool {
+func (r *Reader) names(line jujubelines.Line) bool {
 	for _, kind := range kinds {
 		if line.Fields[string(kind)] != r.id {
 			continue
@@ -122,7 +84,7 @@
 		if r.kind == "" {
 			r.kind = kind
 		}
-		if key := line.runKey(); key != "" && kind == Item {
+		if key := runKey(line); key != "" && kind == Item {
 			r.runs[key] = true
 		}
 		return true
@@ -130,30 +92,12 @@
 	return false
 }
 
-func (l Line) runKey() string {
-	run, ok := l.Fields["Run"]
+func runKey(line jujubelines.Line) string {
+	run, ok := line.Fields["Run"]
 	if !ok {
 		return ""
 	}
-	return fmt.Sprint(l.Instance, " ", run)
-}
-
-func decodeLine(text []byte) (Line, bool) {
-	var fields map[string]any
-	if json.Unmarshal(text, &fields) != nil {
-		return Line{}, false
-	}
-	var line Line
-	number, _ := fields["Event"].(float64)
-	line.Event = jujubeevent.Number(number)
-	line.Name, _ = fields["msg"].(string)
-	at, _ := fields["time"].(string)
-	line.Time, _ = time.Parse(time.RFC3339Nano, at) // a line without a time sorts first
-	for _, key := range []string{"Event", "msg", "time", "level"} {
-		delete(fields, key)
-	}
-	line.Fields = fields
-	return line, line.Event != 0
+	return fmt.Sprint(line.Instance, " ", run)
 }
 
 // Story returns the lines in the order of time and what explains them.
@@ -161,7 +105,7 @@
 	if len(r.lines) == 0 {
 		return nil, ErrUnknownID{r.id, r.read}
 	}
-	slices.SortStableFunc(r.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	slices.SortStableFunc(r.lines, func(a, b jujubelines.Line) int { return a.Time.Compare(b.Time) })
 	story := &Story{ID: r.id, Kind: r.kind, Lines: r.lines}
 	story.explain()
 	story.explainBackground(r.background)
