--- a/core/services/jujubebatch/lend.go
+++ b/core/services/jujubebatch/lend.go
@@ -197,53 +197,6 @@
 	}
 }
 
-// earlyMemory is how long an offer waits for its submission's record; a read of the log takes 0.4 s at most.
-const earlyMemory = 3 * time.Second
-
-// maxEarly bounds the offers of submissions whose records this instance hasn't read yet, which takes some 100 ms.
-const maxEarly = 4096
-
-// takeEarly keeps an offer until the submission's record is read.
-func (b *Batches) takeEarly(now time.Time, offer Offer) bool {
-	e, known := b.engines.Get(offer.Engine)
-	if !known || len(b.early) >= maxEarly || b.earlyFor(offer.Engine)+e.planned >= e.limit() {
-		return false
-	}
-	b.early = append(b.early, earlyOffer{offer, now})
-	return true
-}
-
-type earlyOffer struct {
-	Offer
-	at time.Time
-}
-
-func (b *Batches) earlyFor(id model.EndpointID) int {
-	count := 0
-	for _, offer := range b.early {
-		if offer.Engine == id {
-			count++
-		}
-	}
-	return count
-}
-
-// adoptEarly takes the offers that came before a submission's record.
-func (b *Batches) adoptEarly(now time.Time, one *submission) {
-	b.early = slices.DeleteFunc(b.early, func(early earlyOffer) bool {
-		if early.Submission != one.ID {
-			return false
-		}
-		if row, ok := one.items[early.Item]; ok && !row.adopted {
-			b.adopt(now, row, early.Offer)
-			if e, known := b.engines.Get(early.Engine); known {
-				b.plan(row, e)
-			}
-		}
-		return true
-	})
-}
-
 // Has tells whether this instance has an item from a lender or runs it, or knows that it needs no run any more.
 func (b *Batches) Has(ref ItemRef) bool {
 	one, ok := b.submissions.Get(ref.Submission)
@@ -386,39 +339,6 @@
 	}
 }
 
-// Notes returns what this instance tells the others of the engines that it keeps.
-func (b *Batches) Notes() []model.EngineNote {
-	var notes []model.EngineNote
-	for _, e := range b.engines.All() {
-		if e.keeper == b.self && e.pace.events >= usualEvents {
-			notes = append(notes, model.EngineNote{
-				Engine: e.ID, Recent: model.Duration(e.pace.recent), Usual: model.Duration(e.pace.usual), Load: e.planned,
-			})
-		}
-	}
-	return notes
-}
-
-// TakeNote takes what an engine's keeper tells of it.
-func (b *Batches) TakeNote(now time.Time, note model.EngineNote) {
-	e, ok := b.engines.Get(note.Engine)
-	if !ok || e.keeper == b.self {
-		return
-	}
-	if note.Recent > 0 {
-		e.pace.recent, e.pace.recentAt = note.Recent.Std(), now
-	}
-	if note.Usual > 0 {
-		e.pace.usual, e.pace.events = note.Usual.Std(), max(e.pace.events, usualEvents)
-	}
-	if now.Sub(e.othersAt) > noteAge {
-		e.others, e.othersAt = max(0, note.Load-e.planned), now
-	}
-}
-
-// noteAge is about how old the load in a note is; a keeper's answer to an offer that is younger counts more.
-const noteAge = 400 * time.Millisecond
-
 // loadOf returns how many items an engine has or is expected to get, of all instances.
 func (e *engine) loadOf(now time.Time) int {
 	others := e.others
