--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -53,7 +53,6 @@
 	// planned is the engine that the item is meant for or runs on; empty for none.
 	planned   model.EndpointID
 	notBefore time.Time
-	avoid     model.EndpointID
 	// failures counts the engines' own failures of the item, crashes the runs that broke off before their first event.
 	failures int
 	crashes  int
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -134,9 +134,21 @@
 	return best
 }
 
+// engineClass is the first thing that counts when engines are compared for an item; lower is better.
+type engineClass int
+
+const (
+	classFree engineClass = iota
+	// classWeaker engines have a free slot and weaker hardware.
+	classWeaker
+	// classQueued engines have a place in their queue only.
+	classQueued
+	classSlow
+)
+
 // engineRank orders engines for an item; lower is better.
 type engineRank struct {
-	class int
+	class engineClass
 	// wanted counts the other models of which the engine takes the next step.
 	wanted int
 	load   float64
@@ -146,11 +158,11 @@
 	rank := engineRank{wanted: b.countWanted(e, name), load: float64(load) / float64(max(1, e.Slots))}
 	switch {
 	case b.isSlow(e, pace):
-		rank.class = 3
+		rank.class = classSlow
 	case load >= e.Slots:
-		rank.class = 2
+		rank.class = classQueued
 	case pace.isSluggish(e):
-		rank.class = 1
+		rank.class = classWeaker
 	}
 	return rank
 }
@@ -159,6 +171,7 @@
 	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.wanted, other.wanted), cmp.Compare(r.load, other.load))
 }
 
+// countWanted counts the other models of which an engine's version is newer than their latest step asks for.
 func (b *Batches) countWanted(e *engine, except model.ModelName) int {
 	count := 0
 	for name, version := range e.Versions {
