node: an endpoint's entry has one type

Cause: jujubenode.Server and jujubebatch.Engine had the same eight fields, and PutServer copied one into the other field by field, so a new field had to be added twice (DataCentre was, on the way to keepers).

Ruled out: embedding one in the other, which keeps both names; model.Endpoint, which holds the endpoints of the own interface and has other fields.

Change: the wire decodes into jujubebatch.Engine, and jujubenode.Server is gone. No behaviour changes: tests of the core, entry and platform modules pass as before.

--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -7,7 +7,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 )
 
-// Engine is what an instance knows of one model engine.
+// Engine is an endpoint's own entry: a model engine's, or a plain server's, which has no versions and gets no items.
 type Engine struct {
 	ID          model.EndpointID
 	Incarnation model.Incarnation
--- a/entry/services/jujubenode/servers.go
+++ b/entry/services/jujubenode/servers.go
@@ -13,21 +13,8 @@
 	"jujubepier.example/core/services/jujubefleet"
 )
 
-// Server is an endpoint's own entry in the platform's store.
-type Server struct {
-	ID          model.EndpointID
-	Incarnation model.Incarnation
-	Service     model.ServiceName
-	Address     string
-	DataCentre  model.DataCentre
-	Slots       int
-	Leaving     bool
-	// Versions are set for model engines only.
-	Versions map[model.ModelName]model.WeightVersion
-}
-
 // PutServer takes an endpoint's entry. It is called from a feed, under the node's lock.
-func (n *Node) PutServer(now time.Time, s Server) {
+func (n *Node) PutServer(now time.Time, s jujubebatch.Engine) {
 	n.servers.Put(s.ID)
 	n.router.PutEndpoint(now, model.Endpoint{
 		ID: s.ID, Kind: model.KindService, DataCentre: s.DataCentre, Address: s.Address, Incarnation: s.Incarnation,
@@ -42,10 +29,9 @@
 			}
 		})
 	}
-	n.batches.PutEngine(jujubebatch.Engine{
-		ID: s.ID, Incarnation: s.Incarnation, Service: s.Service, Address: s.Address, DataCentre: s.DataCentre, Slots: s.Slots,
-		Leaving: s.Leaving, Versions: maps.Clone(s.Versions),
-	})
+	own := s
+	own.Versions = maps.Clone(s.Versions)
+	n.batches.PutEngine(own)
 	if len(s.Versions) == 0 {
 		return
 	}
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -239,7 +239,7 @@
 	apply := func(now time.Time, _ jujubenode.Record) {
 		node.SetDesired(now, &jujubedesired.State{Version: 1, Routes: []jujubedesired.Route{*route}})
 		for engine, dataCentre := range map[model.EndpointID]model.DataCentre{"e1": "dc-a", "e2": "dc-b"} {
-			node.PutServer(now, jujubenode.Server{
+			node.PutServer(now, jujubebatch.Engine{
 				ID: engine, Incarnation: 1, Service: "s", Address: "127.0.0.1:1", DataCentre: dataCentre, Slots: 8,
 				Versions: map[model.ModelName]model.WeightVersion{"m": 1},
 			})
