--- a/ctl/services/jujubeexplain/cause.go
+++ b/ctl/services/jujubeexplain/cause.go
@@ -79,7 +79,7 @@
 	for _, line := range background {
 		since := line.Time.Sub(last.Time)
 		if isOpen && line.Event == jujubeevent.InstanceStarted && line.Instance == last.Instance && since > 0 && since < restartTime {
-			s.add(line, "the instance started again %v after its last line about this; what it held had no other end", since.Round(time.Millisecond))
+			s.add(line, "the instance restarted %v after its last line about this; work in flight on it was lost", since.Round(time.Millisecond))
 		}
 		away, err := time.ParseDuration(fmt.Sprint(line.Fields["Away"]))
 		if isStored && line.Event == jujubeevent.StoreAvailable && err == nil && away > longest &&
@@ -88,6 +88,6 @@
 		}
 	}
 	if longest > 0 {
-		s.add(back, "the store was back after %v; nothing is accepted or listed while it is away", longest.Round(time.Millisecond))
+		s.add(back, "the store had been unavailable for %v; nothing is accepted or listed meanwhile", longest.Round(time.Millisecond))
 	}
 }
