--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -15,7 +15,7 @@
 	// this length at once an instance makes about 20 idle calls a second of the 2,000 that all may make.
 	readWait = 400 * time.Millisecond
 	// readTimeout covers a direct try and one through another instance.
-	readTimeout = 2 * (readWait + catchUpTimeout + peerMargin)
+	readTimeout = 2 * (readWait + maxCatchUpTimeout + peerMargin)
 	// readShare is the part of the store's reads that the instances together use for following the log at most; pauses
 	// between the reads see to it. The rest is for reads on behalf of callers and for starts.
 	readShare = 0.4
@@ -41,6 +41,10 @@
 	// contact is told of each read up to the end; the node's lock is held.
 	contact func(now time.Time)
 
+	// pages holds what has been read of a snapshot that isn't whole yet, so that a failure doesn't begin it anew. It is
+	// used by run only.
+	pages snapshotPages
+
 	// next is the offset of the next record; guarded by the node's lock, as are the fields below.
 	next int64
 	// caughtUp is when the partition was last read up to its end; zero before.
@@ -141,18 +145,44 @@
 	}
 }
 
+// snapshotPages are the pages of a snapshot that have been read.
+type snapshotPages struct {
+	records []Record
+	// end is the partition's end before the first page was read, so that what changed since then is read again behind it.
+	end int64
+}
+
+// maxSnapshotRecords bounds a snapshot: many times the entries of the largest site.
+const maxSnapshotRecords = 50_000
+
 // snapshot reads the newest records of a keyed topic and goes on behind them.
 func (f *follower) snapshot(ctx context.Context) error {
-	snapshot, err := f.node.store.Newest(ctx, f.topic)
-	if err != nil {
-		return err
+	for more := true; more; {
+		after := ""
+		if len(f.pages.records) > 0 {
+			after = f.pages.records[len(f.pages.records)-1].Key
+		}
+		page, err := f.node.store.Newest(ctx, f.topic, after)
+		if err != nil {
+			return err
+		}
+		if after == "" {
+			f.pages.end = page.End
+		}
+		f.pages.records = append(f.pages.records, page.Records...)
+		if more = page.More; more && len(f.pages.records) > maxSnapshotRecords {
+			f.pages = snapshotPages{}
+			return ErrStore{Call: "Newest", Reason: "the topic has too many keys"}
+		}
 	}
+	whole := f.pages
+	f.pages = snapshotPages{}
 	f.node.mu.Lock()
 	defer f.node.mu.Unlock()
 	now := time.Now()
 	f.noteSuccess(now)
-	f.next = max(f.next, snapshot.End)
-	f.reset(now, snapshot.Records)
+	f.next = max(f.next, whole.end)
+	f.reset(now, whole.records)
 	f.caughtUp = now
 	if f.contact != nil {
 		f.contact(now)
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -19,9 +19,14 @@
 const (
 	// directTimeout bounds a direct call apart from its wait. The store answers in 4 ms, and in 250 ms when it is slow.
 	directTimeout = 600 * time.Millisecond
-	// catchUpTimeout bounds a read's answer. When all instances start at once they share the store's 80 MB a second, and
-	// a read brings 256 KB: with 62 readers that is 0.2 s, and ten times that with 600.
+	// catchUpTimeout bounds the answer of a read that brings much. When all instances start at once they share the store's
+	// 80 MB a second, and a read brings 256 KB: with 62 readers that is 0.2 s, and ten times that with 600.
 	catchUpTimeout = 2 * time.Second
+	// maxCatchUpTimeout is where the time limit of such reads stops doubling. At 372 instances a round of one read of each
+	// topic brings 360 MB, 4.5 s of the store's reading rate.
+	maxCatchUpTimeout = 8 * time.Second
+	// probeBytes bounds what a probe reads.
+	probeBytes = 1 << 10
 	// peerMargin is the time of a call's way to another instance and back.
 	peerMargin = 100 * time.Millisecond
 	// probePoll is how often the path is asked whether a probe is due.
@@ -38,6 +43,8 @@
 
 	mu   sync.Mutex
 	path *jujubepath.Path
+	// patience is the time limit of reads that bring much.
+	patience jujubepath.Patience
 	// awayForAll is when another instance last said that it can't reach the store either; zero after any success.
 	awayForAll time.Time
 }
@@ -45,6 +52,7 @@
 func newRelayedStore(direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string) *relayedStore {
 	return &relayedStore{
 		direct: direct, pool: jujubepeer.NewPool(), log: log, peers: peers, path: jujubepath.New(jujubepath.DefaultSettings()),
+		patience: jujubepath.Patience{Least: catchUpTimeout, Most: maxCatchUpTimeout},
 	}
 }
 
@@ -62,24 +70,46 @@
 // Read returns records from an offset on. A read that doesn't wait for new ones has records to bring and gets more time.
 func (s *relayedStore) Read(ctx context.Context, topic Topic, part int, from int64, wait time.Duration, maxBytes int) (LogBatch, error) {
 	args := RelayArgs{Topic: topic, Part: part, Position: from, Wait: wait, MaxBytes: maxBytes}
+	direct := func(ctx context.Context) (RelayReply, error) {
+		batch, err := s.direct.Read(ctx, topic, part, from, wait, maxBytes)
+		return RelayReply{Records: batch.Records, Offset: batch.End}, err
+	}
 	timeout := wait + directTimeout
 	if wait == 0 {
-		timeout = catchUpTimeout
+		timeout, direct = s.patient(direct)
 	}
-	reply, err := s.call(ctx, "Relay.Read", args, timeout, true, func(ctx context.Context) (RelayReply, error) {
-		batch, err := s.direct.Read(ctx, topic, part, from, wait, maxBytes)
-		return RelayReply{Records: batch.Records, Offset: batch.End}, err
-	})
+	reply, err := s.call(ctx, "Relay.Read", args, timeout, true, direct)
 	return LogBatch{Records: reply.Records, End: reply.Offset}, err
 }
 
-// Newest returns the newest record of each key.
-func (s *relayedStore) Newest(ctx context.Context, topic Topic) (LogSnapshot, error) {
-	reply, err := s.call(ctx, "Relay.Newest", RelayArgs{Topic: topic}, directTimeout, true, func(ctx context.Context) (RelayReply, error) {
-		snapshot, err := s.direct.Newest(ctx, topic)
-		return RelayReply{Records: snapshot.Records, Offset: snapshot.End}, err
+// Newest returns a page of the newest records of each key.
+func (s *relayedStore) Newest(ctx context.Context, topic Topic, after string) (LogPage, error) {
+	timeout, direct := s.patient(func(ctx context.Context) (RelayReply, error) {
+		page, err := s.direct.Newest(ctx, topic, after)
+		return RelayReply{Records: page.Records, Offset: page.End, More: page.More}, err
 	})
-	return LogSnapshot{Records: reply.Records, End: reply.Offset}, err
+	reply, err := s.call(ctx, "Relay.Newest", RelayArgs{Topic: topic, After: after}, timeout, true, direct)
+	return LogPage{Records: reply.Records, End: reply.Offset, More: reply.More}, err
+}
+
+// patient returns the time limit of a read that brings much, and the read with its outcome noted.
+func (s *relayedStore) patient(direct func(context.Context) (RelayReply, error)) (time.Duration, func(context.Context) (RelayReply, error)) {
+	s.mu.Lock()
+	limit := s.patience.Limit()
+	s.mu.Unlock()
+	return limit, func(ctx context.Context) (RelayReply, error) {
+		began := time.Now()
+		reply, err := direct(ctx)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		switch {
+		case err == nil:
+			s.patience.NoteAnswer(time.Since(began))
+		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+			s.patience.NoteTimeout(limit)
+		}
+		return reply, err
+	}
 }
 
 // call makes a call on the present way. A direct failure of a call that may be repeated is followed by one try through
@@ -195,7 +225,7 @@
 		s.mu.Unlock()
 		if due {
 			call, cancel := context.WithTimeout(ctx, directTimeout)
-			_, err := s.direct.Newest(call, topicInstances)
+			_, err := s.direct.Read(call, topicRollout, 0, 0, 0, probeBytes)
 			cancel()
 			if ctx.Err() == nil {
 				s.note(err, "probe")
@@ -213,6 +243,8 @@
 	Records []Record
 	// Position is the condition of an append or the offset of a read.
 	Position int64
+	// After is the key behind which a page begins.
+	After    string
 	Wait     time.Duration
 	MaxBytes int
 	Timeout  time.Duration
@@ -223,6 +255,7 @@
 	Records []Record
 	// Offset is the first offset of an append, and the end otherwise.
 	Offset int64
+	More   bool
 	// At most one of the errors is set.
 	Failed    *ErrStore
 	Condition *ErrCondition
@@ -286,12 +319,12 @@
 	return nil
 }
 
-// Newest returns the newest records to another instance.
+// Newest returns a page of the newest records to another instance.
 func (r *Relay) Newest(args RelayArgs, reply *RelayReply) error {
 	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
 	defer cancel()
-	snapshot, err := r.store.Newest(ctx, args.Topic)
-	reply.Records, reply.Offset = snapshot.Records, snapshot.End
+	page, err := r.store.Newest(ctx, args.Topic, args.After)
+	reply.Records, reply.Offset, reply.More = page.Records, page.End, page.More
 	reply.set(err)
 	return nil
 }
--- a/entry/services/jujubenode/store.go
+++ b/entry/services/jujubenode/store.go
@@ -30,8 +30,8 @@
 	Read(ctx context.Context, topic Topic, part int, from int64, wait time.Duration, maxBytes int) (LogBatch, error)
 	// Trim drops the records before an offset.
 	Trim(ctx context.Context, topic Topic, part int, before int64) error
-	// Newest returns the newest record of each key of a keyed topic's first partition.
-	Newest(ctx context.Context, topic Topic) (LogSnapshot, error)
+	// Newest returns a page of the newest records of a keyed topic's first partition, those with a key behind the given one.
+	Newest(ctx context.Context, topic Topic, after string) (LogPage, error)
 }
 
 // LogBatch is what one read of a partition brought.
@@ -42,12 +42,13 @@
 	End int64
 }
 
-// LogSnapshot is the newest record of each key. Its pages are read one after the other, so it may hold records from End
-// on.
-type LogSnapshot struct {
+// LogPage is a part of the newest records of each key, in the order of the keys.
+type LogPage struct {
 	Records []Record
-	// End is the partition's end before the first page was read.
+	// End is the partition's end when the page was read. A later page may hold records from there on.
 	End int64
+	// More is true when other keys follow.
+	More bool
 }
 
 // ErrStore is a failed call of the platform's store.
