--- a/core/services/jujubepath/path.go
+++ b/core/services/jujubepath/path.go
@@ -17,11 +17,14 @@
 	// PeerPause is how long an instance that couldn't help isn't asked again. While the store is down for all, this
 	// bounds how often each one is asked.
 	PeerPause time.Duration
+	// BusyTolerance is how long refusals for too many calls, without a success between them, are put down to the calls of
+	// all instances together; after that the store turns this one away.
+	BusyTolerance time.Duration
 }
 
 // DefaultSettings returns the constants for outages of some seconds.
 func DefaultSettings() Settings {
-	return Settings{ProbePeriod: 150 * time.Millisecond, PeerPause: 700 * time.Millisecond}
+	return Settings{ProbePeriod: 150 * time.Millisecond, PeerPause: 700 * time.Millisecond, BusyTolerance: 500 * time.Millisecond}
 }
 
 // Path is owned by one goroutine at a time.
@@ -30,14 +33,17 @@
 	// indirect is true from a direct failure to the next direct success.
 	indirect bool
 	probeAt  time.Time
+	// succeeded is when a direct call last succeeded.
+	succeeded time.Time
 	// pausedUntil holds the instances that couldn't help lately.
 	pausedUntil map[model.InstanceID]time.Time
 	current     model.InstanceID
 }
 
-// New returns a path that is direct.
-func New(settings Settings) *Path {
-	return &Path{settings: settings, pausedUntil: make(map[model.InstanceID]time.Time)}
+// New returns a path that is direct. The first instance that it goes through is the next one after this one by name, so that
+// instances that are turned away together don't all ask the same one.
+func New(self model.InstanceID, settings Settings) *Path {
+	return &Path{settings: settings, current: self, pausedUntil: make(map[model.InstanceID]time.Time)}
 }
 
 // Direct tells whether calls go directly to the store.
@@ -47,12 +53,20 @@
 func (p *Path) NoteDirect(now time.Time, ok bool) bool {
 	changed := p.indirect == ok
 	p.indirect = !ok
-	if !ok {
+	if ok {
+		p.succeeded = now
+	} else {
 		p.probeAt = now.Add(p.settings.ProbePeriod)
 	}
 	return changed
 }
 
+// Tolerates tells whether a direct call that was refused for too many calls should be repeated directly. Another instance
+// would spend a call of the same rate.
+func (p *Path) Tolerates(now time.Time) bool {
+	return !p.indirect && now.Sub(p.succeeded) < p.settings.BusyTolerance
+}
+
 // ProbeDue tells whether the store should be tried directly now.
 func (p *Path) ProbeDue(now time.Time) bool { return p.indirect && !now.Before(p.probeAt) }
 
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -108,6 +108,8 @@
 	tomb    *tomb.Tomb
 	wake    chan struct{}
 	cache   *blobCache
+	// loads are the load records that wait to be written.
+	loads chan loadNote
 
 	// mu guards all below. Decisions are made under it; no call is made under it.
 	mu       sync.Mutex
@@ -154,6 +156,7 @@
 		engines: options.Engines, caller: options.Caller, stopServing: options.StopServing, log: jujubeevent.NewLog(logger), tomb: new(tomb.Tomb),
 		wake:     make(chan struct{}, 1),
 		cache:    newBlobCache(),
+		loads:    make(chan loadNote, loadQueue),
 		batches:  jujubebatch.New(id, jujubebatch.DefaultSettings()),
 		fleet:    jujubefleet.New(id, fleetSettings),
 		lease:    jujubelease.New("rollout", id, incarnation, lease),
@@ -165,7 +168,7 @@
 		cancels: make(map[jujubebatch.RunID]context.CancelFunc),
 		changed: make(chan struct{}), state: jujuberegistry.Starting,
 	}
-	n.store = newRelayedStore(options.Store, n.log, n.peerAddresses)
+	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses)
 	n.metrics = newNodeMetrics(n)
 	n.instances = n.addFollower(topicInstances, 0, n.applyBeat)
 	n.instances.reset = n.resetBeats
@@ -212,6 +215,9 @@
 	n.tomb.Go(func() error { return n.schedule(background) })
 	n.tomb.Go(func() error { return n.beat(background) })
 	n.tomb.Go(func() error { return n.rollOut(background) })
+	for range loadWriters {
+		n.tomb.Go(func() error { return n.writeLoads(background) })
+	}
 	select {
 	case <-ctx.Done():
 		n.leave()
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -216,7 +216,7 @@
 			entries = append(entries, entry)
 		}
 		sleep(ctx, p.pause())
-		entries = p.gather(entries)
+		entries = drain(p.queue, entries)
 		p.setUnwritten(entries)
 		pause := leastAppendRetry
 		for {
@@ -257,19 +257,7 @@
 	p.node.mu.Lock()
 	entries := p.unwritten
 	p.node.mu.Unlock()
-	return p.gather(append([]jujubebatch.Entry(nil), entries...))
-}
-
-// gather adds what else is queued.
-func (p *partition) gather(entries []jujubebatch.Entry) []jujubebatch.Entry {
-	for {
-		select {
-		case entry := <-p.queue:
-			entries = append(entries, entry)
-		default:
-			return entries
-		}
-	}
+	return drain(p.queue, append([]jujubebatch.Entry(nil), entries...))
 }
 
 // writeTexts writes the texts that entries point at. Entries that were written before keep their pointers.
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -54,9 +55,9 @@
 	returned chan struct{}
 }
 
-func newRelayedStore(direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string) *relayedStore {
+func newRelayedStore(self model.InstanceID, direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string) *relayedStore {
 	return &relayedStore{
-		direct: direct, pool: jujubepeer.NewPool(), log: log, peers: peers, path: jujubepath.New(jujubepath.DefaultSettings()),
+		direct: direct, pool: jujubepeer.NewPool(), log: log, peers: peers, path: jujubepath.New(self, jujubepath.DefaultSettings()),
 		patience: jujubepath.Patience{Least: catchUpTimeout, Most: maxCatchUpTimeout},
 		returned: make(chan struct{}),
 	}
@@ -134,6 +135,9 @@
 		if ctx.Err() != nil && err != nil {
 			return reply, err
 		}
+		if s.isBusy(err) {
+			return reply, err
+		}
 		s.note(err, method)
 		var failed ErrStore
 		if !errors.As(err, &failed) || !repeat && failed.Done {
@@ -157,6 +161,17 @@
 	return reply, err
 }
 
+// isBusy tells whether a direct call was refused because all instances together made too many.
+func (s *relayedStore) isBusy(err error) bool {
+	var failed ErrStore
+	if !errors.As(err, &failed) || failed.Status != http.StatusTooManyRequests {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.path.Tolerates(time.Now())
+}
+
 // note takes the outcome of a direct call.
 func (s *relayedStore) note(err error, method string) {
 	var failed ErrStore
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -84,29 +84,6 @@
 	n.batches.MarkLoading(load.Engine, load.Model, now.Add(loadNotice))
 }
 
-// loadNotice bounds how long a begun load keeps items away when its end isn't told: a load takes 0.9 s.
-const loadNotice = 1500 * time.Millisecond
-
-// tellLoad writes a load for the other instances.
-func (n *Node) tellLoad(ctx context.Context, load LoadRecord) error {
-	if n.store.isAwayForAll(time.Now()) {
-		n.tellPeers(ctx, "Relay.Tell", load)
-		return ErrStore{Call: "load", Reason: "the store is away for all"}
-	}
-	value, err := json.Marshal(rolloutRecord{Load: &load})
-	if err == nil {
-		call, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err = n.store.Append(call, topicRollout, 0, []Record{{Value: value}}, NoCondition)
-		cancel()
-	}
-	if err != nil {
-		n.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
-			return logrus.Fields{"Topic": topicRollout.Name, "Endpoint": load.Engine, "Error": err.Error()}
-		})
-	}
-	return err
-}
-
 // keepLease claims or renews the lease. The instances with the lowest names try, so that a claim has few rivals.
 func (n *Node) keepLease(ctx context.Context) {
 	n.mu.Lock()
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,8 @@
 	changed chan struct{}
 	// loseAnswers is how many further appends of submissions are done without an answer.
 	loseAnswers int
+	// appends counts the appends of each topic.
+	appends map[string]int
 	// slowNewest delays the answers with the newest records.
 	slowNewest time.Duration
 	// pageRecords bounds a page of the newest records.
@@ -39,7 +42,7 @@
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{logs: map[string][]jujubenode.Record{}, changed: make(chan struct{}), pageRecords: 500}
+	return &memoryStore{logs: map[string][]jujubenode.Record{}, appends: map[string]int{}, changed: make(chan struct{}), pageRecords: 500}
 }
 
 func name(topic jujubenode.Topic, part int) string { return fmt.Sprintf("%s/%d", topic.Name, part) }
@@ -51,6 +54,7 @@
 	if position != jujubenode.NoCondition && position != int64(len(log)) {
 		return 0, jujubenode.ErrCondition{End: int64(len(log))}
 	}
+	s.appends[topic.Name]++
 	s.logs[name(topic, part)] = append(log, records...)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -173,6 +177,8 @@
 	runs map[jujubebatch.ItemID]int
 	// hold keeps runs from ending while it is set.
 	hold chan struct{}
+	// ordered counts the orders.
+	ordered atomic.Int64
 }
 
 func (e *engines) Run(ctx context.Context, start jujubebatch.StartRun, _ jujubebatch.Content, sink jujubenode.RunSink) (jujubebatch.EndKind, error) {
@@ -199,6 +205,7 @@
 }
 
 func (e *engines) Order(context.Context, jujubefleet.Order, string) (jujubefleet.Outcome, error) {
+	e.ordered.Add(1)
 	return jujubefleet.Holds, nil
 }
 
@@ -223,6 +230,8 @@
 	t       *testing.T
 	store   *memoryStore
 	engines *engines
+	// more is how many engines there are beside the first two.
+	more int
 	// behind is how far the clocks of instances that start are behind.
 	behind time.Duration
 	// leaves ends the instances in the orderly way.
@@ -267,9 +276,17 @@
 		},
 		Store: g, Engines: s.engines, Caller: s.engines, Started: time.Now().Add(-s.behind),
 	}, logger)
-	apply := func(now time.Time, _ jujubenode.Record) {
+	apply := func(now time.Time, record jujubenode.Record) {
+		if record.Key == "weights" {
+			node.Announce(now, "m", 2)
+			return
+		}
 		node.SetDesired(now, &jujubedesired.State{Version: 1, Routes: []jujubedesired.Route{*route}})
-		for engine, dataCentre := range map[model.EndpointID]model.DataCentre{"e1": "dc-a", "e2": "dc-b"} {
+		engines := map[model.EndpointID]model.DataCentre{"e1": "dc-a", "e2": "dc-b"}
+		for i := range s.more {
+			engines[model.EndpointID(fmt.Sprintf("more%d", i))] = "dc-c"
+		}
+		for engine, dataCentre := range engines {
 			node.PutServer(now, jujubebatch.Engine{
 				ID: engine, Incarnation: 1, Service: "s", Address: "127.0.0.1:1", DataCentre: dataCentre, Slots: 8,
 				Versions: map[model.ModelName]model.WeightVersion{"m": 1},
