node: above 64 instances, one in eight reads the log for the others

Each instance read all heartbeats from the store: endpoints x instances grows with the square of a site, 267 MB a second of the store's 80 at 298 instances with 2,998 engines, 125 at the target of 372 with 600 (computed in docs/CAPACITY.md; seen as reads that time out from 2 s after the start on).

Taken: the first of each eight ready instances of a data centre, by name, keeps the records that it has read, up to 2 MB a partition, and gives them to the seven others over net/rpc. Offsets stay those of the log, so that an instance whose source doesn't answer, is behind or can't read goes on at the store where it was, for 1.5 s. What a source tells carries its age, which counts for how fresh an answer is. Reads that show that something doesn't exist go to the store as before.

Up to 64 instances nothing changes: all read themselves. The number is a named setting of the node.

TestSource (372 instances: 47 to 51 readers, none with more than seven others), TestSharedReading (twelve instances, two of them read the log, the others make no read of their own; a source is turned away, another one killed).

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -64,6 +64,8 @@
 	SettingsRead      Number = 5110
 	StorePathChanged  Number = 5111
 	PeersTold         Number = 5112
+	SourceChanged     Number = 5113
+	SourceSilent      Number = 5114
 
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
@@ -132,6 +134,8 @@
 		{SettingsRead, "SettingsRead", info, "The platform's settings were read, at the start or after a signal."},
 		{StorePathChanged, "StorePathChanged", info, "The store is reached through another instance from now on, or directly again."},
 		{PeersTold, "PeersTold", info, "The other instances were told directly of what couldn't be written to the store."},
+		{SourceChanged, "SourceChanged", info, "The log's new records are read through another instance from now on, or by this one when Source is empty."},
+		{SourceSilent, "SourceSilent", warn, "The instance that reads the log for this one gave no answer; this one reads it itself for a while."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed to a successor."},
--- a/entry/services/jujubenode/beat.go
+++ b/entry/services/jujubenode/beat.go
@@ -117,6 +117,7 @@
 		return
 	}
 	n.batches.SetLive(members)
+	n.setSource()
 	n.log.Write(jujubeevent.MemberChanged, func() logrus.Fields {
 		states := map[string]string{}
 		for _, beat := range live {
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -45,6 +45,10 @@
 	// used by run only.
 	pages snapshotPages
 
+	// recent are the records before next that others may ask for, recentBytes their size; guarded by the node's lock.
+	recent      []Record
+	recentBytes int
+
 	// next is the offset of the next record; guarded by the node's lock, as are the fields below.
 	next int64
 	// caughtUp is when the partition was last read up to its end; zero before.
@@ -68,7 +72,7 @@
 		if first && f.topic.Keyed {
 			err = f.snapshot(ctx)
 		} else {
-			err = f.readOnce(ctx, f.wait())
+			err = f.readNext(ctx)
 		}
 		switch {
 		case err == nil:
@@ -106,6 +110,7 @@
 		}
 		f.node.mu.Lock()
 		f.next = max(f.next, trimmed.First)
+		f.dropRecent()
 		f.node.mu.Unlock()
 		f.node.log.Write(jujubeevent.RecordsExpired, func() logrus.Fields {
 			return logrus.Fields{"Topic": f.topic.Name, "Partition": f.part, "From": from, "First": trimmed.First}
@@ -115,11 +120,12 @@
 	if err != nil {
 		return err
 	}
-	f.take(from, batch)
+	f.take(from, batch, 0)
 	return nil
 }
 
-func (f *follower) take(from int64, batch LogBatch) {
+// take applies records. Age is how long ago the batch's end was the partition's.
+func (f *follower) take(from int64, batch LogBatch, age time.Duration) {
 	f.node.mu.Lock()
 	defer f.node.mu.Unlock()
 	now := time.Now()
@@ -130,14 +136,17 @@
 		f.bytes += len(record.Value)
 		if offset := from + int64(i); offset == f.next {
 			f.next++
+			f.keepRecent(record)
 			f.apply(now, offset, record)
 		}
 	}
 	f.behind = f.next < batch.End
 	if !f.behind {
-		f.caughtUp = now
+		if at := now.Add(-age); at.After(f.caughtUp) {
+			f.caughtUp = at
+		}
 		if f.contact != nil {
-			f.contact(now)
+			f.contact(f.caughtUp)
 		}
 	}
 	if len(batch.Records) > 0 {
@@ -182,6 +191,7 @@
 	now := time.Now()
 	f.noteSuccess(now)
 	f.next = max(f.next, whole.end)
+	f.dropRecent()
 	f.reset(now, whole.records)
 	f.caughtUp = now
 	if f.contact != nil {
@@ -205,11 +215,11 @@
 	return f.behind
 }
 
-// readPause is the time between two reads of a partition, so that all instances together keep to the store's rate.
+// readPause is the time between two reads of a partition, so that all readers together keep to the store's rate.
 func (n *Node) readPause() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	reads := readShare * float64(n.settings.ReadsPerSecond) / float64(max(1, len(n.live))*len(n.followers))
+	reads := readShare * float64(n.settings.ReadsPerSecond) / float64(n.readers()*len(n.followers))
 	return time.Duration(float64(time.Second) / max(1, reads))
 }
 
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -124,6 +124,7 @@
 	cancels  map[jujubebatch.RunID]context.CancelFunc
 	changed  chan struct{}
 	live     []jujuberegistry.Beat
+	source   logSource
 	// incarnation is the start's time of day, or more if the log knows a later one of this instance.
 	incarnation model.Incarnation
 	// leading is since when this instance holds the lease; zero when it doesn't.
--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -13,6 +13,8 @@
 	// ReadsPerSecond and WritesPerSecond are what the store takes from all instances together.
 	ReadsPerSecond  int `validate:"min=1" usage:"reads that the store takes from all instances in a second"`
 	WritesPerSecond int `validate:"min=1" usage:"writes that the store takes from all instances in a second"`
+	// DirectReaders is up to how many live instances all read the log themselves.
+	DirectReaders int `validate:"min=1" usage:"number of instances above which some read the log for the others"`
 	// MaxRecordBytes and MaxAppendBytes bound what the store takes.
 	MaxRecordBytes int `validate:"min=1024" usage:"largest record of the store's log, in bytes"`
 	MaxAppendBytes int `validate:"min=1024" usage:"largest append to the store's log, in bytes"`
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -129,6 +129,8 @@
 	jujubenode.Store
 	mu   sync.Mutex
 	shut bool
+	// reads counts the reads of the instance.
+	reads atomic.Int64
 }
 
 func (g *gate) set(shut bool) {
@@ -157,6 +159,7 @@
 	if err := g.err(); err != nil {
 		return jujubenode.LogBatch{}, err
 	}
+	g.reads.Add(1)
 	batch, err := g.Store.Read(ctx, topic, part, from, wait, maxBytes)
 	if shut := g.err(); shut != nil {
 		return jujubenode.LogBatch{}, shut
@@ -230,6 +233,9 @@
 	t       *testing.T
 	store   *memoryStore
 	engines *engines
+	// directReaders is the setting of that name, and sameDataCentre puts all instances into one.
+	directReaders  int
+	sameDataCentre bool
 	// more is how many engines there are beside the first two.
 	more int
 	// behind is how far the clocks of instances that start are behind.
@@ -245,7 +251,7 @@
 	store := newMemoryStore()
 	_, err := store.Append(t.Context(), topicDesired, 0, []jujubenode.Record{{Key: "desired", Value: []byte("1")}}, jujubenode.NoCondition)
 	assert.NilError(t, err)
-	return &site{t: t, store: store, engines: &engines{runs: map[jujubebatch.ItemID]int{}}, leaves: map[model.InstanceID]func(){}}
+	return &site{t: t, directReaders: jujubenode.DefaultDirectReaders, store: store, engines: &engines{runs: map[jujubebatch.ItemID]int{}}, leaves: map[model.InstanceID]func(){}}
 }
 
 var route = &jujubedesired.Route{
@@ -269,10 +275,15 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	g := &gate{Store: s.store}
+	dataCentre := model.DataCentre("dc-" + id)
+	if s.sameDataCentre {
+		dataCentre = "dc-a"
+	}
 	node := jujubenode.New(jujubenode.Options{
-		Identity: jujubenode.Identity{Instance: id, DataCentre: model.DataCentre("dc-" + id), CallerAddress: string(id) + ":1", PeerAddress: listener.Addr().String()},
+		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: listener.Addr().String()},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
+			DirectReaders: s.directReaders,
 		},
 		Store: g, Engines: s.engines, Caller: s.engines, Started: time.Now().Add(-s.behind),
 	}, logger)
