node: where two figures of shared reading come from

Comments only: the load at which sharing begins was computed with another size of entry, and the time for which a silent source is passed over had no reason.

--- a/entry/services/jujubenode/source.go
+++ b/entry/services/jujubenode/source.go
@@ -12,12 +12,13 @@
 
 const (
 	// DefaultDirectReaders is up to how many instances all read the log themselves. 64 instances with ten endpoints each
-	// read 14 MB a second of heartbeats, a sixth of what the store gives.
+	// read 12 MB a second of heartbeats, a sixth of what the store gives.
 	DefaultDirectReaders = 64
 	// maxRecentBytes bounds the records that a source keeps of each partition: those of two seconds at 3,000 endpoints. Who is
 	// further behind reads from the store.
 	maxRecentBytes = 2 << 20
-	// avoidSource is how long an instance reads the log itself after its source gave no answer.
+	// avoidSource is how long an instance reads the log itself after its source gave no answer, about half of the time until
+	// one that is gone is known to be.
 	avoidSource = 1500 * time.Millisecond
 )
 
