batch: proof of an adopted item that comes back

TestItemComesBack did not fail when Take answered for each item that was taken from a lender, lent on or not: it plays an item that this instance accepted itself. The case of the fault was another one, an item of another acceptor that was lent on and comes back; each of two instances then waited for the other one. TestAdoptedItemComesBack plays it: without the mechanism no run starts, with it one does.

--- a/core/services/jujubebatch/lend_test.go
+++ b/core/services/jujubebatch/lend_test.go
@@ -255,6 +255,33 @@
 	assert.Equal(t, runs[0].After, 2)
 }
 
+// TestAdoptedItemComesBack takes an item back that another instance accepted, that was taken here and lent on when its
+// engine went: an offer for an engine that is kept here means that it is to run here again.
+func TestAdoptedItemComesBack(t *testing.T) {
+	w := newWorld(t, 0)
+	w.SetLive([]jujubebatch.Member{{ID: "a", DataCentre: "dc-a", Ready: true}, {ID: "b", DataCentre: "dc-b", Ready: true}, {ID: "c", DataCentre: "dc-c", Ready: true}})
+	engine := func(id model.EndpointID, dataCentre model.DataCentre) {
+		w.PutEngine(jujubebatch.Engine{
+			ID: id, Incarnation: 1, Service: "s", DataCentre: dataCentre, Slots: 8, Versions: map[model.ModelName]model.WeightVersion{"m": 1},
+		})
+	}
+	engine("near", "dc-a")
+	w.accept(submission("s", 1, "c"))
+	offer := jujubebatch.Offer{Submission: "s", Item: "s-0", Engine: "near"}
+	assert.Assert(t, w.Take(w.now, offer))
+	w.RemoveEngine("near")
+	engine("far", "dc-b")
+	offers := tick[jujubebatch.OfferItems](w)
+	assert.Equal(t, len(offers), 1)
+	assert.Equal(t, offers[0].To, model.InstanceID("b"))
+	w.NoteOffer(w.now, offers[0], []bool{true}, nil)
+	engine("near", "dc-a")
+	assert.Assert(t, w.Take(w.now, offer))
+	runs := tick[jujubebatch.StartRun](w)
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Engine, model.EndpointID("near"))
+}
+
 // TestNotesOfKeepers learns which engines have weaker hardware from the instances that keep them, as each one keeps an
 // engine or two of dozens and has nothing to compare them with.
 func TestNotesOfKeepers(t *testing.T) {
