batch: items are scored between their last event and their result

Cause: on the further deployment an item names a scoring call, and a result counts only with the stamp of its answer; the program listed results without one. Ruled out: scoring by the acceptor or by the instance nearest to the plain service, each of which needs another hand-over of the text (docs/design.md weighs them). Change: a whole text is written down as unscored, the instance that has the item makes the call through the router, and the result's record holds text and score together. A share of the plain service's slots bounds the calls. The time until a second try is a part of the route's target latency, as before where that is 150 ms.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -32,6 +32,7 @@
 	ItemsOffered       Number = 2112
 	ItemsTaken         Number = 2113
 	LoanUnconfirmed    Number = 2114
+	ItemScored         Number = 2115
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -122,6 +123,7 @@
 		{ItemsOffered, "ItemsOffered", info, "Items were offered to the instance that keeps their engines."},
 		{ItemsTaken, "ItemsTaken", info, "Items were taken from the instance that plans them, to run them here."},
 		{LoanUnconfirmed, "LoanUnconfirmed", warn, "An instance didn't say whether it still has the items that it was lent."},
+		{ItemScored, "ItemScored", info, "A scoring call ended. Without a Score it is made again; Failures are the servers' own ones."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic began to fail. What was read stays in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance had read them."},
--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -53,6 +53,16 @@
 	// planned is the engine that the item is meant for or runs on; empty for none.
 	planned   model.EndpointID
 	notBefore time.Time
+	// unscored is the whole text while its score is missing: of the own run, or of the log's record, which has no text but
+	// says where it lies. A score belongs to the text that was here when its call began, so it isn't replaced.
+	unscored   *Result
+	unscoredAt time.Time
+	// drafted is true once unscored is on the log or on its way.
+	drafted bool
+	scoring *scoring
+	// scoreFailures are the scoring servers' own failures, by their stamps; scoreTries counts the calls without a score.
+	scoreFailures map[string]bool
+	scoreTries    int
 	// failures counts the engines' own failures of the item, crashes the runs that broke off before their first event.
 	failures int
 	crashes  int
@@ -76,6 +86,8 @@
 		return b.list(entry.Result)
 	case entry.Progress != nil:
 		return b.advance(now, entry.Progress)
+	case entry.Unscored != nil:
+		return b.keepUnscored(now, entry.Unscored)
 	case entry.End != nil:
 		return b.end(now, entry.End.Submission)
 	}
@@ -112,6 +124,7 @@
 		if earlier := b.parts[row.ID]; earlier != nil && earlier.of.Model == one.Model && earlier.of != one {
 			if row.fits(earlier.versions) {
 				row.events, row.versions = slices.Clone(earlier.events), slices.Clone(earlier.versions)
+				row.reuseText(earlier)
 			}
 			// What the log has of it lies in the other submission's partition and is of use only there.
 		}
@@ -140,6 +153,8 @@
 	}
 	row.listed = true
 	row.events, row.versions, row.progress, row.Content = nil, nil, nil, Content{}
+	b.stopScoring(row, "the item has a result")
+	row.unscored = nil
 	one.open--
 	if row.adopted {
 		one.adopted--
@@ -188,6 +203,7 @@
 		if row.run != nil {
 			b.cancel(row.run, "the submission has ended")
 		}
+		b.stopScoring(row, "the submission has ended")
 		b.unplan(row)
 	}
 	return true
--- a/core/services/jujubebatch/early.go
+++ b/core/services/jujubebatch/early.go
@@ -46,7 +46,7 @@
 		}
 		if row, ok := one.items[early.Item]; ok && !row.adopted {
 			b.adopt(now, row, early.Offer)
-			if e, known := b.engines.Get(early.Engine); known {
+			if e, known := b.engines.Get(early.Engine); known && row.unscored == nil {
 				b.plan(row, e)
 			}
 		}
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -53,6 +53,16 @@
 type Content struct {
 	Headers map[string]string
 	Body    []byte
+	// ScoringBody is the body of the item's scoring call.
+	ScoringBody []byte `json:",omitempty"`
+}
+
+// ScoringCall is the plain request whose answer scores an item's text. It may be repeated. Its body lies with the item's
+// content.
+type ScoringCall struct {
+	ID   model.RequestID
+	Host string
+	Path string
 }
 
 // Item is one request for tokens.
@@ -64,6 +74,8 @@
 	// ExpectedTokens is the caller's estimate of what will be generated, often far off; 0 for none.
 	ExpectedTokens int `json:",omitempty"`
 	Group          GroupID
+	// Scoring is nil for an item whose text needs no score.
+	Scoring *ScoringCall `json:",omitempty"`
 }
 
 // ResultState tells how an item ended.
@@ -88,8 +100,13 @@
 	By model.InstanceID `json:",omitempty"`
 	// Versions generated an event of the text, each named once.
 	Versions []model.WeightVersion
+	// Score is the stamp of the scoring call's answer. The call began after the text was whole.
+	Score string `json:",omitempty"`
 }
 
+// Ref names the item of a result.
+func (r *Result) Ref() ItemRef { return ItemRef{r.Submission, r.Item} }
+
 // Progress is the part of an item's text that was generated before its instance left or a run took long. Whoever runs the
 // item next resumes after it.
 type Progress struct {
@@ -109,7 +126,9 @@
 	Submission *Submission `json:",omitempty"`
 	Result     *Result     `json:",omitempty"`
 	Progress   *Progress   `json:",omitempty"`
-	End        *End        `json:",omitempty"`
+	// Unscored is a whole text that waits for its score. It has no position yet.
+	Unscored *Result `json:",omitempty"`
+	End      *End    `json:",omitempty"`
 }
 
 // Of returns the submission that an entry concerns; ok is false for an empty entry.
@@ -121,6 +140,8 @@
 		return e.Result.Submission, true
 	case e.Progress != nil:
 		return e.Progress.Submission, true
+	case e.Unscored != nil:
+		return e.Unscored.Submission, true
 	case e.End != nil:
 		return e.End.Submission, true
 	}
--- a/core/services/jujubebatch/lend.go
+++ b/core/services/jujubebatch/lend.go
@@ -138,6 +138,8 @@
 		return true
 	case b.isLive(row.of.By):
 		return false
+	case row.unscored != nil && row.unscored.By != b.self && b.isLive(row.unscored.By) && now.Sub(row.unscoredAt) < foreignMemory:
+		return false
 	case row.progress != nil && row.progress.By != b.self && b.isLive(row.progress.By) && now.Sub(row.progressAt) < foreignMemory:
 		return false
 	}
@@ -182,7 +184,9 @@
 	}
 	b.adopt(now, row, offer)
 	b.unplan(row)
-	b.plan(row, e)
+	if row.unscored == nil {
+		b.plan(row, e)
+	}
 	return true
 }
 
--- a/core/services/jujubebatch/plan.go
+++ b/core/services/jujubebatch/plan.go
@@ -14,7 +14,7 @@
 		return
 	}
 	for _, row := range one.longest {
-		if row.planned != "" || row.listed || row.finished || now.Before(row.notBefore) || !b.isOwn(now, row) {
+		if row.planned != "" || row.listed || row.finished || row.unscored != nil || now.Before(row.notBefore) || !b.isOwn(now, row) {
 			continue
 		}
 		route, ok := b.desired.Match(one.Host, row.Path)
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -167,7 +167,7 @@
 	}
 	switch kind {
 	case RunComplete:
-		b.finish(row, Completed)
+		b.completeText(now, row)
 	case RunRejected:
 		b.finish(row, Errored)
 	case RunFailed:
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -18,6 +18,9 @@
 	submissions *jujubetable.Table[SubmissionID, *submission]
 	engines     *jujubetable.Table[model.EndpointID, *engine]
 	runs        *jujubetable.Table[RunID, *run]
+	scorings    *jujubetable.Table[RunID, *scoring]
+	// scoringRooms is how many more scoring calls may begin in the present tick, by service.
+	scoringRooms map[model.ServiceName]int
 	// parts finds the latest submission's row of an item that isn't listed, for groups that come again.
 	parts map[ItemID]*item
 	// oldest holds the oldest version that the latest step of each model takes; its next step wants a newer one.
@@ -46,6 +49,7 @@
 		submissions: jujubetable.New[SubmissionID, *submission](),
 		engines:     jujubetable.New[model.EndpointID, *engine](),
 		runs:        jujubetable.New[RunID, *run](),
+		scorings:    jujubetable.New[RunID, *scoring](),
 		parts:       make(map[ItemID]*item),
 		oldest:      make(map[model.ModelName]model.WeightVersion),
 		unreachable: make(map[model.InstanceID]time.Time),
@@ -68,6 +72,7 @@
 func (b *Batches) Tick(now time.Time) []Action {
 	b.forget(now)
 	pace := b.measureFleet(now)
+	b.scoringRooms = nil
 	b.checkRuns(now, pace)
 	if !b.draining && !b.behind {
 		for _, one := range b.sortOpen() {
@@ -107,9 +112,14 @@
 		}
 		route, ok := b.desired.Match(one.Host, row.Path)
 		if !ok && b.desired.Version > 0 || ok && b.isOver(now, one, route) {
+			b.stopScoring(row, "the item is given up")
 			b.finish(row, Errored)
 			continue
 		}
+		if row.unscored != nil {
+			b.score(row)
+			continue
+		}
 		if !ok || row.planned == "" {
 			continue
 		}
@@ -153,6 +163,10 @@
 	result := &Result{Submission: row.of.ID, Item: row.ID, State: state}
 	if state == Completed {
 		result.Text, result.Versions = joinText(row.events), row.versions
+		if row.unscored != nil {
+			*result = *row.unscored
+			result.State = Completed
+		}
 	}
 	b.actions = append(b.actions, AppendEntry{row.of.ID, Entry{Result: result}})
 }
--- a/core/services/jujubedesired/desired.go
+++ b/core/services/jujubedesired/desired.go
@@ -43,6 +43,8 @@
 	Kind       Kind
 	// Targets has one element or more; their weights are positive.
 	Targets []Target
+	// TargetLatency is within which an answer is worth the most; zero when operators give none.
+	TargetLatency time.Duration
 	// Timeout bounds how long a request is kept waiting; zero for no bound.
 	Timeout time.Duration
 	// MaxAttempts bounds the endpoints that one attempt of a caller is sent to; at least one.
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// hedgeAfter is when a safe request is also sent to a second endpoint. Requests take 25 ms on average and 190 ms at
-	// most; the objective is 150 ms, so a second try has to begin well before that.
+	// hedgeShare is the part of a route's target latency after which a request that may be repeated is also sent to a second
+	// endpoint. Requests take a sixth of the target on average, and a second one needs time to be in time.
+	hedgeShare = 0.6
+	// hedgeAfter is used for routes without a target.
 	hedgeAfter = 90 * time.Millisecond
 	// leastTime is the least time left for a try: a shorter one can't be answered.
 	leastTime = 10 * time.Millisecond
@@ -43,6 +45,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Stamp is the endpoint's signature of the answer; empty when there is none.
+	Stamp string
 	// Running, Waiting and Slots are the endpoint's load; Slots is zero when it doesn't tell.
 	Running, Waiting, Slots int
 }
@@ -88,7 +92,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	f := &forwarding{node: n, route: route, request: request, tries: make(chan try, max(1, route.MaxAttempts))}
+	f := newForwarding(n, route, request)
 	answer, err := f.run(ctx)
 	n.metrics.forwards.UpdateDuration(began)
 	outcome := "Answered"
@@ -116,32 +120,51 @@
 	// maybeRan is true once an endpoint may have run the request.
 	maybeRan bool
 	last     *Answer
+	// repeatable requests may run more than once.
+	repeatable bool
+	priority   model.Priority
+	// answered sees each answer; nil for none.
+	answered func(Answer)
+}
+
+func newForwarding(n *Node, route *jujubedesired.Route, request PlainRequest) *forwarding {
+	return &forwarding{
+		node: n, route: route, request: request, tries: make(chan try, max(1, route.MaxAttempts)),
+		repeatable: route.Kind == jujubedesired.Safe, priority: model.PriorityInteractive,
+	}
+}
+
+// hedgeTime returns how long the first try runs alone.
+func (f *forwarding) hedgeTime() time.Duration {
+	if f.route.TargetLatency <= 0 {
+		return hedgeAfter
+	}
+	return time.Duration(hedgeShare * float64(f.route.TargetLatency))
 }
 
 func (f *forwarding) run(ctx context.Context) (Answer, error) {
-	safe := f.route.Kind == jujubedesired.Safe
 	if err := f.send(ctx); err != nil {
 		return Answer{}, err
 	}
-	hedge := time.NewTimer(hedgeAfter)
+	hedge := time.NewTimer(f.hedgeTime())
 	defer hedge.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return Answer{}, f.giveUp(ctx)
 		case <-hedge.C:
-			if safe && f.inFlight > 0 {
+			if f.repeatable && f.inFlight > 0 {
 				_ = f.send(ctx) // the first try goes on without a second one
 			}
 		case done := <-f.tries:
 			f.inFlight--
-			if final := f.judge(done, safe); final {
+			if final := f.judge(done); final {
 				return done.answer, nil
 			}
 			if f.inFlight > 0 {
 				continue
 			}
-			if !safe && f.maybeRan {
+			if !f.repeatable && f.maybeRan {
 				return f.conclude()
 			}
 			if err := f.send(ctx); err != nil {
@@ -152,7 +175,7 @@
 }
 
 // judge tells whether a try's answer is the request's.
-func (f *forwarding) judge(done try, safe bool) bool {
+func (f *forwarding) judge(done try) bool {
 	var failed ErrCall
 	if errors.As(done.err, &failed) {
 		f.maybeRan = f.maybeRan || failed.Ran != model.RanNo
@@ -162,7 +185,10 @@
 		f.maybeRan = true
 		return false
 	}
-	if done.answer.Status < http.StatusInternalServerError || !safe {
+	if f.answered != nil {
+		f.answered(done.answer)
+	}
+	if done.answer.Status < http.StatusInternalServerError || !f.repeatable {
 		return true
 	}
 	f.maybeRan = true
@@ -200,7 +226,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	decision := n.router.Route(now, jujuberouter.Request{
-		ID: id, Kind: model.KindService, Service: service, Arrived: now, Deadline: f.request.Deadline, Exclude: f.used,
+		ID: id, Kind: model.KindService, Service: service, Priority: f.priority, Arrived: now, Deadline: f.request.Deadline, Exclude: f.used,
 	})
 	var wait chan jujuberouter.Decision
 	if decision.Kind == jujuberouter.Wait {
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -14,6 +14,7 @@
 	set      *metrics.Set
 	runs     *metrics.Histogram
 	forwards *metrics.Histogram
+	scorings *metrics.Histogram
 }
 
 func newNodeMetrics(n *Node) *nodeMetrics {
@@ -23,10 +24,16 @@
 		defer n.mu.Unlock()
 		return float64(n.batches.Runs())
 	})
+	set.NewGauge("jujube_node_scorings_in_flight", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(n.batches.Scorings())
+	})
 	return &nodeMetrics{
 		set:      set,
 		runs:     set.NewHistogram("jujube_node_run_duration_seconds"),
 		forwards: set.NewHistogram("jujube_node_forward_duration_seconds"),
+		scorings: set.NewHistogram("jujube_node_scoring_duration_seconds"),
 	}
 }
 
@@ -34,6 +41,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_runs_total{outcome=%q}", kind)).Inc()
 }
 
+// countScoring counts scoring calls by whether they brought a score, a server's own failure or nothing.
+func (m *nodeMetrics) countScoring(outcome jujubebatch.ScoringOutcome) {
+	kind := "Unanswered"
+	switch {
+	case outcome.Score != "":
+		kind = "Scored"
+	case len(outcome.Failures) > 0:
+		kind = "Failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_scorings_total{outcome=%q}", kind)).Inc()
+}
+
 func (m *nodeMetrics) countForward(outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_forwards_total{outcome=%q}", outcome)).Inc()
 }
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,9 @@
 	// leastAppendRetry and mostAppendRetry bound the pause after a failed append of results.
 	leastAppendRetry = 50 * time.Millisecond
 	mostAppendRetry  = 400 * time.Millisecond
+	// maxDrafts bounds the places of texts that are remembered, many times those that wait for a score at once. Beyond it a
+	// text may be written twice.
+	maxDrafts = 4096
 	// appendQueue bounds the entries that wait; it holds what an instance produces in a minute without the store.
 	appendQueue = 16384
 )
@@ -43,6 +47,8 @@
 	trimmed int64
 	// texts is the highest offset that a submission's record has pointed at.
 	texts int64
+	// drafts are where whole texts without a score were written by this instance; its writer alone uses them.
+	drafts map[jujubebatch.ItemRef]jujubebatch.Pointer
 }
 
 // mark is a place in the log, and in the texts that the records before it point at.
@@ -84,7 +90,9 @@
 }
 
 func newPartition(n *Node, number int) *partition {
-	p := &partition{node: n, number: number, queue: make(chan jujubebatch.Entry, appendQueue)}
+	p := &partition{
+		node: n, number: number, queue: make(chan jujubebatch.Entry, appendQueue), drafts: make(map[jujubebatch.ItemRef]jujubebatch.Pointer),
+	}
 	p.follower = n.addFollower(topicSubmissions, number, p.apply)
 	return p
 }
@@ -216,7 +224,7 @@
 			entries = append(entries, entry)
 		}
 		sleep(ctx, p.pause())
-		entries = drain(p.queue, entries)
+		entries = dropDrafts(drain(p.queue, entries))
 		p.setUnwritten(entries)
 		pause := leastAppendRetry
 		for {
@@ -268,9 +276,17 @@
 		var err error
 		switch {
 		case entry.Result != nil && entry.Result.State == jujubebatch.Completed && entry.Result.Data.Count == 0:
-			pointers = append(pointers, &entry.Result.Data)
 			entry.Result.By = p.node.identity.Instance
+			if draft, ok := p.drafts[entry.Result.Ref()]; ok {
+				entry.Result.Data = draft
+				continue
+			}
+			pointers = append(pointers, &entry.Result.Data)
 			err = texts.add(entry.Result.Text, p.node.settings.MaxRecordBytes)
+		case entry.Unscored != nil && entry.Unscored.Data.Count == 0:
+			pointers = append(pointers, &entry.Unscored.Data)
+			entry.Unscored.By = p.node.identity.Instance
+			err = texts.add(entry.Unscored.Text, p.node.settings.MaxRecordBytes)
 		case entry.Progress != nil && entry.Progress.Data.Count == 0:
 			pointers = append(pointers, &entry.Progress.Data)
 			entry.Progress.By = p.node.identity.Instance
@@ -286,9 +302,33 @@
 	for i, pointer := range pointers {
 		*pointer = texts.pointers[i]
 	}
+	if len(p.drafts) > maxDrafts {
+		clear(p.drafts)
+	}
+	for _, entry := range entries {
+		switch {
+		case entry.Unscored != nil:
+			p.drafts[entry.Unscored.Ref()] = entry.Unscored.Data
+		case entry.Result != nil:
+			delete(p.drafts, entry.Result.Ref())
+		}
+	}
 	return nil
 }
 
+// dropDrafts leaves out the whole texts whose results are among the entries too.
+func dropDrafts(entries []jujubebatch.Entry) []jujubebatch.Entry {
+	results := map[jujubebatch.ItemRef]bool{}
+	for _, entry := range entries {
+		if entry.Result != nil {
+			results[entry.Result.Ref()] = true
+		}
+	}
+	return slices.DeleteFunc(entries, func(entry jujubebatch.Entry) bool {
+		return entry.Unscored != nil && results[entry.Unscored.Ref()]
+	})
+}
+
 // appendAll writes entries in as few appends as the store's limit allows, after the texts that they point at.
 func (p *partition) appendAll(ctx context.Context, entries []jujubebatch.Entry) error {
 	if err := p.writeTexts(ctx, entries); err != nil {
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -19,6 +19,8 @@
 			n.startRun(a)
 		case jujubebatch.CancelRun:
 			n.cancelRun(a)
+		case jujubebatch.StartScoring:
+			n.startScoring(a)
 		case jujubebatch.AppendEntry:
 			n.enqueue(a)
 		case jujubebatch.OfferItems:
--- /dev/null
+++ b/entry/services/jujubenode/score.go
@@ -0,0 +1,77 @@
+package jujubenode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
+)
+
+// scoringTime is the time limit of a scoring call whose route has none.
+const scoringTime = 3 * time.Second
+
+func (n *Node) startScoring(start jujubebatch.StartScoring) {
+	ctx, cancel := context.WithCancel(n.tomb.Context(nil))
+	n.cancels[start.Run] = cancel
+	n.tomb.Go(func() error {
+		defer cancel()
+		n.score(ctx, start)
+		return nil
+	})
+}
+
+// score makes a scoring call and hands its outcome to the core.
+func (n *Node) score(ctx context.Context, start jujubebatch.StartScoring) {
+	began := time.Now()
+	outcome, tries, err := n.callScoring(ctx, start)
+	n.metrics.scorings.UpdateDuration(began)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if _, ok := n.cancels[start.Run]; ok {
+		delete(n.cancels, start.Run)
+		n.metrics.countScoring(outcome)
+		n.log.Write(jujubeevent.ItemScored, func() logrus.Fields {
+			return logrus.Fields{
+				"Submission": start.Submission, "Item": start.Item, "Run": start.Run, "Request": start.Call.ID, "Score": outcome.Score,
+				"Failures": len(outcome.Failures), "Tries": tries, "Error": errorText(err), "Took": now.Sub(began).String(),
+			}
+		})
+	}
+	n.batches.ScoringEnded(now, start.Run, outcome)
+	n.wakeUp()
+}
+
+func (n *Node) callScoring(ctx context.Context, start jujubebatch.StartScoring) (outcome jujubebatch.ScoringOutcome, tries int, err error) {
+	content := start.Given
+	if content.Headers == nil {
+		if content, err = n.partitionOf(start.Submission).fetchContent(ctx, start.Content); err != nil {
+			return outcome, 0, err
+		}
+	}
+	route, ok, _ := n.Match(start.Call.Host, start.Call.Path)
+	if !ok {
+		return outcome, 0, refuse(jujubeerror.CodeNoEndpoint, "the scoring call has no route")
+	}
+	limit := scoringTime
+	if route.Timeout > 0 {
+		limit = route.Timeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	f := newForwarding(n, route, PlainRequest{
+		ID: start.Call.ID, Method: http.MethodPost, URI: start.Call.Path, Host: start.Call.Host,
+		Body: content.ScoringBody, Deadline: deadline,
+	})
+	f.repeatable, f.priority = true, model.PriorityTrainer
+	f.answered = func(answer Answer) { outcome.NoteAnswer(answer.Status, answer.Stamp) }
+	_, err = f.run(ctx)
+	return outcome, f.sent, err
+}
