node: endpoints that say in an answer that they leave get no more work

Cause: a server that leaves now says so in all its answers (Server-Leaving), before its entry does or without it; the program read entries only. Ruled out: telling all other instances at once, as each one is judged by what it has seen. Change: the one place that calls servers tells the node, which keeps the departure with the incarnation in the registry, so that an entry that says ready, or lapses and comes back, doesn't undo it.

--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -15,13 +15,15 @@
 
 // StartRun asks an engine for an item's events, from the one after After.
 type StartRun struct {
-	Run        RunID
-	Engine     model.EndpointID
-	Address    string
-	Submission SubmissionID
-	Item       ItemID
-	Host       string
-	Path       string
+	Run    RunID
+	Engine model.EndpointID
+	// Incarnation is the engine's, as this instance knows it.
+	Incarnation model.Incarnation
+	Address     string
+	Submission  SubmissionID
+	Item        ItemID
+	Host        string
+	Path        string
 	// Content is where the rest of the request lies, and Given is the rest itself if a lender has sent it along.
 	Content Place
 	Given   Content
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -145,7 +145,7 @@
 	}
 	b.runs.Put(r.id, r)
 	start := StartRun{
-		Run: r.id, Engine: e.ID, Address: e.Address, Submission: row.of.ID, Item: row.ID, Host: row.of.Host,
+		Run: r.id, Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Submission: row.of.ID, Item: row.ID, Host: row.of.Host,
 		Path: row.Path, Given: row.Content, Progress: row.progress, After: len(row.events),
 		KnownVersion: e.Versions[row.of.Model], InFlight: e.inFlight, Planned: e.planned, Pace: e.pace.recent,
 	}
--- a/core/services/jujubefleet/fleet.go
+++ b/core/services/jujubefleet/fleet.go
@@ -28,12 +28,14 @@
 
 // Order asks an engine to load a version.
 type Order struct {
-	Engine  model.EndpointID
-	Address string
-	Model   model.ModelName
-	Version model.WeightVersion
-	Mode    Mode
-	Fence   int64
+	Engine model.EndpointID
+	// Incarnation is the engine's, as the leader knows it.
+	Incarnation model.Incarnation
+	Address     string
+	Model       model.ModelName
+	Version     model.WeightVersion
+	Mode        Mode
+	Fence       int64
 	// Expected is the number of orders that the engine has taken before; it refuses the order when that has changed, so
 	// that an order that is carried out late does no harm.
 	Expected int64
@@ -325,7 +327,7 @@
 		}
 		t, _ := f.targets.Get(name)
 		order := Order{
-			Engine: e.ID, Address: e.Address, Model: name, Version: t.version, Mode: Retain, Fence: fence, Expected: e.Accepted,
+			Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Model: name, Version: t.version, Mode: Retain, Fence: fence, Expected: e.Accepted,
 		}
 		if f.single {
 			order.Mode = Await
--- a/core/services/jujuberegistry/servers.go
+++ b/core/services/jujuberegistry/servers.go
@@ -15,6 +15,8 @@
 	removals *jujubetable.Table[model.EndpointID, time.Time]
 	present  *jujubetable.Table[model.EndpointID, struct{}]
 	contact  time.Time
+	// leaving holds the incarnations that said in an answer that they leave, whatever their entries say.
+	leaving *jujubetable.Table[model.EndpointID, departure]
 	// graceUntil is when entries that lapsed in an outage have to be back.
 	graceUntil time.Time
 }
@@ -23,10 +25,35 @@
 func NewServers(settings Settings) *Servers {
 	return &Servers{
 		settings: settings, removals: jujubetable.New[model.EndpointID, time.Time](),
-		present: jujubetable.New[model.EndpointID, struct{}](),
+		present: jujubetable.New[model.EndpointID, struct{}](), leaving: jujubetable.New[model.EndpointID, departure](),
 	}
 }
 
+// departure is an incarnation that leaves.
+type departure struct {
+	incarnation model.Incarnation
+	at          time.Time
+}
+
+// departureMemory is how long a departure is kept: an endpoint that has said so ends within seconds, or many seconds at
+// times, and its entry may be written again until then.
+const departureMemory = 10 * time.Minute
+
+// Leave takes note that an incarnation said that it leaves. It returns false when that is known already.
+func (s *Servers) Leave(now time.Time, id model.EndpointID, incarnation model.Incarnation) bool {
+	if known, ok := s.leaving.Get(id); ok && known.incarnation >= incarnation {
+		return false
+	}
+	s.leaving.Put(id, departure{incarnation, now})
+	return true
+}
+
+// IsLeaving tells whether an incarnation said that it leaves.
+func (s *Servers) IsLeaving(id model.EndpointID, incarnation model.Incarnation) bool {
+	known, ok := s.leaving.Get(id)
+	return ok && known.incarnation == incarnation
+}
+
 // Contact says that the store was read up to its end.
 func (s *Servers) Contact(now time.Time) {
 	if !s.contact.IsZero() && now.Sub(s.contact) > s.settings.TTL/2 {
@@ -68,6 +95,11 @@
 // Due returns the endpoints that count as gone from now on.
 func (s *Servers) Due(now time.Time) []model.EndpointID {
 	var due []model.EndpointID
+	for id, left := range s.leaving.All() {
+		if now.Sub(left.at) > departureMemory {
+			s.leaving.Delete(id)
+		}
+	}
 	for id, at := range s.removals.All() {
 		if !now.Before(at) {
 			s.removals.Delete(id)
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -35,7 +35,9 @@
 	Header   http.Header
 	Body     []byte
 	Endpoint model.EndpointID
-	Address  string
+	// Incarnation is the endpoint's, as this instance knows it.
+	Incarnation model.Incarnation
+	Address     string
 	// Timeout is the time that is left until the caller's deadline.
 	Timeout time.Duration
 }
@@ -254,7 +256,7 @@
 	f.used = append(f.used, decision.Endpoint)
 	call := Call{
 		ID: f.request.ID, Method: f.request.Method, URI: f.request.URI, Host: f.request.Host, Header: f.request.Header,
-		Body: f.request.Body, Endpoint: decision.Endpoint, Address: decision.Address, Timeout: left,
+		Body: f.request.Body, Endpoint: decision.Endpoint, Incarnation: decision.Incarnation, Address: decision.Address, Timeout: left,
 	}
 	n.tomb.Go(func() error {
 		answer, err := n.caller.Call(ctx, call)
--- a/entry/services/jujubenode/servers.go
+++ b/entry/services/jujubenode/servers.go
@@ -16,6 +16,11 @@
 // PutServer takes an endpoint's entry. It is called from a feed, under the node's lock.
 func (n *Node) PutServer(now time.Time, s jujubebatch.Engine) {
 	n.servers.Put(s.ID)
+	n.applyServer(now, s)
+}
+
+func (n *Node) applyServer(now time.Time, s jujubebatch.Engine) {
+	s.Leaving = s.Leaving || n.servers.IsLeaving(s.ID, s.Incarnation)
 	n.router.PutEndpoint(now, model.Endpoint{
 		ID: s.ID, Kind: model.KindService, DataCentre: s.DataCentre, Address: s.Address, Incarnation: s.Incarnation,
 		Service: s.Service, Leaving: s.Leaving,
@@ -45,6 +50,24 @@
 	n.fleet.PutEngine(engine)
 }
 
+// NoteLeaving takes note that an endpoint said in an answer that it leaves. It gets no more work from this instance, also
+// while its entry says that it is ready.
+func (n *Node) NoteLeaving(id model.EndpointID, incarnation model.Incarnation) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if !n.servers.Leave(now, id, incarnation) {
+		return
+	}
+	n.log.Write(jujubeevent.EndpointLeaving, func() logrus.Fields {
+		return logrus.Fields{"Endpoint": id, "Incarnation": incarnation}
+	})
+	if known, ok := n.batches.EngineState(id); ok && known.Incarnation == incarnation {
+		n.applyServer(now, known)
+		n.wakeUp()
+	}
+}
+
 // RemoveServer says that an endpoint's entry is gone. It is called from a feed, under the node's lock.
 func (n *Node) RemoveServer(now time.Time, id model.EndpointID) { n.servers.Remove(now, id) }
 
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -178,15 +178,23 @@
 type engines struct {
 	mu   sync.Mutex
 	runs map[jujubebatch.ItemID]int
+	// used are the engines that were sent an item.
+	used map[model.EndpointID]bool
 	// hold keeps runs from ending while it is set.
 	hold chan struct{}
 	// ordered counts the orders.
 	ordered atomic.Int64
+	// answer is what plain endpoints answer; without it there are none.
+	answer func(ctx context.Context, call jujubenode.Call) (jujubenode.Answer, error)
 }
 
 func (e *engines) Run(ctx context.Context, start jujubebatch.StartRun, _ jujubebatch.Content, sink jujubenode.RunSink) (jujubebatch.EndKind, error) {
 	e.mu.Lock()
 	e.runs[start.Item]++
+	if e.used == nil {
+		e.used = map[model.EndpointID]bool{}
+	}
+	e.used[start.Engine] = true
 	hold := e.hold
 	e.mu.Unlock()
 	if hold != nil {
@@ -222,7 +230,10 @@
 	return e.runs[id]
 }
 
-func (e *engines) Call(context.Context, jujubenode.Call) (jujubenode.Answer, error) {
+func (e *engines) Call(ctx context.Context, call jujubenode.Call) (jujubenode.Answer, error) {
+	if e.answer != nil {
+		return e.answer(ctx, call)
+	}
 	return jujubenode.Answer{}, jujubenode.ErrCall{Ran: model.RanNo, Reason: "no plain endpoints"}
 }
 
@@ -259,6 +270,11 @@
 	Targets: []jujubedesired.Target{{Service: "s", Weight: 1}},
 }
 
+var scoringRoute = &jujubedesired.Route{
+	Name: "scoring", Host: "h", PathPrefix: "/score/", Kind: jujubedesired.Safe, MaxAttempts: 2, Timeout: 3 * time.Second,
+	TargetLatency: time.Second, Targets: []jujubedesired.Target{{Service: "plain", Weight: 1}},
+}
+
 // start runs an instance and waits until it is ready; the function it returns kills it and waits.
 func (s *site) start(id model.InstanceID) (*jujubenode.Node, *gate, func()) {
 	s.t.Helper()
@@ -292,7 +308,12 @@
 			node.Announce(now, "m", 2)
 			return
 		}
-		node.SetDesired(now, &jujubedesired.State{Version: 1, Routes: []jujubedesired.Route{*route}})
+		node.SetDesired(now, &jujubedesired.State{Version: 1, Routes: []jujubedesired.Route{*route, *scoringRoute}})
+		for i := range 2 {
+			node.PutServer(now, jujubebatch.Engine{
+				ID: model.EndpointID(fmt.Sprintf("plain%d", i)), Incarnation: 1, Service: "plain", Address: "127.0.0.1:1", DataCentre: "dc-a", Slots: 6,
+			})
+		}
 		engines := map[model.EndpointID]model.DataCentre{"e1": "dc-a", "e2": "dc-b"}
 		for i := range s.more {
 			engines[model.EndpointID(fmt.Sprintf("more%d", i))] = "dc-c"
