client: each answer has a bound in bytes; accept errors of peers pass

Cause: servers in trouble may send bytes that are no answer until the caller closes. And a connection between instances that couldn't be accepted (no descriptor, given up by its caller) ended the process. Accepting goes on after a pause.

--- a/core/modules/jujubeclient/engine.go
+++ b/core/modules/jujubeclient/engine.go
@@ -173,7 +173,7 @@
 		return model.OrderResult{}, engineError(response)
 	}
 	var result model.OrderResult
-	err = json.NewDecoder(response.Body).Decode(&result)
+	err = json.NewDecoder(io.LimitReader(response.Body, MaxAnswerBytes)).Decode(&result)
 	return result, errors.Wrap(err, "decode order result")
 }
 
--- a/core/services/jujubebatch/codec.go
+++ b/core/services/jujubebatch/codec.go
@@ -13,8 +13,8 @@
 // when all instances read the log again at once.
 const compressFrom = 1 << 10
 
-// maxEntry bounds an entry that is decompressed, so that broken records don't take all memory.
-const maxEntry = 256 << 20
+// maxEntry bounds an entry that is decompressed, so that broken records don't take all memory: twice the largest submission.
+const maxEntry = 64 << 20
 
 // Kinds of log records. An entry that is larger than a record is cut into consecutive records of one append.
 const (
--- a/entry/modules/jujubepeer/serve.go
+++ b/entry/modules/jujubepeer/serve.go
@@ -5,10 +5,17 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
+const (
+	// leastAcceptPause and mostAcceptPause bound the pause after a connection that couldn't be accepted; it doubles each time.
+	leastAcceptPause = 5 * time.Millisecond
+	mostAcceptPause  = time.Second
+)
+
 // Serve registers the methods of a receiver and accepts connections until the context ends, then closes them.
 func Serve(ctx context.Context, listener net.Listener, receiver any) error {
 	server := rpc.NewServer()
@@ -26,13 +33,21 @@
 	defer stop()
 	var served sync.WaitGroup
 	defer served.Wait()
+	pause := time.Duration(0)
 	for {
 		connection, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
+		switch {
+		case err == nil:
+			pause = 0
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return errors.Wrap(err, "accept peer")
+		default:
+			// A connection that its caller has given up, or no descriptor at the moment, is no reason to end.
+			pause = min(max(2*pause, leastAcceptPause), mostAcceptPause)
+			time.Sleep(pause)
+			continue
 		}
 		connections.Store(connection, nil)
 		served.Add(1)
