registry: incarnations of endpoints follow the order of the log, not their clocks

Cause: an endpoint names its start by its own time of day, which may jump. One that started again under its id with its clock set back was taken for an earlier process for good: its entries and reports were passed over, and orders that expected its predecessor's count were refused (docs/proofs.md listed it as not proved). Ruled out: the latest entry always counts, as an entry of a dead process may be written late. Change: a start with an earlier time is believed from its second entry on end, or at once from an answer; times of earlier processes never count again.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -67,6 +67,7 @@
 	PeersTold         Number = 5112
 	SourceChanged     Number = 5113
 	SourceSilent      Number = 5114
+	EndpointStale     Number = 5115
 
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
@@ -138,6 +139,7 @@
 		{PeersTold, "PeersTold", info, "The other instances were told directly of what couldn't be written to the store."},
 		{SourceChanged, "SourceChanged", info, "The log's new records are read through another instance from now on, or by this one when Source is empty."},
 		{SourceSilent, "SourceSilent", warn, "The instance that reads the log for this one gave no answer; this one reads it itself for a while."},
+		{EndpointStale, "EndpointStale", debug, "An entry or an answer names a start of an endpoint that isn't its present one, or not surely yet, and is passed over."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed to a successor."},
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -119,6 +119,7 @@
 	lease    *jujubelease.Lease
 	registry *jujuberegistry.Registry
 	servers  *jujuberegistry.Servers
+	births   *jujuberegistry.Births
 	router   *jujuberouter.Router[jujuberouter.LeastExpectedWait]
 	waiters  map[model.RequestID]chan jujuberouter.Decision
 	cancels  map[jujubebatch.RunID]context.CancelFunc
@@ -163,6 +164,7 @@
 		lease:    jujubelease.New("rollout", id, incarnation, lease),
 		registry: jujuberegistry.New(jujuberegistry.DefaultSettings()),
 		servers:  jujuberegistry.NewServers(jujuberegistry.DefaultSettings()),
+		births:   jujuberegistry.NewBirths(),
 		router: jujuberouter.New(jujuberouter.LeastExpectedWait{},
 			jujuberouter.Settings{Instance: id, ServiceTime: serviceTime}, random),
 		waiters: make(map[model.RequestID]chan jujuberouter.Decision),
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -260,8 +260,17 @@
 func (n *Node) takeReport(state jujubefleet.Report) (jujubefleet.Order, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := time.Now()
+	incarnation, ok := n.births.NoteAnswer(now, state.Engine, state.Incarnation)
+	if !ok {
+		n.log.Write(jujubeevent.EndpointStale, func() logrus.Fields {
+			return logrus.Fields{"Endpoint": state.Engine, "Born": state.Incarnation, "Source": "Answer"}
+		})
+		return jujubefleet.Order{}, false
+	}
+	state.Incarnation = incarnation
 	order, ok := n.fleet.Outstanding(state.Engine)
-	n.fleet.Report(time.Now(), state)
+	n.fleet.Report(now, state)
 	for name, version := range state.Versions {
 		n.batches.SetVersion(state.Engine, name, version)
 	}
--- a/entry/services/jujubenode/servers.go
+++ b/entry/services/jujubenode/servers.go
@@ -13,12 +13,22 @@
 	"jujubepier.example/core/services/jujubefleet"
 )
 
-// PutServer takes an endpoint's entry. It is called from a feed, under the node's lock.
+// PutServer takes an endpoint's entry, whose incarnation is the endpoint's own time of its start. It is called from a feed,
+// under the node's lock.
 func (n *Node) PutServer(now time.Time, s jujubebatch.Engine) {
 	n.servers.Put(s.ID)
+	incarnation, ok := n.births.NoteEntry(now, s.ID, s.Incarnation)
+	if !ok {
+		n.log.Write(jujubeevent.EndpointStale, func() logrus.Fields {
+			return logrus.Fields{"Endpoint": s.ID, "Born": s.Incarnation, "Source": "Entry"}
+		})
+		return
+	}
+	s.Incarnation = incarnation
 	n.applyServer(now, s)
 }
 
+// applyServer takes an endpoint's state. The lock is held.
 func (n *Node) applyServer(now time.Time, s jujubebatch.Engine) {
 	s.Leaving = s.Leaving || n.servers.IsLeaving(s.ID, s.Incarnation)
 	n.router.PutEndpoint(now, model.Endpoint{
@@ -78,5 +88,6 @@
 	n.router.RemoveEndpoint(now, id)
 	n.batches.RemoveEngine(id)
 	n.fleet.RemoveEngine(id)
+	n.births.Prune(now)
 	n.log.Write(jujubeevent.EndpointGone, func() logrus.Fields { return logrus.Fields{"Endpoint": id} })
 }
