--- a/ctl/services/jujubeexplain/cause.go
+++ b/ctl/services/jujubeexplain/cause.go
@@ -14,6 +14,8 @@
 	slowStart = 100 * time.Millisecond
 	// slowRun is a run that a step with the usual limit of 7.5 s can't wait for.
 	slowRun = 6500 * time.Millisecond
+	// slowScoring is a scoring call that costs its step more than a trainer's reading twice a second does.
+	slowScoring = time.Second
 	// restartTime is how long after the last line about an id its instance's start may explain why there is no other: a
 	// process is started again within two seconds of its end, and reads the log in one.
 	restartTime = 3 * time.Second
@@ -54,6 +56,15 @@
 			}
 		case jujubeevent.ItemStopped:
 			s.add(line, "run %v was given up: %v", field("Run"), field("Reason"))
+		case jujubeevent.ItemScored:
+			took, err := time.ParseDuration(fmt.Sprint(field("Took")))
+			switch {
+			case field("Score") == "":
+				s.add(line, "scoring call %v of item %v brought no score after %v tries, %v of them failed by the servers: %v",
+					field("Request"), field("Item"), field("Tries"), field("Failures"), field("Error"))
+			case err == nil && took > slowScoring:
+				s.add(line, "scoring call %v of item %v took %v", field("Request"), field("Item"), took.Round(time.Millisecond))
+			}
 		case jujubeevent.ProgressLost:
 			s.add(line, "item %v began again, its written part couldn't be read: %v", field("Item"), field("Error"))
 		case jujubeevent.RequestFailed:
--- a/ctl/services/jujubeexplain/explain_test.go
+++ b/ctl/services/jujubeexplain/explain_test.go
@@ -26,6 +26,8 @@
  12.6 front-b-1 {"Event":2106,"Run":7,"Reason":"no event in time","msg":"ItemStopped","time":"2026-12-04T10:00:01.900Z"}
  12.6 front-b-1 {"Event":2105,"Submission":"sub1","Item":"item1","Run":9,"Endpoint":"engine-4","msg":"ItemStarted","time":"2026-12-04T10:00:01.901Z"}
  12.6 front-b-1 {"Event":2107,"Submission":"sub1","Item":"item1","Run":9,"Endpoint":"engine-4","Outcome":"Complete","Took":"6.9s","Error":"","msg":"ItemEnded","time":"2026-12-04T10:00:08.801Z"}
+ 12.7 front-b-1 {"Event":2115,"Submission":"sub2","Item":"item3","Run":10,"Request":"call3","Score":"","Failures":2,"Tries":4,"Error":"no endpoint gave an answer","Took":"1.5s","msg":"ItemScored","time":"2026-12-04T10:00:08.900Z"}
+ 12.7 front-b-1 {"Event":2115,"Submission":"sub2","Item":"item3","Run":11,"Request":"call3","Score":"s","Failures":0,"Tries":2,"Error":"","Took":"1.25s","msg":"ItemScored","time":"2026-12-04T10:00:11.000Z"}
 not a log line
 `
 )
@@ -51,6 +53,11 @@
 		"req2": {jujubeexplain.Request, 1, []string{
 			"10:00:03.100 front-a-1: the instance restarted 1.1s after its last line about this; work in flight on it was lost",
 		}},
+		"item3": {jujubeexplain.Item, 2, []string{
+			"10:00:08.900 front-b-1: scoring call call3 of item item3 brought no score after 4 tries, 2 of them failed by the servers: no endpoint gave an answer",
+			"10:00:11.000 front-b-1: scoring call call3 of item item3 took 1.25s",
+			"10:00:09.000 front-a-1: the store had been unavailable for 2.5s; nothing is accepted or listed meanwhile",
+		}},
 		"item1": {jujubeexplain.Item, 4, []string{
 			"10:00:01.900 front-b-1: run 7 was given up: no event in time",
 			"10:00:08.801 front-b-1: run 9 of item item1 at engine-4 took 6.9s",
