batch: a carried text brings its own versions

Cause: reading the change again: versions of a text that is no longer kept stayed with the item, and a later submission of the item without a score could have taken them over. Change: a whole text has its versions with it only.

--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -122,9 +122,13 @@
 func (b *Batches) reuse(one *submission) {
 	for _, row := range one.order {
 		if earlier := b.parts[row.ID]; earlier != nil && earlier.of.Model == one.Model && earlier.of != one {
-			if row.fits(earlier.versions) {
+			switch text := earlier.unscored; {
+			case text != nil && text.Text != "" && row.Scoring != nil:
+				if row.fits(text.Versions) {
+					row.reuseText(text)
+				}
+			case row.fits(earlier.versions):
 				row.events, row.versions = slices.Clone(earlier.events), slices.Clone(earlier.versions)
-				row.reuseText(earlier)
 			}
 			// What the log has of it lies in the other submission's partition and is of use only there.
 		}
--- a/core/services/jujubebatch/score.go
+++ b/core/services/jujubebatch/score.go
@@ -67,7 +67,7 @@
 	row.unscored = &Result{
 		Submission: row.of.ID, Item: row.ID, Text: joinText(row.events), Versions: slices.Clone(row.versions), By: b.self,
 	}
-	row.events = nil
+	row.events, row.versions = nil, nil
 	b.draft(row)
 }
 
@@ -79,11 +79,8 @@
 }
 
 // reuseText takes over a whole text that an earlier submission of the item has left without a score.
-func (row *item) reuseText(earlier *item) {
-	if row.Scoring == nil || earlier.unscored == nil || earlier.unscored.Text == "" {
-		return
-	}
-	text := *earlier.unscored
+func (row *item) reuseText(earlier *Result) {
+	text := *earlier
 	text.Submission = row.of.ID
 	row.unscored, row.unscoredAt = &text, row.of.accepted
 }
--- a/core/services/jujubebatch/score_test.go
+++ b/core/services/jujubebatch/score_test.go
@@ -324,3 +324,41 @@
 	_, _, later, _ := w.act()
 	assert.Equal(t, append(results, later...)[0].Score, "stamp")
 }
+
+// TestCarriedTextHasItsVersions names the versions of the listed text alone when an item comes again whose earlier text was
+// too old, or is known from the log only.
+func TestCarriedTextHasItsVersions(t *testing.T) {
+	for name, c := range map[string]struct {
+		own bool
+		min model.WeightVersion
+	}{
+		"too old": {own: true, min: 2},
+		"log":     {min: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newScoredWorld(t, 1, 1)
+			w.accept(scoredSubmission("s", 1, "a"))
+			if c.own {
+				w.runAll()
+			} else {
+				w.Apply(w.now, &jujubebatch.Entry{Unscored: &jujubebatch.Result{
+					Submission: "s", Item: "s-0", By: "b", Data: jujubebatch.Pointer{Offset: 7, Count: 1}, Versions: []model.WeightVersion{1},
+				}})
+			}
+			w.Tick(w.now)
+			w.Apply(w.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s"}})
+			w.putEngine(0, 1, 2)
+			w.now = w.now.Add(time.Second)
+			again := scoredSubmission("s", 1, "a")
+			again.ID, again.MinVersion = "later", c.min
+			w.accept(again)
+			run := tick[jujubebatch.StartRun](w)[0]
+			assert.Equal(t, run.After, 0)
+			assert.Assert(t, w.Event(w.now, run.Run, 1, "new", 2))
+			w.Ended(w.now, run.Run, jujubebatch.RunComplete)
+			_, drafts, _, _ := w.act()
+			assert.DeepEqual(t, drafts[0].Versions, []model.WeightVersion{2})
+			assert.Equal(t, drafts[0].Text, "new")
+		})
+	}
+}
