batch: slow but sound streams aren't cut

Cause: an engine without an event for 0.7 s is left as a whole. Ruled out: a larger limit for all, which an unresponsive engine's items would wait for. Change: ten usual events of the engine, or of the better ones, where that is longer; while an engine's pace is unknown the limit doubles each time it is reached, up to 4 s.

--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -40,6 +40,9 @@
 	// lastEvent is the time of the latest event of any run here, stalls how often it has gone silent since.
 	lastEvent time.Time
 	stalls    int
+	// patience is the least limit for its silence: twice the last one at which a run was given up before the engine's pace
+	// was known; zero once it is.
+	patience time.Duration
 }
 
 const (
--- a/core/services/jujubebatch/note.go
+++ b/core/services/jujubebatch/note.go
@@ -10,7 +10,7 @@
 func (b *Batches) Notes() []model.EngineNote {
 	var notes []model.EngineNote
 	for _, e := range b.engines.All() {
-		if e.keeper == b.self && e.pace.events >= usualEvents {
+		if e.keeper == b.self && e.pace.isKnown() {
 			notes = append(notes, model.EngineNote{
 				Engine: e.ID, Recent: model.Duration(e.pace.recent), Usual: model.Duration(e.pace.usual), Load: e.planned,
 			})
--- a/core/services/jujubebatch/pace.go
+++ b/core/services/jujubebatch/pace.go
@@ -55,6 +55,9 @@
 	p.events++
 }
 
+// isKnown tells whether enough events were timed.
+func (p *enginePace) isKnown() bool { return p.events >= usualEvents }
+
 // fleetPace is what the engines need for an event, as far as this instance has seen; zero while too few are known.
 type fleetPace struct {
 	// typical is the median of the recent paces.
@@ -75,7 +78,7 @@
 		if e.pace.recent > 0 {
 			recent = append(recent, e.pace.recent)
 		}
-		if e.pace.events >= usualEvents {
+		if e.pace.isKnown() {
 			usual = append(usual, e.pace.usual)
 		}
 	}
@@ -98,5 +101,5 @@
 
 // isSluggish tells whether an engine has weaker hardware than others.
 func (p fleetPace) isSluggish(e *engine) bool {
-	return p.good > 0 && e.pace.events >= usualEvents && float64(e.pace.usual) > sluggishFactor*float64(p.good)
+	return p.good > 0 && e.pace.isKnown() && float64(e.pace.usual) > sluggishFactor*float64(p.good)
 }
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -136,6 +136,9 @@
 		e.lastEvent, e.stalls = now, 0
 		if !r.first {
 			e.pace.measure(now, now.Sub(r.last))
+			if e.pace.isKnown() {
+				e.patience = 0
+			}
 		}
 	}
 	r.first, r.last = false, now
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -232,7 +232,8 @@
 	moves := 0
 	for _, r := range b.runs.All() {
 		row := r.item
-		limit := b.settings.StallTimeout
+		silence := b.limitSilence(r, pace)
+		limit := max(b.settings.StallTimeout, silence)
 		if r.first {
 			limit = b.settings.FirstEventTimeout
 		}
@@ -241,8 +242,11 @@
 			b.avoidSilent(now, r)
 			b.cancel(r, "no event in time")
 			continue
-		case b.isSilent(now, r):
+		case b.isSilent(now, r, silence):
 			b.avoidSilent(now, r)
+			if e, ok := b.engines.Get(r.engine); ok && !e.pace.isKnown() {
+				e.patience = min(2*silence, maxSilence)
+			}
 			b.cancel(r, "the engine is silent")
 			continue
 		}
@@ -320,9 +324,27 @@
 
 // isSilent tells whether an engine that this instance keeps has made no event of any run for too long. A run that waits for
 // a place there hasn't stalled while others get theirs.
-func (b *Batches) isSilent(now time.Time, r *run) bool {
+func (b *Batches) isSilent(now time.Time, r *run, limit time.Duration) bool {
 	e, ok := b.engines.Get(r.engine)
-	return ok && e.keeper == b.self && now.Sub(e.lastEvent) > b.settings.SilenceTimeout && now.Sub(r.last) > b.settings.SilenceTimeout
+	return ok && e.keeper == b.self && now.Sub(e.lastEvent) > limit && now.Sub(r.last) > limit
+}
+
+const (
+	// patientEvents is how many usual events an engine may be silent for: loads of weights and full memory hold its streams
+	// up for that long.
+	patientEvents = 10
+	// maxSilence bounds the limit for silence; callers of streams give up after 2 s, and steps have to be done in 7 s.
+	maxSilence = 4 * time.Second
+)
+
+// limitSilence returns how long the engine of a run may make no event: longer where its events, or those of the fleet, take
+// longer.
+func (b *Batches) limitSilence(r *run, pace fleetPace) time.Duration {
+	limit := b.settings.SilenceTimeout
+	if e, ok := b.engines.Get(r.engine); ok {
+		limit = max(limit, e.patience, patientEvents*max(e.pace.usual, pace.good))
+	}
+	return min(limit, max(maxSilence, b.settings.SilenceTimeout))
 }
 
 // avoid keeps new runs off a run's engine.
