batch: pages of results are filled by the texts' true sizes

An answer was filled by three times the compressed size, so it held about half of what it may. Ruled out: larger answers, which the platform bounds. Change: the result's record has the text's size as it is in an answer.

--- a/core/services/jujubebatch/book.go
+++ b/core/services/jujubebatch/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"strings"
 	"time"
@@ -228,7 +229,7 @@
 	page := Page{Total: len(one.order), Ended: one.ended}
 	size := 0
 	for i := max(after, 0); i < len(one.results); i++ {
-		size += one.results[i].Data.Size*textGrowth + resultOverhead
+		size += one.results[i].answerBytes()
 		if size > maxBytes && len(page.Results) > 0 {
 			break
 		}
@@ -237,8 +238,16 @@
 	return page, true
 }
 
-// textGrowth is how many times larger a text may be than its compressed form, generously: texts of an engine shrink to a
-// half at most.
+// answerBytes returns about how large a result is in an answer, and not less than it is.
+func (r *Result) answerBytes() int {
+	if r.TextBytes > 0 {
+		return r.TextBytes + resultOverhead
+	}
+	return r.Data.Size*textGrowth + resultOverhead
+}
+
+// textGrowth is how many times larger a text of unknown size may be than its compressed form, generously: texts of an engine
+// shrink to a half at most.
 const textGrowth = 3
 
 // resultOverhead covers a result's id, state and versions in an answer, in bytes.
@@ -257,8 +266,15 @@
 	return row.place()
 }
 
-// joinText returns a result's text.
-func joinText(events []string) string { return strings.Join(events, "\n") }
+// joinText returns a result's text, and its size in an answer.
+func joinText(events []string) (text string, size int) {
+	text = strings.Join(events, "\n")
+	encoded, err := json.Marshal(text)
+	if err != nil {
+		return text, 0 // strings can always be encoded
+	}
+	return text, len(encoded)
+}
 
 // forget drops submissions that ended long ago or that nobody ends.
 func (b *Batches) forget(now time.Time) {
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -96,6 +96,8 @@
 	// Text isn't part of the record; Data says where it lies. An errored item has none.
 	Text string  `json:"-"`
 	Data Pointer `json:",omitzero"`
+	// TextBytes is the text's size in an answer, encoded as JSON; zero if unknown.
+	TextBytes int `json:",omitempty"`
 	// By is the instance that wrote the text and keeps it for a while.
 	By model.InstanceID `json:",omitempty"`
 	// Versions generated an event of the text, each named once.
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -161,12 +161,13 @@
 func (b *Batches) finish(row *item, state ResultState) {
 	row.finished = true
 	result := &Result{Submission: row.of.ID, Item: row.ID, State: state}
-	if state == Completed {
-		result.Text, result.Versions = joinText(row.events), row.versions
-		if row.unscored != nil {
-			*result = *row.unscored
-			result.State = Completed
-		}
+	switch {
+	case state == Completed && row.unscored != nil:
+		*result = *row.unscored
+		result.State = Completed
+	case state == Completed:
+		result.Text, result.TextBytes = joinText(row.events)
+		result.Versions = row.versions
 	}
 	b.actions = append(b.actions, AppendEntry{row.of.ID, Entry{Result: result}})
 }
--- a/core/services/jujubebatch/score.go
+++ b/core/services/jujubebatch/score.go
@@ -64,9 +64,8 @@
 	}
 	row.notBefore = now
 	row.unscoredAt = now
-	row.unscored = &Result{
-		Submission: row.of.ID, Item: row.ID, Text: joinText(row.events), Versions: slices.Clone(row.versions), By: b.self,
-	}
+	row.unscored = &Result{Submission: row.of.ID, Item: row.ID, Versions: slices.Clone(row.versions), By: b.self}
+	row.unscored.Text, row.unscored.TextBytes = joinText(row.events)
 	row.events, row.versions = nil, nil
 	b.draft(row)
 }
