batch: a carried text's score is asked for anew, also if it had one

Cause: read as a newcomer: a text whose score had come just as its submission ended, and whose result wasn't read yet, went into the item's later submission with that score, which is the answer to another call. Change: the score stays behind. Before: the later submission lists the first call's score at once. After: it makes its own call.

--- a/core/services/jujubebatch/score.go
+++ b/core/services/jujubebatch/score.go
@@ -77,10 +77,11 @@
 	b.actions = append(b.actions, AppendEntry{row.of.ID, Entry{Unscored: &text}})
 }
 
-// reuseText takes over a whole text that an earlier submission of the item has left without a score.
+// reuseText takes over a whole text that an earlier submission of the item has left. Its score is asked for anew, by this
+// submission's call.
 func (row *item) reuseText(earlier *Result) {
 	text := *earlier
-	text.Submission = row.of.ID
+	text.Submission, text.Score = row.of.ID, ""
 	row.unscored, row.unscoredAt = &text, row.of.accepted
 }
 
--- a/core/services/jujubebatch/score_test.go
+++ b/core/services/jujubebatch/score_test.go
@@ -270,20 +270,29 @@
 // TestCarriedTextIsScoredAgain scores the whole text of an item that comes again in a later submission by that submission's
 // own call, without an engine.
 func TestCarriedTextIsScoredAgain(t *testing.T) {
-	w := newScoredWorld(t, 1, 1)
-	w.accept(scoredSubmission("s", 1, "a"))
-	w.runAll()
-	w.Tick(w.now)
-	w.Apply(w.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s"}})
-	w.Tick(w.now)
-	again := scoredSubmission("s", 1, "a")
-	again.ID = "later"
-	again.Items[0].Scoring.ID = "second"
-	w.accept(again)
-	calls, drafts, _, _ := w.act()
-	assert.Equal(t, calls[0].Call.ID, model.RequestID("second"))
-	assert.Equal(t, drafts[0].Submission, jujubebatch.SubmissionID("later"))
-	assert.Equal(t, drafts[0].Text, "1\n2")
+	for name, isScored := range map[string]bool{"unscored": false, "scored but not listed": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newScoredWorld(t, 1, 1)
+			w.accept(scoredSubmission("s", 1, "a"))
+			w.runAll()
+			calls, _, _, _ := w.act()
+			if isScored {
+				w.ScoringEnded(w.now, calls[0].Run, jujubebatch.ScoringOutcome{Score: "of the first call"})
+			}
+			w.Apply(w.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s"}})
+			w.Tick(w.now)
+			again := scoredSubmission("s", 1, "a")
+			again.ID = "later"
+			again.Items[0].Scoring.ID = "second"
+			w.accept(again)
+			calls, drafts, results, _ := w.act()
+			assert.Equal(t, len(results), 0)
+			assert.Equal(t, calls[0].Call.ID, model.RequestID("second"))
+			assert.Equal(t, drafts[0].Submission, jujubebatch.SubmissionID("later"))
+			assert.Equal(t, drafts[0].Text, "1\n2")
+			assert.Equal(t, drafts[0].Score, "")
+		})
+	}
 }
 
 // TestScoringRouteGone waits while the call has no route, goes to where the route leads later, and gives up with the item.
