node: a handed-over score keeps its text; a text that is too large holds up nobody

Cause, both found by reading the change: a leaving instance hands over results that it couldn't append; the one that takes them used its own written text of the item for them, and so listed one instance's text with another's score. And a text larger than the store takes in one append, which bytes without end can make, was tried for ever, with all later results of its partition behind it.

--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -150,6 +150,34 @@
 	return "", false
 }
 
+// Text returns what an entry has of a text, nil for one without.
+func (e Entry) Text() any {
+	switch {
+	case e.Result != nil && e.Result.Text != "":
+		return e.Result.Text
+	case e.Unscored != nil && e.Unscored.Text != "":
+		return e.Unscored.Text
+	case e.Progress != nil && len(e.Progress.Events) > 0:
+		return e.Progress.Events
+	}
+	return nil
+}
+
+// TextBytes returns the size of what an entry has of a text.
+func (e Entry) TextBytes() int {
+	switch text := e.Text().(type) {
+	case string:
+		return len(text)
+	case []string:
+		size := 0
+		for _, event := range text {
+			size += len(event)
+		}
+		return size
+	}
+	return 0
+}
+
 // End says that the submission's caller wants no more results.
 type End struct {
 	Submission SubmissionID
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -191,7 +191,7 @@
 			row.crashes++
 			b.avoid(now, r, b.settings.AvoidFailed)
 			if row.crashes > patientCrashes {
-				row.notBefore = now.Add(crashPause << min(row.crashes-patientCrashes, 4))
+				row.notBefore = now.Add(crashPause << min(row.crashes-patientCrashes, maxCrashDoublings))
 			}
 		} else {
 			row.crashes = 0
@@ -209,4 +209,6 @@
 	patientCrashes = 2
 	// crashPause doubles with each further break.
 	crashPause = time.Second
+	// maxCrashDoublings bounds the pause to 16 s: an item may be given up after some 40 s.
+	maxCrashDoublings = 4
 )
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -204,6 +204,30 @@
 	}
 }
 
+// Discard throws away a text that can't be written down. Its item is run again, each time after a longer pause.
+func (b *Batches) Discard(now time.Time, entry Entry) {
+	text := entry.Result
+	if text == nil {
+		text = entry.Unscored
+	}
+	if text == nil {
+		return
+	}
+	one, ok := b.submissions.Get(text.Submission)
+	if !ok {
+		return
+	}
+	row, ok := one.items[text.Item]
+	if !ok || row.listed {
+		return
+	}
+	b.stopScoring(row, "the text can't be written")
+	row.events, row.versions, row.unscored, row.written = nil, nil, nil, 0
+	row.finished, row.drafted = false, false
+	row.notBefore = now.Add(crashPause << min(row.crashes, maxCrashDoublings))
+	row.crashes++
+}
+
 // cancel ends a run from this side. What it has brought stays with the item.
 func (b *Batches) cancel(r *run, reason string) {
 	if r.cancelled {
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -224,7 +224,7 @@
 			entries = append(entries, entry)
 		}
 		sleep(ctx, p.pause())
-		entries = dropDrafts(drain(p.queue, entries))
+		entries = p.dropTooLarge(dropDrafts(drain(p.queue, entries)))
 		p.setUnwritten(entries)
 		pause := leastAppendRetry
 		for {
@@ -245,6 +245,29 @@
 	}
 }
 
+// dropTooLarge leaves out texts that the store takes in no append, which would hold up all others. Their items are run
+// again until they are given up.
+func (p *partition) dropTooLarge(entries []jujubebatch.Entry) []jujubebatch.Entry {
+	limit := p.node.settings.MaxAppendBytes
+	return slices.DeleteFunc(entries, func(entry jujubebatch.Entry) bool {
+		if entry.TextBytes() < limit/2 {
+			return false
+		}
+		var text blobs
+		if err := text.add(entry.Text(), p.node.settings.MaxRecordBytes); err == nil && text.size <= limit {
+			return false
+		}
+		p.node.mu.Lock()
+		defer p.node.mu.Unlock()
+		p.node.batches.Discard(time.Now(), entry)
+		p.node.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
+			id, _ := entry.Of()
+			return logrus.Fields{"Submission": id, "Entries": 1, "Error": ErrTooLarge{Size: text.size, Limit: limit}.Error()}
+		})
+		return true
+	})
+}
+
 // pause is the time in which entries are gathered, so that all instances together keep to the store's rate.
 func (p *partition) pause() time.Duration {
 	n := p.node
@@ -270,27 +293,31 @@
 
 // writeTexts writes the texts that entries point at. Entries that were written before keep their pointers.
 func (p *partition) writeTexts(ctx context.Context, entries []jujubebatch.Entry) error {
+	self := p.node.identity.Instance
 	var texts blobs
-	var pointers []*jujubebatch.Pointer
+	// placed take the places of the texts, in their order.
+	var placed []func(place jujubebatch.Pointer)
+	add := func(value any, place func(place jujubebatch.Pointer)) error {
+		placed = append(placed, place)
+		return texts.add(value, p.node.settings.MaxRecordBytes)
+	}
 	for _, entry := range entries {
 		var err error
 		switch {
 		case entry.Result != nil && entry.Result.State == jujubebatch.Completed && entry.Result.Data.Count == 0:
-			entry.Result.By = p.node.identity.Instance
-			if draft, ok := p.drafts[entry.Result.Ref()]; ok {
-				entry.Result.Data = draft
+			r := entry.Result
+			// A result that another instance has handed over may have another text than the one that was written here.
+			if draft, ok := p.drafts[r.Ref()]; ok && r.By == self {
+				r.Data = draft
 				continue
 			}
-			pointers = append(pointers, &entry.Result.Data)
-			err = texts.add(entry.Result.Text, p.node.settings.MaxRecordBytes)
+			err = add(r.Text, func(place jujubebatch.Pointer) { r.Data, r.By = place, self })
 		case entry.Unscored != nil && entry.Unscored.Data.Count == 0:
-			pointers = append(pointers, &entry.Unscored.Data)
-			entry.Unscored.By = p.node.identity.Instance
-			err = texts.add(entry.Unscored.Text, p.node.settings.MaxRecordBytes)
+			u := entry.Unscored
+			err = add(u.Text, func(place jujubebatch.Pointer) { u.Data, u.By = place, self })
 		case entry.Progress != nil && entry.Progress.Data.Count == 0:
-			pointers = append(pointers, &entry.Progress.Data)
-			entry.Progress.By = p.node.identity.Instance
-			err = texts.add(entry.Progress.Events, p.node.settings.MaxRecordBytes)
+			progress := entry.Progress
+			err = add(progress.Events, func(place jujubebatch.Pointer) { progress.Data, progress.By = place, self })
 		}
 		if err != nil {
 			return err
@@ -299,8 +326,8 @@
 	if err := p.writeBlobs(ctx, &texts); err != nil {
 		return err
 	}
-	for i, pointer := range pointers {
-		*pointer = texts.pointers[i]
+	for i, place := range placed {
+		place(texts.pointers[i])
 	}
 	if len(p.drafts) > maxDrafts {
 		clear(p.drafts)
--- a/entry/services/jujubenode/score_test.go
+++ b/entry/services/jujubenode/score_test.go
@@ -9,6 +9,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/entry/modules/jujubepeer"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -81,3 +82,27 @@
 		assert.Equal(t, s.engines.count(result.Item), 1)
 	}
 }
+
+// TestHandedOverScoreKeepsItsText lists the text that an instance handed over with its score, and not the text that the one
+// that took it over has written of the same item. Load pattern: two instances finish an item, and one of them leaves while
+// the store is away.
+func TestHandedOverScoreKeepsItsText(t *testing.T) {
+	s := newSite(t)
+	s.engines.answer = func(ctx context.Context, _ jujubenode.Call) (jujubenode.Answer, error) {
+		<-ctx.Done()
+		return jujubenode.Answer{}, jujubenode.ErrCall{Ran: model.RanUnknown, Reason: "no answer"}
+	}
+	a, _, _ := s.start("a")
+	assert.NilError(t, a.Submit(t.Context(), route, newScoredSubmission("s1", 1)))
+	wait(t, "the own text is on the log", func() bool { return s.countRecords("submissions") == 2 })
+	other := jujubebatch.Entry{Result: &jujubebatch.Result{
+		Submission: "s1", Item: "s1-0", State: jujubebatch.Completed, Text: "another text", Score: "its score", By: "z",
+		Versions: []model.WeightVersion{1},
+	}}
+	pool := jujubepeer.NewPool()
+	args := jujubenode.HandOverArgs{Entries: []jujubebatch.Entry{other}}
+	assert.NilError(t, pool.Call(t.Context(), s.addresses["a"], "Relay.HandOver", args, &jujubenode.Empty{}))
+	result := readAll(t, a, "s1")[0]
+	assert.Equal(t, result.Score, "its score")
+	assert.Equal(t, result.Text, "another text")
+}
--- a/entry/services/jujubenode/world_test.go
+++ b/entry/services/jujubenode/world_test.go
@@ -180,6 +180,8 @@
 	runs map[jujubebatch.ItemID]int
 	// used are the engines that were sent an item.
 	used map[model.EndpointID]bool
+	// large is the data of each event of an item, by its id.
+	large map[jujubebatch.ItemID]string
 	// hold keeps runs from ending while it is set.
 	hold chan struct{}
 	// ordered counts the orders.
@@ -208,7 +210,11 @@
 		return jujubebatch.RunRefused, nil
 	}
 	for number := start.After + 1; number <= 3; number++ {
-		if !sink.Event(number, fmt.Sprintf("%s.%d", start.Item, number), 1) {
+		data := fmt.Sprintf("%s.%d", start.Item, number)
+		if large, ok := e.large[start.Item]; ok {
+			data = large
+		}
+		if !sink.Event(number, data, 1) {
 			return jujubebatch.RunBroken, nil
 		}
 	}
@@ -251,6 +257,8 @@
 	more int
 	// behind is how far the clocks of instances that start are behind.
 	behind time.Duration
+	// addresses are where the instances serve one another.
+	addresses map[model.InstanceID]string
 	// leaves ends the instances in the orderly way.
 	leaves map[model.InstanceID]func()
 }
@@ -262,7 +270,7 @@
 	store := newMemoryStore()
 	_, err := store.Append(t.Context(), topicDesired, 0, []jujubenode.Record{{Key: "desired", Value: []byte("1")}}, jujubenode.NoCondition)
 	assert.NilError(t, err)
-	return &site{t: t, directReaders: jujubenode.DefaultDirectReaders, store: store, engines: &engines{runs: map[jujubebatch.ItemID]int{}}, leaves: map[model.InstanceID]func(){}}
+	return &site{t: t, directReaders: jujubenode.DefaultDirectReaders, store: store, engines: &engines{runs: map[jujubebatch.ItemID]int{}}, leaves: map[model.InstanceID]func(){}, addresses: map[model.InstanceID]string{}}
 }
 
 var route = &jujubedesired.Route{
@@ -288,6 +296,7 @@
 	s.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(s.t, err)
+	s.addresses[id] = listener.Addr().String()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	g := &gate{Store: s.store}
