--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -80,6 +80,8 @@
 	EndpointDrained   Number = 7006
 	EndpointUnhealthy Number = 7007
 	DrainEnded        Number = 7008
+	EndpointLimited   Number = 7009
+	RateUnusable      Number = 7010
 
 	InstanceStarted  Number = 8001
 	InstanceReady    Number = 8002
@@ -166,6 +168,8 @@
 		{EndpointDrained, "EndpointDrained", info, "An operator drained an endpoint."},
 		{DrainEnded, "DrainEnded", info, "An operator ended the drain of an endpoint."},
 		{EndpointUnhealthy, "EndpointUnhealthy", debug, "The load report of an endpoint couldn't be read."},
+		{EndpointLimited, "EndpointLimited", info, "An endpoint names another rate of requests that it accepts from all instances together, or none any more. Source is where this instance learned of it."},
+		{RateUnusable, "RateUnusable", debug, "A response names a rate that can't be decoded; it is ignored."},
 		{InstanceStarted, "InstanceStarted", info, "The process listens; it becomes ready once it has a configuration."},
 		{InstanceReady, "InstanceReady", info, "The instance accepts requests from callers."},
 		{InstanceLeaving, "InstanceLeaving", info, "The graceful shutdown has started; Until is the expiry of the last address response that names the instance."},
--- /dev/null
+++ b/core/services/jujubethrottle/throttle.go
@@ -0,0 +1,89 @@
+// Package jujubethrottle tracks the request rates that endpoints name for all instances together.
+package jujubethrottle
+
+import (
+	"time"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/models/jujubetable"
+)
+
+// Notice is an observation of the rate that an endpoint names, as instances exchange it.
+type Notice struct {
+	Endpoint model.EndpointID
+	// Limited is false if the endpoint named no rate in its last response.
+	Limited bool
+	// PerSecond is the number of requests a second that the endpoint accepts from all instances together. It may be zero.
+	PerSecond float64
+	// Age is the time since the response. Instances exchange ages because their clocks differ.
+	Age model.Duration
+}
+
+// limit is the last known observation of an endpoint that has named a rate.
+type limit struct {
+	// incarnation is the endpoint's incarnation on this instance when the observation was made.
+	incarnation model.Incarnation
+	limited     bool
+	perSecond   float64
+	// observedAt is the time of the response by this instance's clock.
+	observedAt time.Time
+}
+
+// Throttle holds the rates that endpoints name. It isn't safe for concurrent use.
+type Throttle struct {
+	limits *jujubetable.Table[model.EndpointID, *limit]
+}
+
+// New returns a throttle without limits.
+func New() *Throttle {
+	return &Throttle{limits: jujubetable.New[model.EndpointID, *limit]()}
+}
+
+// SetIncarnation drops the limit of an endpoint that has restarted.
+func (t *Throttle) SetIncarnation(id model.EndpointID, incarnation model.Incarnation) {
+	if l, ok := t.limits.Get(id); ok && l.incarnation != incarnation {
+		t.limits.Delete(id)
+	}
+}
+
+// Remove drops the limit of an endpoint that is gone.
+func (t *Throttle) Remove(id model.EndpointID) { t.limits.Delete(id) }
+
+// Apply applies an observation of an endpoint's incarnation, unless a later one is known. It reports whether the limit changed.
+func (t *Throttle) Apply(now time.Time, incarnation model.Incarnation, notice Notice) bool {
+	observedAt := now.Add(-notice.Age.Std())
+	l, ok := t.limits.Get(notice.Endpoint)
+	switch {
+	case !ok && !notice.Limited:
+		return false
+	case !ok:
+		l = &limit{incarnation: incarnation}
+		t.limits.Put(notice.Endpoint, l)
+	case !observedAt.After(l.observedAt):
+		return false
+	}
+	changed := l.limited != notice.Limited || notice.Limited && l.perSecond != notice.PerSecond
+	l.limited, l.perSecond, l.observedAt = notice.Limited, notice.PerSecond, observedAt
+	return changed
+}
+
+// Notice returns the last observation of an endpoint; ok is false if the endpoint has never named a rate.
+func (t *Throttle) Notice(now time.Time, id model.EndpointID) (notice Notice, ok bool) {
+	l, ok := t.limits.Get(id)
+	if !ok {
+		return Notice{}, false
+	}
+	return Notice{Endpoint: id, Limited: l.limited, PerSecond: l.perSecond, Age: model.Duration(max(0, now.Sub(l.observedAt)))}, true
+}
+
+// Limited returns the observations of the endpoints that name a rate.
+func (t *Throttle) Limited(now time.Time) []Notice {
+	var notices []Notice
+	for id, l := range t.limits.All() {
+		if l.limited {
+			notice, _ := t.Notice(now, id)
+			notices = append(notices, notice)
+		}
+	}
+	return notices
+}
--- a/entry/services/jujubenode/endpoints.go
+++ b/entry/services/jujubenode/endpoints.go
@@ -47,6 +47,7 @@
 	batchEngine := s
 	batchEngine.Versions = maps.Clone(s.Versions)
 	n.scheduler.PutEngine(batchEngine)
+	n.throttle.SetIncarnation(s.ID, s.Incarnation)
 	if len(s.Versions) == 0 {
 		return
 	}
@@ -92,6 +93,7 @@
 	n.router.RemoveEndpoint(now, id)
 	n.scheduler.RemoveEngine(id)
 	n.fleet.RemoveEngine(id)
+	n.throttle.Remove(id)
 	n.incarnations.Prune(now)
 	n.log.Write(jujubeevent.EndpointGone, func() logrus.Fields { return logrus.Fields{"Endpoint": id} })
 }
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -29,6 +30,11 @@
 		defer n.mu.Unlock()
 		return float64(n.scheduler.ScoringsInFlight())
 	})
+	set.NewGauge("jujube_node_limited_endpoints", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(len(n.throttle.Limited(time.Now())))
+	})
 	return &nodeMetrics{
 		set:      set,
 		runs:     set.NewHistogram("jujube_node_run_duration_seconds"),
@@ -61,6 +67,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_store_failures_total{topic=%q}", topic)).Inc()
 }
 
+// countMalformedRate counts responses in which an endpoint names a rate that can't be decoded.
+func (m *nodeMetrics) countMalformedRate() {
+	m.set.GetOrCreateCounter("jujube_node_malformed_rates_total").Inc()
+}
+
 // countOffers counts items offered to gateways, by outcome.
 func (m *nodeMetrics) countOffers(outcome string, items int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_offers_total{outcome=%q}", outcome)).Add(items)
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -22,6 +22,7 @@
 	"jujubepier.example/core/services/jujubelease"
 	"jujubepier.example/core/services/jujuberegistry"
 	"jujubepier.example/core/services/jujuberouter"
+	"jujubepier.example/core/services/jujubethrottle"
 )
 
 // Topics of the service on the platform's log.
@@ -125,6 +126,7 @@
 	endpoints    *jujuberegistry.EndpointTracker
 	incarnations *jujuberegistry.IncarnationTracker
 	router       *jujuberouter.Router[jujuberouter.LeastExpectedWait]
+	throttle     *jujubethrottle.Throttle
 	routeWaiters map[model.RequestID]chan jujuberouter.Decision
 	runCancels   map[jujubebatch.RunID]context.CancelFunc
 	// stateChangedCh is closed and replaced at each change of the state that readers wait for.
@@ -181,6 +183,7 @@
 		incarnations:   jujuberegistry.NewIncarnationTracker(),
 		router: jujuberouter.New(jujuberouter.LeastExpectedWait{},
 			jujuberouter.Settings{Instance: id, ServiceTime: initialServiceTime}, random),
+		throttle:       jujubethrottle.New(),
 		routeWaiters:   make(map[model.RequestID]chan jujuberouter.Decision),
 		runCancels:     make(map[jujubebatch.RunID]context.CancelFunc),
 		stateChangedCh: make(chan struct{}),
