node: failing test of a rate that endpoints name for all instances

Callers at three instances under a steady load; one of two plain endpoints names a rate of 2 requests a second.

--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -270,6 +270,8 @@
 	t       *testing.T
 	store   *fakeStore
 	engines *fakeEngines
+	// callers sends the plain requests of the instances that start; by default these go to engines.
+	callers jujubenode.EndpointCaller
 	// directReaders is the setting DirectReaders; sameDataCentre puts all instances into one data centre.
 	directReaders  int
 	sameDataCentre bool
@@ -324,13 +326,17 @@
 	if c.sameDataCentre {
 		dataCentre = "dc-a"
 	}
+	callers := c.callers
+	if callers == nil {
+		callers = c.engines
+	}
 	node := jujubenode.New(jujubenode.Options{
 		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: listener.Addr().String()},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
 			DirectReaders: c.directReaders,
 		},
-		Store: store, EngineClient: c.engines, EndpointCaller: c.engines, Started: time.Now().Add(-c.clockLag),
+		Store: store, EngineClient: c.engines, EndpointCaller: callers, Started: time.Now().Add(-c.clockLag),
 	}, logger)
 	apply := func(now time.Time, record jujubenode.Record) {
 		if record.Key == "weights" {
--- /dev/null
+++ b/entry/services/jujubenode/throttle_test.go
@@ -0,0 +1,103 @@
+package jujubenode_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/entry/services/jujubenode"
+)
+
+// rateWindow is the time over which the platform counts the requests to an endpoint that names a rate.
+const rateWindow = 4 * time.Second
+
+// maxInWindow is the number of requests that an endpoint with the given rate may get in a rateWindow.
+func maxInWindow(perSecond float64) int { return int(1.5*perSecond*rateWindow.Seconds()) + 5 }
+
+// limitedEndpoints answers plain requests, names rates and records when each endpoint got a request.
+type limitedEndpoints struct {
+	mu    sync.Mutex
+	calls map[model.EndpointID][]time.Time
+	rates map[model.EndpointID]float64
+	nodes map[model.InstanceID]*jujubenode.Node
+}
+
+// caller is the EndpointCaller of one instance.
+type limitedCaller struct {
+	endpoints *limitedEndpoints
+	instance  model.InstanceID
+}
+
+func (c limitedCaller) Call(_ context.Context, call jujubenode.Call) (jujubenode.Response, error) {
+	e := c.endpoints
+	e.mu.Lock()
+	e.calls[call.Endpoint] = append(e.calls[call.Endpoint], time.Now())
+	perSecond, limited := e.rates[call.Endpoint]
+	node := e.nodes[c.instance]
+	e.mu.Unlock()
+	node.ObserveRate(call.Endpoint, call.Incarnation, jujubenode.NamedRate{Limited: limited, PerSecond: perSecond})
+	return jujubenode.Response{Status: 200, Stamp: "stamp"}, nil
+}
+
+// maxCalls returns the largest number of requests that an endpoint got in a rateWindow that begins after from.
+func (e *limitedEndpoints) maxCalls(id model.EndpointID, from time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := 0
+	for i, start := range e.calls[id] {
+		if start.Before(from) {
+			continue
+		}
+		count := 0
+		for _, at := range e.calls[id][i:] {
+			if at.Sub(start) <= rateWindow {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// TestNamedRateIsShared guards against instances that each use, or ignore, the rate of requests that an endpoint names for all
+// of them: under a steady load of callers at all instances, one endpoint names a rate of 2 a second and the other one none.
+func TestNamedRateIsShared(t *testing.T) {
+	cluster := newTestCluster(t)
+	endpoints := &limitedEndpoints{
+		calls: map[model.EndpointID][]time.Time{}, rates: map[model.EndpointID]float64{"plain0": 2}, nodes: map[model.InstanceID]*jujubenode.Node{},
+	}
+	for _, id := range []model.InstanceID{"a", "b", "c"} {
+		cluster.callers = limitedCaller{endpoints, id}
+		node, _, _ := cluster.startUnready(id)
+		endpoints.nodes[id] = node
+	}
+	for _, node := range endpoints.nodes {
+		waitFor(t, "the instance is ready", node.IsReady)
+	}
+	startedAt := time.Now()
+	var callers sync.WaitGroup
+	errs := make(chan error, 1000)
+	for id, node := range endpoints.nodes {
+		callers.Go(func() {
+			for i := 0; time.Since(startedAt) < 6*time.Second; i++ {
+				_, err := node.Forward(t.Context(), scoringRoute, jujubenode.PlainRequest{
+					ID: model.RequestID(fmt.Sprintf("%s-%d", id, i)), Method: "GET", URI: "/score/x", Host: "h", Deadline: time.Now().Add(time.Second),
+				})
+				if err != nil {
+					errs <- err
+				}
+				time.Sleep(40 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	assert.Equal(t, len(errs), 0)
+	most := endpoints.maxCalls("plain0", startedAt.Add(500*time.Millisecond))
+	assert.Assert(t, most <= maxInWindow(2), "%d requests in %v, allowed %d", most, rateWindow, maxInWindow(2))
+	assert.Assert(t, most >= 4, "only %d requests in %v", most, rateWindow)
+}
