node: share the request rates that endpoints name

Callers saw nothing; the servers in need got up to twice what they had named.

Change: the gateway of an endpoint, chosen by the hash that items already use, issues permits for the requests of all instances from one token bucket. Others learn the rate from responses of their own, from the gateway's heartbeats and from its replies. Plain requests, second copies, scoring calls, runs of items, orders and polls of an engine's state need a permit; without one they go to another endpoint or are refused at once with the time of the next permit. An instance whose gateway doesn't respond uses rate/instances. Nothing is stored.

Rejected: a share of the rate for each instance. With 96 instances and a rate of 1 a second, a request would be allowed every 96 s at one instance while callers of the others are refused, and full buckets of all of them exceed the rate together.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -82,6 +82,7 @@
 	DrainEnded        Number = 7008
 	EndpointLimited   Number = 7009
 	RateUnusable      Number = 7010
+	PermitFailed      Number = 7011
 
 	InstanceStarted  Number = 8001
 	InstanceReady    Number = 8002
@@ -170,6 +171,7 @@
 		{EndpointUnhealthy, "EndpointUnhealthy", debug, "The load report of an endpoint couldn't be read."},
 		{EndpointLimited, "EndpointLimited", info, "An endpoint names another rate of requests that it accepts from all instances together, or none any more. Source is where this instance learned of it."},
 		{RateUnusable, "RateUnusable", debug, "A response names a rate that can't be decoded; it is ignored."},
+		{PermitFailed, "PermitFailed", warn, "The gateway of an endpoint that names a rate didn't respond; this instance uses its own share of the rate for a while."},
 		{InstanceStarted, "InstanceStarted", info, "The process listens; it becomes ready once it has a configuration."},
 		{InstanceReady, "InstanceReady", info, "The instance accepts requests from callers."},
 		{InstanceLeaving, "InstanceLeaving", info, "The graceful shutdown has started; Until is the expiry of the last address response that names the instance."},
--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -184,7 +184,7 @@
 	}
 	route, ok := s.desired.Match(submission.Host, item.Path)
 	e, known := s.engines.Get(offer.Engine)
-	if !ok || !known || e.assigned >= e.maxAssigned() || !s.isEligible(now, e, item, route.Choose(string(item.ID)), route.SingleVersion) {
+	if !ok || !known || e.assigned >= s.maxAssigned(e) || !s.isEligible(now, e, item, route.Choose(string(item.ID)), route.SingleVersion) {
 		return false
 	}
 	s.acceptDelegation(now, item, offer)
@@ -250,7 +250,7 @@
 		}
 		e.remoteLoad, e.remoteLoadAt = max(0, load-e.assigned), now
 		if refused[id] {
-			e.remoteLoad = e.maxAssigned() // full until the report expires: the cause is likely to last
+			e.remoteLoad = s.maxAssigned(e) // full until the report expires: the cause is likely to last
 		}
 	}
 }
@@ -349,13 +349,13 @@
 }
 
 // estimateLoad returns how many items of all instances the engine has or is about to get.
-func (e *engine) estimateLoad(now time.Time) int {
+func (s *Scheduler) estimateLoad(now time.Time, e *engine) int {
 	remoteLoad := e.remoteLoad
 	switch age := now.Sub(e.remoteLoadAt); {
 	case age > time.Second:
 		remoteLoad = 0
 	case age > remoteLoadTTL:
-		remoteLoad = max(0, min(remoteLoad, e.maxAssigned()-probeItems-e.assigned))
+		remoteLoad = max(0, min(remoteLoad, s.maxAssigned(e)-probeItems-e.assigned))
 	}
 	return e.assigned + remoteLoad
 }
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -34,6 +34,9 @@
 	remoteLoadAt time.Time
 	// gateway is the instance through which items reach the engine; empty for none.
 	gateway model.InstanceID
+	// isLimited is true while the engine names a rate of requests; throttledUntil delays new runs until it may get another one.
+	isLimited      bool
+	throttledUntil time.Time
 	// avoidUntil delays new runs after a failure; loadingUntil delays those of one model.
 	avoidUntil   time.Time
 	loadingUntil map[model.ModelName]time.Time
@@ -90,6 +93,38 @@
 	s.unassignAll(id)
 }
 
+// Gateway returns the instance through which requests reach an endpoint; empty for none.
+func (s *Scheduler) Gateway(id model.EndpointID) model.InstanceID {
+	e, ok := s.engines.Get(id)
+	if !ok {
+		return ""
+	}
+	return e.gateway
+}
+
+// SetLimited sets whether an engine names a rate of requests that it accepts.
+func (s *Scheduler) SetLimited(id model.EndpointID, limited bool) {
+	if e, ok := s.engines.Get(id); ok {
+		e.isLimited = limited
+	}
+}
+
+// Throttle delays new runs on an engine that may get no request before the given time.
+func (s *Scheduler) Throttle(id model.EndpointID, until time.Time) {
+	if e, ok := s.engines.Get(id); ok && e.throttledUntil.Before(until) {
+		e.throttledUntil = until
+	}
+}
+
+// ThrottledFor returns how long an engine may get no request; zero if it may get one now.
+func (s *Scheduler) ThrottledFor(now time.Time, id model.EndpointID) time.Duration {
+	e, ok := s.engines.Get(id)
+	if !ok {
+		return 0
+	}
+	return max(0, e.throttledUntil.Sub(now))
+}
+
 // MarkLoading delays new runs of a model on an engine that is loading its weights.
 func (s *Scheduler) MarkLoading(id model.EndpointID, name model.ModelName, until time.Time) {
 	if e, ok := s.engines.Get(id); ok && e.loadingUntil[name].Before(until) {
@@ -116,8 +151,14 @@
 	}
 }
 
-// maxAssigned is how many items may be assigned to the engine at a time.
-func (e *engine) maxAssigned() int { return max(1, int(queueFactor*float64(e.Slots))) }
+// maxAssigned is how many items may be assigned to an engine at a time. The gateway of one that names a rate accepts them one by
+// one, so that the others don't wait for a permit while another engine has a free slot.
+func (s *Scheduler) maxAssigned(e *engine) int {
+	if e.isLimited && e.gateway == s.self {
+		return min(e.inFlight+1, max(1, e.Slots))
+	}
+	return max(1, int(queueFactor*float64(e.Slots)))
+}
 
 // selectEngine returns the engine that should run an item, or nil if all eligible engines are full. Slow engines are
 // selected only if all are slow. Engines with a free slot come before those with only queue space, and among them the
@@ -127,8 +168,8 @@
 	var best *engine
 	var bestRank engineRank
 	for _, e := range s.engines.All() {
-		load := e.estimateLoad(now)
-		if load >= e.maxAssigned() || !s.isEligible(now, e, item, service, singleVersion) {
+		load := s.estimateLoad(now, e)
+		if load >= s.maxAssigned(e) || !s.isEligible(now, e, item, service, singleVersion) {
 			continue
 		}
 		rank := s.rankEngine(e, item.submission.Model, load, fleet)
@@ -196,5 +237,5 @@
 	if singleVersion && len(item.versions) > 0 && version != item.versions[0] {
 		return false
 	}
-	return !now.Before(e.avoidUntil) && !now.Before(e.loadingUntil[name])
+	return !now.Before(e.avoidUntil) && !now.Before(e.throttledUntil) && !now.Before(e.loadingUntil[name])
 }
--- a/core/services/jujubebatch/pending.go
+++ b/core/services/jujubebatch/pending.go
@@ -17,7 +17,7 @@
 // addPendingOffer keeps an offer until the submission's record has been read.
 func (s *Scheduler) addPendingOffer(now time.Time, offer Offer) bool {
 	e, known := s.engines.Get(offer.Engine)
-	if !known || len(s.pendingOffers) >= maxPendingOffers || s.countPendingOffers(offer.Engine)+e.assigned >= e.maxAssigned() {
+	if !known || len(s.pendingOffers) >= maxPendingOffers || s.countPendingOffers(offer.Engine)+e.assigned >= s.maxAssigned(e) {
 		return false
 	}
 	s.pendingOffers = append(s.pendingOffers, pendingOffer{offer, now})
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -76,6 +76,8 @@
 	RunFailed EndKind = "Failed"
 	// RunUnsent means that nothing was sent to the engine.
 	RunUnsent EndKind = "Unsent"
+	// RunThrottled means that nothing was sent, because the engine's rate of requests is used up.
+	RunThrottled EndKind = "Throttled"
 	// RunRejected means that no engine can serve the request, so that the item is errored and not retried.
 	RunRejected EndKind = "Rejected"
 )
@@ -185,6 +187,8 @@
 		}
 	case RunUnsent:
 		item.notBefore = now.Add(unsentRetryDelay)
+	case RunThrottled:
+		item.notBefore = now
 	case RunRefused:
 		s.MarkLoading(r.engine, item.submission.Model, now.Add(s.settings.LoadingBackoff))
 	case RunMisdirected:
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -321,7 +321,7 @@
 	}
 	other := s.selectEngine(now, r.item, e.Service, false, fleet)
 	switch {
-	case other == nil || s.isSlow(other, fleet) || other.estimateLoad(now) >= other.Slots:
+	case other == nil || s.isSlow(other, fleet) || s.estimateLoad(now, other) >= other.Slots:
 		return nil, ""
 	case isSlow:
 		return other, "the engine is slow"
--- a/core/services/jujuberegistry/registry.go
+++ b/core/services/jujuberegistry/registry.go
@@ -9,6 +9,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/models/jujubetable"
+	"jujubepier.example/core/services/jujubethrottle"
 )
 
 // State is the state that an instance reports about itself.
@@ -33,6 +34,8 @@
 	State         State
 	// Engines holds the known state of the engines whose gateway the instance is.
 	Engines []model.EngineNote `json:",omitempty"`
+	// Limits holds the rates of the endpoints whose gateway the instance is.
+	Limits []jujubethrottle.Notice `json:",omitempty"`
 	// Number increases with each heartbeat of an incarnation.
 	Number int64
 }
--- a/core/services/jujuberouter/endpoint.go
+++ b/core/services/jujuberouter/endpoint.go
@@ -26,6 +26,9 @@
 	// rendezvous is the rendezvous hash that orders the endpoints for this instance.
 	rendezvous uint64
 
+	// throttledUntil is until when the rate that the endpoint names allows no request, by priority.
+	throttledUntil [model.PriorityBackground + 1]time.Time
+
 	removed   bool
 	removedAt time.Time
 
@@ -52,6 +55,10 @@
 	return e.ejections > 0 && (now.Before(e.ejectedUntil) || e.probe != "")
 }
 
+func (e *endpointState) isThrottled(now time.Time, priority model.Priority) bool {
+	return now.Before(e.throttledUntil[priority])
+}
+
 func (e *endpointState) hasCapacity() bool { return !e.limited || e.inFlight < e.instanceLimit }
 
 // resetForIncarnation switches to a newer incarnation and drops the state of the older one.
@@ -61,6 +68,7 @@
 	e.load, e.hasLoad, e.reportedUntil, e.unreported = model.LoadReport{}, false, time.Time{}, nil
 	e.cache = prefixCache{}
 	e.failures, e.ejections, e.probe = 0, 0, ""
+	clear(e.throttledUntil[:])
 }
 
 // PutEndpoint adds or updates an endpoint. An older incarnation is ignored, and Leaving isn't reset within an incarnation.
@@ -110,6 +118,14 @@
 	}
 }
 
+// Throttle stops new requests of a priority, and of lower ones, to an endpoint until the rate that it names may allow one.
+func (r *Router[P]) Throttle(id model.EndpointID, priority model.Priority, until time.Time) {
+	e, ok := r.endpoints.Get(id)
+	for ; ok && int(priority) < len(e.throttledUntil); priority++ {
+		e.throttledUntil[priority] = until
+	}
+}
+
 // RemoveEndpoint stops new requests to an endpoint. Its state is deleted after Settings.RemovedRetention, once nothing is in
 // flight.
 func (r *Router[P]) RemoveEndpoint(now time.Time, id model.EndpointID) {
--- a/core/services/jujuberouter/finish.go
+++ b/core/services/jujuberouter/finish.go
@@ -60,6 +60,14 @@
 	return decision
 }
 
+// refuseThrottled refuses a request because all endpoints name a rate that is used up. The retry-after times are spread over as
+// long again as the next permit takes, so that the refused callers don't return together.
+func (r *Router[P]) refuseThrottled(now time.Time, req *trackedRequest, until time.Time) Decision {
+	after := max(until.Sub(now), minRetryAfter)
+	after += time.Duration(r.random.Int63n(int64(after)))
+	return r.refuse(req, jujubeerror.CodeOverloaded, "the rates of all endpoints are used up", after)
+}
+
 // lateness returns by how much a request that is dispatched after the given wait would miss its deadline.
 func (r *Router[P]) lateness(now time.Time, req *trackedRequest, wait time.Duration) time.Duration {
 	late := now.Add(wait + req.pool.estimateRunTime(&req.request)).Sub(req.request.Deadline)
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -168,19 +168,37 @@
 	p.meanService = max(0.001, p.meanService+smoothingFactor*(seconds-p.meanService))
 }
 
-// collectCandidates fills r.candidates with the endpoints that can accept a request now. It returns the number of active
-// endpoints that the request allows, and whether this instance's share is zero on all of them.
-func (r *Router[P]) collectCandidates(now time.Time, p *pool, request *Request) (allowedCount int, zeroShare bool) {
+// availability counts the active endpoints that a request allows.
+type availability struct {
+	allowed int
+	// zeroShare is true if this instance's share is zero on all of them.
+	zeroShare bool
+	// throttled counts those whose rate allows no request before throttledUntil, the earliest such time.
+	throttled      int
+	throttledUntil time.Time
+}
+
+// collectCandidates fills r.candidates with the endpoints that can accept a request now.
+func (r *Router[P]) collectCandidates(now time.Time, p *pool, request *Request) availability {
 	r.refresh(p)
 	r.candidates = r.candidates[:0]
-	anyHealthy := slices.ContainsFunc(p.watched, func(e *endpointState) bool { return !e.isEjected(now) })
-	zeroShare = true
+	anyHealthy := slices.ContainsFunc(p.watched, func(e *endpointState) bool {
+		return !e.isEjected(now) && !e.isThrottled(now, request.Priority)
+	})
+	found := availability{zeroShare: true}
 	add := func(e *endpointState) {
 		if !e.isActive() || slices.Contains(request.Exclude, e.endpoint.ID) {
 			return
 		}
-		allowedCount++
-		zeroShare = zeroShare && e.limited && e.instanceLimit == 0 && !request.Held
+		found.allowed++
+		found.zeroShare = found.zeroShare && e.limited && e.instanceLimit == 0 && !request.Held
+		if until := e.throttledUntil[request.Priority]; !request.Held && now.Before(until) {
+			found.throttled++
+			if found.throttled == 1 || until.Before(found.throttledUntil) {
+				found.throttledUntil = until
+			}
+			return
+		}
 		if !request.Held && (!e.hasCapacity() || e.load.Version < request.MinVersion || anyHealthy && e.isEjected(now)) {
 			return
 		}
@@ -196,13 +214,14 @@
 		for _, e := range p.watched {
 			add(e)
 		}
-		if allowedCount == 0 {
+		if found.allowed == 0 {
 			for _, e := range p.endpoints.All() {
 				add(e)
 			}
 		}
 	}
-	return allowedCount, zeroShare && allowedCount > 0
+	found.zeroShare = found.zeroShare && found.allowed > 0
+	return found
 }
 
 // preferVersion reduces the candidates to those that serve the version or a later one, if there are any.
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -173,13 +173,16 @@
 	if !req.trainer.hasCapacity() && !req.request.Held {
 		return Decision{Kind: Wait}
 	}
-	allowedCount, zeroShare := r.collectCandidates(now, req.pool, &req.request)
-	if allowedCount == 0 {
+	found := r.collectCandidates(now, req.pool, &req.request)
+	if found.allowed == 0 {
 		return r.refuse(req, jujubeerror.CodeNoEndpoint, "no endpoint may take the request", defaultRetryAfter)
 	}
-	if zeroShare {
+	if found.zeroShare {
 		return r.refuseZeroShare(req, "other instances hold the endpoints' limits")
 	}
+	if found.throttled == found.allowed {
+		return r.refuseThrottled(now, req, found.throttledUntil)
+	}
 	if len(r.candidates) == 0 {
 		return Decision{Kind: Wait}
 	}
--- /dev/null
+++ b/core/services/jujubethrottle/permit.go
@@ -0,0 +1,214 @@
+package jujubethrottle
+
+import (
+	"time"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
+
+// Class determines which part of an endpoint's rate a request may use.
+type Class int
+
+const (
+	// Interactive requests are those of callers and the runs of items.
+	Interactive Class = iota
+	// Background requests use at most backgroundShare of the rate: scoring calls and polls of an engine's state.
+	Background
+	// Control requests may overdraw the bucket: an order waits on the log already, and decides on many later requests.
+	Control
+	numClasses
+)
+
+const (
+	backgroundShare = 0.75
+	// controlOverdraft is the number of permits that Control requests may use in advance.
+	controlOverdraft = 1
+	// minRate is the lowest rate in requests a second. An endpoint that names a lower one still gets a request now and then,
+	// whose response shows when the limit ends.
+	minRate = 0.25
+	// burstTime is the time for whose requests unused permits accumulate. Instances may disagree for about a second on which
+	// of them is the gateway, and then two buckets are used.
+	burstTime = 250 * time.Millisecond
+	// permitTTL is how long permits may be used. At high rates an instance gets its share of the permits of this time at once, so
+	// that not every request needs a call to the gateway.
+	permitTTL = 250 * time.Millisecond
+	// gatewayBackoff is how long a gateway that didn't respond isn't asked again.
+	gatewayBackoff = 1500 * time.Millisecond
+)
+
+// Decision is whether a request may be sent to an endpoint.
+type Decision string
+
+// Values of Decision.
+const (
+	// Permitted requests are sent; a permit was used if the endpoint is limited.
+	Permitted Decision = "Permitted"
+	// Denied requests aren't sent; no permit is available before RetryAt.
+	Denied Decision = "Denied"
+	// Ask means that the endpoint's gateway has to be asked for a permit.
+	Ask Decision = "Ask"
+)
+
+// Verdict is a decision with the time until which a denial lasts.
+type Verdict struct {
+	Decision Decision
+	// RetryAt is when a permit may be available; zero unless denied.
+	RetryAt time.Time
+}
+
+// permits is what an instance has received from the gateway of an endpoint.
+type permits struct {
+	// left is the number of unused permits, which are valid until expiry.
+	left   int
+	expiry time.Time
+	// deniedUntil is when the gateway may have a permit again, by class.
+	deniedUntil [numClasses]time.Time
+	// silentUntil is until when the gateway, which didn't respond, isn't asked again.
+	silentUntil time.Time
+}
+
+// issuer issues the permits of an endpoint.
+type issuer struct {
+	all bucket
+	// background bounds the permits of Background requests, which also count in all.
+	background bucket
+}
+
+// Check decides on a request to an endpoint whose gateway is the given instance; isGateway is true if that is this instance.
+func (t *Throttle) Check(now time.Time, id model.EndpointID, class Class, isGateway bool) Verdict {
+	l, ok := t.limits.Get(id)
+	switch {
+	case !ok || !l.limited:
+		return Verdict{Decision: Permitted}
+	case isGateway:
+		return l.issued.take(now, l.perSecond, class)
+	case now.Before(l.permits.silentUntil):
+		return t.takeShare(now, l)
+	case l.permits.left > 0 && now.Before(l.permits.expiry):
+		l.permits.left--
+		return Verdict{Decision: Permitted}
+	case now.Before(l.permits.deniedUntil[class]):
+		return Verdict{Decision: Denied, RetryAt: l.permits.deniedUntil[class]}
+	}
+	return Verdict{Decision: Ask}
+}
+
+// takeShare decides by this instance's own share of the rate.
+func (t *Throttle) takeShare(now time.Time, l *limit) Verdict {
+	return l.share.take(now, max(l.perSecond, minRate)/float64(t.liveCount), 0)
+}
+
+// Request asks an endpoint's gateway for a permit. Its notice is what the asking instance knows.
+type Request struct {
+	Notice Notice
+	Class  Class
+}
+
+// Reply is the gateway's reply to a Request. Its notice is what the gateway knows.
+type Reply struct {
+	Notice Notice
+	// Permits is the number of requests that may be sent within permitTTL; zero if the request is denied.
+	Permits int
+	// RetryAfter is how long no permit will be available, if the request is denied.
+	RetryAfter model.Duration
+}
+
+// NewRequest returns the request for a permit.
+func (t *Throttle) NewRequest(now time.Time, id model.EndpointID, class Class) Request {
+	return Request{Notice: t.notice(now, id), Class: class}
+}
+
+// Issue handles another instance's request for a permit, whose notice has been applied.
+func (t *Throttle) Issue(now time.Time, request Request) Reply {
+	l, ok := t.limits.Get(request.Notice.Endpoint)
+	if !ok || !l.limited {
+		return Reply{Notice: t.notice(now, request.Notice.Endpoint), Permits: 1}
+	}
+	reply := Reply{Notice: t.notice(now, request.Notice.Endpoint)}
+	batch := max(1, int(l.perSecond*permitTTL.Seconds())/t.liveCount)
+	for reply.Permits < batch {
+		verdict := l.issued.take(now, l.perSecond, request.Class)
+		if verdict.Decision != Permitted {
+			reply.RetryAfter = model.Duration(verdict.RetryAt.Sub(now))
+			break
+		}
+		reply.Permits++
+	}
+	return reply
+}
+
+// HandleReply applies the gateway's reply to a request for a permit, whose notice has been applied, and decides on the request
+// that asked for it.
+func (t *Throttle) HandleReply(now time.Time, class Class, reply Reply) Verdict {
+	l, ok := t.limits.Get(reply.Notice.Endpoint)
+	if !ok || !l.limited {
+		return Verdict{Decision: Permitted}
+	}
+	l.share, l.permits.silentUntil = bucket{}, time.Time{}
+	if reply.Permits > 0 {
+		l.permits.left, l.permits.expiry = reply.Permits-1, now.Add(permitTTL)
+		return Verdict{Decision: Permitted}
+	}
+	l.permits.deniedUntil[class] = now.Add(reply.RetryAfter.Std())
+	return Verdict{Decision: Denied, RetryAt: l.permits.deniedUntil[class]}
+}
+
+// HandleNoReply records that the gateway didn't respond, and decides on the request that asked for a permit by this instance's
+// own share.
+func (t *Throttle) HandleNoReply(now time.Time, id model.EndpointID) Verdict {
+	l, ok := t.limits.Get(id)
+	if !ok || !l.limited {
+		return Verdict{Decision: Permitted}
+	}
+	l.permits.silentUntil = now.Add(gatewayBackoff)
+	return t.takeShare(now, l)
+}
+
+func (i *issuer) take(now time.Time, rate float64, class Class) Verdict {
+	rate = max(rate, minRate)
+	overdraft := 0.0
+	switch class {
+	case Background:
+		if verdict := i.background.check(now, backgroundShare*rate, 0); verdict.Decision != Permitted {
+			return verdict
+		}
+	case Control:
+		overdraft = controlOverdraft
+	}
+	verdict := i.all.take(now, rate, overdraft)
+	if verdict.Decision == Permitted && class == Background {
+		i.background.tokens--
+	}
+	return verdict
+}
+
+// bucket is a token bucket. It begins empty: when it is created, the endpoint has just received requests from all instances.
+type bucket struct {
+	// tokens may be negative after an overdraft.
+	tokens     float64
+	refilledAt time.Time
+}
+
+// take uses a token if there is one, counting the overdraft.
+func (b *bucket) take(now time.Time, rate, overdraft float64) Verdict {
+	verdict := b.check(now, rate, overdraft)
+	if verdict.Decision == Permitted {
+		b.tokens--
+	}
+	return verdict
+}
+
+// check refills the bucket and decides without using a token.
+func (b *bucket) check(now time.Time, rate, overdraft float64) Verdict {
+	if !b.refilledAt.IsZero() && now.After(b.refilledAt) {
+		b.tokens = min(1+rate*burstTime.Seconds(), b.tokens+rate*now.Sub(b.refilledAt).Seconds())
+	}
+	if b.refilledAt.IsZero() || now.After(b.refilledAt) {
+		b.refilledAt = now
+	}
+	if b.tokens+overdraft >= 1 {
+		return Verdict{Decision: Permitted}
+	}
+	missing := time.Duration((1 - overdraft - b.tokens) / rate * float64(time.Second))
+	return Verdict{Decision: Denied, RetryAt: now.Add(missing + time.Millisecond)}
+}
--- a/core/services/jujubethrottle/throttle.go
+++ b/core/services/jujubethrottle/throttle.go
@@ -1,4 +1,9 @@
-// Package jujubethrottle tracks the request rates that endpoints name for all instances together.
+// Package jujubethrottle applies the request rates that endpoints name for all instances together.
+//
+// A rate that one instance received in a response is passed to the endpoint's gateway, which issues permits for the requests
+// of all instances from one token bucket, and to the others in the gateway's heartbeats. An instance whose gateway doesn't
+// respond uses its own share of the rate. Nothing is stored: a gateway that starts learns the rates from the requests for
+// permits.
 package jujubethrottle
 
 import (
@@ -27,18 +32,27 @@
 	perSecond   float64
 	// observedAt is the time of the response by this instance's clock.
 	observedAt time.Time
+	permits    permits
+	share      bucket
+	// issued holds what this instance issues as the endpoint's gateway.
+	issued issuer
 }
 
 // Throttle holds the rates that endpoints name. It isn't safe for concurrent use.
 type Throttle struct {
 	limits *jujubetable.Table[model.EndpointID, *limit]
+	// liveCount is the number of live instances; at least 1.
+	liveCount int
 }
 
 // New returns a throttle without limits.
 func New() *Throttle {
-	return &Throttle{limits: jujubetable.New[model.EndpointID, *limit]()}
+	return &Throttle{limits: jujubetable.New[model.EndpointID, *limit](), liveCount: 1}
 }
 
+// SetLiveCount sets the number of live instances.
+func (t *Throttle) SetLiveCount(count int) { t.liveCount = max(1, count) }
+
 // SetIncarnation drops the limit of an endpoint that has restarted.
 func (t *Throttle) SetIncarnation(id model.EndpointID, incarnation model.Incarnation) {
 	if l, ok := t.limits.Get(id); ok && l.incarnation != incarnation {
@@ -67,13 +81,13 @@
 	return changed
 }
 
-// Notice returns the last observation of an endpoint; ok is false if the endpoint has never named a rate.
-func (t *Throttle) Notice(now time.Time, id model.EndpointID) (notice Notice, ok bool) {
+// notice returns the last observation of an endpoint.
+func (t *Throttle) notice(now time.Time, id model.EndpointID) Notice {
 	l, ok := t.limits.Get(id)
 	if !ok {
-		return Notice{}, false
+		return Notice{Endpoint: id}
 	}
-	return Notice{Endpoint: id, Limited: l.limited, PerSecond: l.perSecond, Age: model.Duration(max(0, now.Sub(l.observedAt)))}, true
+	return Notice{Endpoint: id, Limited: l.limited, PerSecond: l.perSecond, Age: model.Duration(max(0, now.Sub(l.observedAt)))}
 }
 
 // Limited returns the observations of the endpoints that name a rate.
@@ -81,8 +95,7 @@
 	var notices []Notice
 	for id, l := range t.limits.All() {
 		if l.limited {
-			notice, _ := t.Notice(now, id)
-			notices = append(notices, notice)
+			notices = append(notices, t.notice(now, id))
 		}
 	}
 	return notices
--- a/entry/services/jujubenode/delegation.go
+++ b/entry/services/jujubenode/delegation.go
@@ -27,6 +27,8 @@
 type OfferReply struct {
 	Taken []bool
 	Loads map[model.EndpointID]int
+	// Throttled is how long the rate of an engine allows no further request; engines that it allows one aren't listed.
+	Throttled map[model.EndpointID]time.Duration
 }
 
 // ConfirmArgs lists items of which the called instance reports whether it still has them.
@@ -45,7 +47,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	reply.Loads = make(map[model.EndpointID]int)
+	reply.Loads, reply.Throttled = make(map[model.EndpointID]int), make(map[model.EndpointID]time.Duration)
 	acceptedCount := 0
 	for _, offer := range args.Offers {
 		accepted := n.ready && n.state == jujuberegistry.Ready && n.scheduler.AcceptOffer(now, offer)
@@ -57,6 +59,9 @@
 	}
 	for id := range reply.Loads {
 		reply.Loads[id] = n.scheduler.EngineLoad(id)
+		if remaining := n.scheduler.ThrottledFor(now, id); remaining > 0 {
+			reply.Throttled[id] = remaining
+		}
 	}
 	n.log.Write(jujubeevent.ItemsTaken, func() logrus.Fields {
 		return logrus.Fields{"From": args.From, "Offered": len(args.Offers), "Taken": acceptedCount, "Loads": reply.Loads}
@@ -103,10 +108,14 @@
 	})
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := time.Now()
 	if err != nil {
-		n.scheduler.HandleOfferFailure(time.Now(), action)
+		n.scheduler.HandleOfferFailure(now, action)
 	} else {
-		n.scheduler.HandleOfferReply(time.Now(), action, reply.Taken, reply.Loads)
+		n.scheduler.HandleOfferReply(now, action, reply.Taken, reply.Loads)
+		for id, remaining := range reply.Throttled {
+			n.scheduler.Throttle(id, now.Add(remaining))
+		}
 	}
 	n.notifyChange()
 }
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -14,6 +14,7 @@
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujuberouter"
+	"jujubepier.example/core/services/jujubethrottle"
 )
 
 const (
@@ -170,10 +171,10 @@
 				continue
 			}
 			if !f.retryable && f.maybeRan {
-				return f.finalOutcome()
+				return f.finalOutcome(nil)
 			}
 			if err := f.send(ctx); err != nil {
-				return f.finalOutcome()
+				return f.finalOutcome(err)
 			}
 		}
 	}
@@ -201,15 +202,16 @@
 	return false
 }
 
-// finalOutcome returns the last server error of an endpoint, or a refusal that states whether the request may have run.
-func (f *forwarding) finalOutcome() (Response, error) {
+// finalOutcome returns the last server error of an endpoint, or the reason why there is no further attempt. A request that may
+// have run isn't refused.
+func (f *forwarding) finalOutcome(reason error) (Response, error) {
 	if f.lastFailure != nil {
 		return *f.lastFailure, nil
 	}
 	if f.maybeRan {
 		return Response{}, unknownOutcome("no endpoint gave an answer")
 	}
-	return Response{}, refusal(jujubeerror.CodeNoEndpoint, "no endpoint has taken the request")
+	return Response{}, reason
 }
 
 func (f *forwarding) contextError(ctx context.Context) error {
@@ -222,12 +224,60 @@
 // send chooses an endpoint that hasn't been tried yet and sends the request there.
 func (f *forwarding) send(ctx context.Context) error {
 	n := f.node
-	remaining := time.Until(f.request.Deadline)
-	if f.attempts >= max(1, f.route.MaxAttempts) || remaining < minAttemptTime {
+	if f.attempts >= max(1, f.route.MaxAttempts) || time.Until(f.request.Deadline) < minAttemptTime {
 		return refusal(jujubeerror.CodeNoEndpoint, "no further try is left")
 	}
-	service := f.route.Choose(string(f.request.ID))
 	id := model.RequestID(fmt.Sprintf("%s/%d", f.request.ID, f.attempts))
+	decision, err := f.choose(ctx, id)
+	if err != nil {
+		return err
+	}
+	f.attempts++
+	f.inFlight++
+	f.triedEndpoints = append(f.triedEndpoints, decision.Endpoint)
+	call := Call{
+		ID: f.request.ID, Method: f.request.Method, URI: f.request.URI, Host: f.request.Host, Header: f.request.Header,
+		Body: f.request.Body, Endpoint: decision.Endpoint, Incarnation: decision.Incarnation, Address: decision.Address,
+		Timeout: time.Until(f.request.Deadline),
+	}
+	n.tomb.Go(func() error {
+		response, err := n.endpointCaller.Call(ctx, call)
+		n.finishAttempt(id, call, response, err)
+		f.outcomes <- attempt{call.Endpoint, response, err}
+		return nil
+	})
+	return nil
+}
+
+// choose returns the router's decision to dispatch the request with a permit of its endpoint. The router excludes an endpoint
+// that denied one, so the request goes to another one or is refused.
+func (f *forwarding) choose(ctx context.Context, id model.RequestID) (jujuberouter.Decision, error) {
+	n := f.node
+	class := jujubethrottle.Interactive
+	if f.priority > model.PriorityInteractive {
+		class = jujubethrottle.Background
+	}
+	for {
+		decision, err := f.dispatch(ctx, id)
+		if err != nil {
+			return decision, err
+		}
+		if n.acquirePermit(ctx, decision.Endpoint, class).Decision == jujubethrottle.Permitted {
+			return decision, nil
+		}
+		n.mu.Lock()
+		n.deliverDecisions(n.router.Cancel(time.Now(), id))
+		n.mu.Unlock()
+		if ctx.Err() != nil {
+			return decision, f.contextError(ctx)
+		}
+	}
+}
+
+// dispatch returns the router's decision to dispatch the request, or the error with which it is refused.
+func (f *forwarding) dispatch(ctx context.Context, id model.RequestID) (jujuberouter.Decision, error) {
+	n := f.node
+	service := f.route.Choose(string(f.request.ID))
 	now := time.Now()
 	n.mu.Lock()
 	decision := n.router.Route(now, jujuberouter.Request{
@@ -248,28 +298,22 @@
 			delete(n.routeWaiters, id)
 			n.deliverDecisions(n.router.Cancel(time.Now(), id))
 			n.mu.Unlock()
-			return f.contextError(ctx)
+			return decision, f.contextError(ctx)
 		}
 	}
 	n.logRouteDecision(f, decision)
 	if decision.Kind != jujuberouter.Dispatch {
-		return refusal(jujubeerror.CodeNoEndpoint, decision.Reason)
+		return decision, newRouteRefusal(decision)
 	}
-	f.attempts++
-	f.inFlight++
-	f.triedEndpoints = append(f.triedEndpoints, decision.Endpoint)
-	call := Call{
-		ID: f.request.ID, Method: f.request.Method, URI: f.request.URI, Host: f.request.Host, Header: f.request.Header,
-		Body: f.request.Body, Endpoint: decision.Endpoint, Incarnation: decision.Incarnation, Address: decision.Address,
-		Timeout: remaining,
+	return decision, nil
+}
+
+// newRouteRefusal returns the refusal of a request that the router didn't dispatch.
+func newRouteRefusal(decision jujuberouter.Decision) error {
+	if decision.Code == jujubeerror.CodeOverloaded {
+		return jujubeerror.ErrRefused{Code: decision.Code, Ran: model.RanNo, RetryAfter: decision.RetryAfter, Message: decision.Reason}
 	}
-	n.tomb.Go(func() error {
-		response, err := n.endpointCaller.Call(ctx, call)
-		n.finishAttempt(id, call, response, err)
-		f.outcomes <- attempt{call.Endpoint, response, err}
-		return nil
-	})
-	return nil
+	return refusal(jujubeerror.CodeNoEndpoint, decision.Reason)
 }
 
 // finishAttempt reports the outcome of an attempt to the router.
--- a/entry/services/jujubenode/heartbeat.go
+++ b/entry/services/jujubenode/heartbeat.go
@@ -37,7 +37,7 @@
 			heartbeat = jujuberegistry.Heartbeat{
 				Instance: n.identity.Instance, Incarnation: n.incarnation, DataCentre: n.identity.DataCentre,
 				CallerAddress: n.identity.CallerAddress, PeerAddress: n.identity.PeerAddress, State: n.state, Number: n.heartbeatNumber,
-				Engines: n.scheduler.EngineNotes(),
+				Engines: n.scheduler.EngineNotes(), Limits: n.limitNotices(now),
 			}
 		}
 		n.mu.Unlock()
@@ -95,6 +95,12 @@
 			n.scheduler.ApplyEngineNote(now, engineNote)
 		}
 	}
+	// The last heartbeat before this instance's own restart is as good as those of others.
+	if heartbeat.Instance != n.identity.Instance || heartbeat.Incarnation < n.incarnation {
+		for _, notice := range heartbeat.Limits {
+			n.applyRate(now, notice, "Heartbeat")
+		}
+	}
 }
 
 func (n *Node) resetHeartbeats(now time.Time, records []Record) {
@@ -120,6 +126,7 @@
 		return
 	}
 	n.scheduler.SetLiveMembers(members)
+	n.throttle.SetLiveCount(len(live))
 	n.updateRelay()
 	n.log.Write(jujubeevent.MemberChanged, func() logrus.Fields {
 		states := map[string]string{}
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -72,6 +72,11 @@
 	m.set.GetOrCreateCounter("jujube_node_malformed_rates_total").Inc()
 }
 
+// countDenial counts requests that weren't sent to an endpoint because its rate was used up.
+func (m *nodeMetrics) countDenial() {
+	m.set.GetOrCreateCounter("jujube_node_permits_denied_total").Inc()
+}
+
 // countOffers counts items offered to gateways, by outcome.
 func (m *nodeMetrics) countOffers(outcome string, items int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_offers_total{outcome=%q}", outcome)).Add(items)
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -13,6 +13,7 @@
 	"jujubepier.example/core/services/jujubefleet"
 	"jujubepier.example/core/services/jujubelease"
 	"jujubepier.example/core/services/jujuberegistry"
+	"jujubepier.example/core/services/jujubethrottle"
 )
 
 const (
@@ -207,7 +208,10 @@
 
 // sendOrder sends an order to an engine and applies the outcome.
 func (n *Node) sendOrder(ctx context.Context, order jujubefleet.Order) {
-	outcome, err := n.announceAndSendOrder(ctx, order)
+	outcome, err := jujubefleet.Refused, error(nil)
+	if n.acquirePermit(ctx, order.Engine, jujubethrottle.Control).Decision == jujubethrottle.Permitted {
+		outcome, err = n.announceAndSendOrder(ctx, order)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
@@ -252,6 +256,9 @@
 
 // readEngine reads an engine's state and, if the engine has completed its outstanding load, announces the end of the load.
 func (n *Node) readEngine(ctx context.Context, engine jujubefleet.Engine) {
+	if n.acquirePermit(ctx, engine.ID, jujubethrottle.Background).Decision != jujubethrottle.Permitted {
+		return // it is polled again
+	}
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	state, err := n.engineClient.ReadState(callCtx, engine)
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -9,6 +9,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubethrottle"
 )
 
 // executeActions executes the scheduler's actions; the lock is held, so nothing here blocks.
@@ -119,6 +120,9 @@
 		}
 		start.After = after
 	}
+	if verdict := n.acquirePermit(ctx, start.Engine, jujubethrottle.Interactive); verdict.Decision != jujubethrottle.Permitted {
+		return jujubebatch.RunThrottled, nil
+	}
 	return n.engineClient.Run(ctx, start, content, runSink{n, start.Run})
 }
 
--- a/entry/services/jujubenode/throttle_test.go
+++ b/entry/services/jujubenode/throttle_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -27,7 +28,7 @@
 	nodes map[model.InstanceID]*jujubenode.Node
 }
 
-// caller is the EndpointCaller of one instance.
+// limitedCaller is the EndpointCaller of one instance.
 type limitedCaller struct {
 	endpoints *limitedEndpoints
 	instance  model.InstanceID
@@ -101,3 +102,34 @@
 	assert.Assert(t, most <= maxInWindow(2), "%d requests in %v, allowed %d", most, rateWindow, maxInWindow(2))
 	assert.Assert(t, most >= 4, "only %d requests in %v", most, rateWindow)
 }
+
+// TestRefusedAtUsedUpRates guards against requests that are held, or said to have run, when all endpoints of their service name a
+// rate that is used up.
+func TestRefusedAtUsedUpRates(t *testing.T) {
+	cluster := newTestCluster(t)
+	endpoints := &limitedEndpoints{
+		calls: map[model.EndpointID][]time.Time{}, rates: map[model.EndpointID]float64{"plain0": 0, "plain1": 0}, nodes: map[model.InstanceID]*jujubenode.Node{},
+	}
+	cluster.callers = limitedCaller{endpoints, "a"}
+	node, _, _ := cluster.start("a")
+	endpoints.nodes["a"] = node
+	forward := func() error {
+		_, err := node.Forward(t.Context(), scoringRoute, jujubenode.PlainRequest{
+			ID: "r", Method: "GET", URI: "/score/x", Host: "h", Deadline: time.Now().Add(10 * time.Second),
+		})
+		return err
+	}
+	for range 10 {
+		_ = forward() // until both endpoints have answered
+	}
+	startedAt := time.Now()
+	refused, ok := jujubeerror.IsErrRefused(forward())
+	assert.Assert(t, ok)
+	assert.Equal(t, refused.Code, jujubeerror.CodeOverloaded)
+	assert.Equal(t, refused.Ran, model.RanNo)
+	assert.Assert(t, refused.RetryAfter > 0)
+	assert.Assert(t, time.Since(startedAt) < 5*time.Second)
+	endpoints.mu.Lock()
+	defer endpoints.mu.Unlock()
+	assert.Equal(t, len(endpoints.calls["plain0"])+len(endpoints.calls["plain1"]), 2)
+}
