core: never quarantine a trainer's samples

What a trainer saw: after a burst of crashes in which two engines died under the same sample, its group was listed as failed or its sample waited for good, though the engines were idle again; a scoring call under which two scorers died was refused for 24 h.

Cause: samples and scoring calls were blamed for crashes like callers' requests. Items that are handed in for later never crash engines by themselves, so the blame is always wrong there and the work stays owed.

Change: work of an accepted step is exempt from the quarantine: it is neither blamed nor blocked, nor pinned to one engine. Callers' content still is (TestCallerContentIsStillQuarantined, TestCrashingContentIsStopped).

--- a/core/services/jujubecore/endpoints.go
+++ b/core/services/jujubecore/endpoints.go
@@ -128,7 +128,7 @@
 	return nil
 }
 
-// recordCrash reports to the quarantine the requests that were in flight on an incarnation that has ended, which makes them
+// recordCrash reports to the quarantine the callers' requests that were in flight on an incarnation that has ended, which makes them
 // suspects. The end of an endpoint that was leaving is intended and isn't a crash.
 func (c *Core) recordCrash(now time.Time, endpoint endpointState, incarnation model.Incarnation) {
 	if incarnation == 0 || endpoint.isLeaving() {
@@ -136,7 +136,7 @@
 	}
 	var inFlight []model.Fingerprint
 	for id, request := range c.requests.All() {
-		if request.endpoint != endpoint.info.ID || request.incarnation != incarnation || request.crashCounted {
+		if request.owed || request.endpoint != endpoint.info.ID || request.incarnation != incarnation || request.crashCounted {
 			continue
 		}
 		request.crashCounted = true
--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -71,6 +71,8 @@
 	Exclude []model.EndpointID
 	// Retry is true when an earlier attempt was dispatched; this attempt is then charged to the retry budget.
 	Retry bool
+	// Owed is true for work of an accepted step. Its content is never blamed for a crash.
+	Owed bool
 }
 
 // RequestEnded reports how a dispatched request ended.
--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -15,6 +15,9 @@
 type requestState struct {
 	spec        jujuberouter.Request
 	fingerprint model.Fingerprint
+	// owed is true for work of an accepted step, which the quarantine neither blames nor blocks: the step was accepted to be
+	// completed, and its content is in flight in crashes only by chance.
+	owed bool
 	// endpoint is empty until the request is dispatched.
 	endpoint    model.EndpointID
 	incarnation model.Incarnation
@@ -35,12 +38,15 @@
 		Priority: arrived.Priority, Arrived: now, Deadline: arrived.Deadline, Prefix: arrived.Prefix,
 		Tokens: arrived.Tokens, Exclude: arrived.Exclude, Fingerprint: arrived.Fingerprint, Retry: arrived.Retry,
 	}
-	return c.admitRequest(now, requestState{spec: spec, fingerprint: arrived.Fingerprint})
+	return c.admitRequest(now, requestState{spec: spec, fingerprint: arrived.Fingerprint, owed: arrived.Owed})
 }
 
 // admitRequest refuses quarantined content, requests a grant from the coordinator for suspect content, and routes any
 // other request.
 func (c *Core) admitRequest(now time.Time, request requestState) []Action {
+	if request.owed {
+		return c.route(now, request)
+	}
 	switch c.quarantine.Check(now, request.fingerprint) {
 	case jujubequarantine.Quarantined:
 		return c.applyDecision(now, request,
@@ -55,7 +61,7 @@
 	request.retryAt = time.Time{}
 	c.requests.Put(request.spec.ID, request)
 	spec := request.spec
-	if !request.granted && !spec.Held {
+	if !request.granted && !request.owed && !spec.Held {
 		spec.Only, spec.Exclude = c.pinToRunning(spec)
 	}
 	return c.applyDecisions(now, []jujuberouter.Decision{c.router.Route(now, spec)})
@@ -64,7 +70,7 @@
 // isBlockedByPin reports whether a request was refused only because it is pinned to an endpoint that receives no new
 // work.
 func (c *Core) isBlockedByPin(now time.Time, request requestState, decision jujuberouter.Decision) bool {
-	return decision.Code == jujubeerror.CodeNoEndpoint && !request.granted && now.Before(request.spec.Deadline) &&
+	return decision.Code == jujubeerror.CodeNoEndpoint && !request.granted && !request.owed && now.Before(request.spec.Deadline) &&
 		c.quarantine.HasUnprovenRun(request.fingerprint)
 }
 
@@ -125,7 +131,7 @@
 	switch decision.Kind {
 	case jujuberouter.Dispatch:
 		// A held stream already runs on its endpoint; resuming it starts no second run. The run is recorded below.
-		if !request.granted && !request.spec.Held && !c.quarantine.Admit(now, request.fingerprint, decision.Endpoint) {
+		if !request.granted && !request.owed && !request.spec.Held && !c.quarantine.Admit(now, request.fingerprint, decision.Endpoint) {
 			// While the request was queued, a copy started on another endpoint or its content became suspect.
 			c.requests.Delete(id)
 			freed := c.router.Finish(now, id, jujuberouter.Outcome{})
@@ -135,7 +141,9 @@
 		request.incarnation = decision.Incarnation
 		request.retryAt = time.Time{}
 		c.requests.Put(id, request)
-		c.quarantine.AddRun(now, request.fingerprint, decision.Endpoint)
+		if !request.owed {
+			c.quarantine.AddRun(now, request.fingerprint, decision.Endpoint)
+		}
 	case jujuberouter.Refuse:
 		if c.isBlockedByPin(now, request, decision) {
 			return c.scheduleRetry(now, request)
@@ -181,8 +189,17 @@
 		return nil
 	}
 	c.requests.Delete(id)
+	if !request.owed {
+		c.finishQuarantineRun(now, request, outcome.OK)
+	}
+	actions := c.releaseGrant(now, request, outcome.OK)
+	return append(actions, c.applyDecisions(now, c.router.Finish(now, id, outcome))...)
+}
+
+// finishQuarantineRun records in the quarantine that a run of a caller's content ended without a crash.
+func (c *Core) finishQuarantineRun(now time.Time, request requestState, completed bool) {
 	wasRunning := c.quarantine.HasUnprovenRun(request.fingerprint)
-	if outcome.OK {
+	if completed {
 		c.publishAll(now, c.quarantine.CompleteRun(now, request.fingerprint, request.endpoint))
 	} else {
 		c.quarantine.RemoveRun(now, request.fingerprint, request.endpoint)
@@ -190,8 +207,6 @@
 	if wasRunning && !c.quarantine.HasUnprovenRun(request.fingerprint) {
 		c.unpin(request.fingerprint)
 	}
-	actions := c.releaseGrant(now, request, outcome.OK)
-	return append(actions, c.applyDecisions(now, c.router.Finish(now, id, outcome))...)
 }
 
 func (c *Core) applyRequestCancelled(now time.Time, id model.RequestID) []Action {
--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -81,7 +81,7 @@
 	if start.Endpoint != "" {
 		spec.Only, spec.Held = []model.EndpointID{start.Endpoint}, start.Resume
 	}
-	return c.admitRequest(now, requestState{spec: spec, fingerprint: spec.Fingerprint, stream: &start})
+	return c.admitRequest(now, requestState{spec: spec, fingerprint: spec.Fingerprint, owed: true, stream: &start})
 }
 
 // applyStreamDecision passes the routing decision of a stream to the step tables and to the adapter.
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -202,17 +202,11 @@
 	}
 	var actions []Action
 	for id, request := range c.requests.All() {
-		if request.endpoint == "" || request.granted || request.spec.Kind != model.KindEngine ||
+		if request.owed || request.endpoint == "" || request.granted || request.spec.Kind != model.KindEngine ||
 			!c.quarantine.IsSuspect(now, request.fingerprint) {
 			continue
 		}
-		if request.stream == nil {
-			actions = append(actions, AbortRequest{ID: id})
-			continue
-		}
-		endpoint, _ := c.endpoints.Get(request.endpoint)
-		actions = append(actions, StopStream{Stream: request.stream.Stream, Address: endpoint.info.Address, Cause: "Suspect"})
-		actions = append(actions, c.applyStreamEnded(now, StreamEnded{Stream: request.stream.Stream, Broken: true})...)
+		actions = append(actions, AbortRequest{ID: id})
 	}
 	return actions
 }
--- a/entry/services/jujubeentry/steps.go
+++ b/entry/services/jujubeentry/steps.go
@@ -195,7 +195,7 @@
 	decision, err := s.route(ctx, jujubecore.RequestArrived{
 		ID: s.attempts.next("scorer", model.RequestID(request.Sample)), Kind: model.KindScorer, Service: scorer,
 		Priority: model.PriorityTrainer, Deadline: deadline,
-		Fingerprint: model.NewFingerprint("score", request.Prompt, request.Text),
+		Fingerprint: model.NewFingerprint("score", request.Prompt, request.Text), Owed: true,
 	})
 	if err != nil {
 		return model.ScoreResult{}, err
