batch: place an item again soon after crashes under it

An item whose runs broke off before their first event three times on end waited 2, 4, 8 and then 16 s for the next run, on each instance that got it, while the engines had room; accepted items may be at no engine for 5 s at most.

Cause: the delays were meant for requests that crash every engine. Items of submissions aren't such requests. Ruled out: the engines' own backoff, 4 s at most, which ends with the next incarnation.

Texts that can't be stored keep their delays, with a count of their own.

--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -51,8 +51,8 @@
 	// Events and Versions are the part of the text that the delegator has.
 	Events   []string
 	Versions []model.WeightVersion
-	// Failures and Crashes are the item's counts so far.
-	Failures, Crashes int
+	// Failures, Crashes and DiscardedTexts are the item's counts so far.
+	Failures, Crashes, DiscardedTexts int
 }
 
 // OfferItems offers items to an instance; HandleOfferReply or HandleOfferFailure handles the outcome.
@@ -154,7 +154,7 @@
 	item.delegation = &delegation{to: e.gateway, confirmedAt: now, askedAt: now}
 	offer := Offer{
 		Submission: item.submission.ID, Item: item.ID, Engine: e.ID, Given: item.Content, Events: item.events, Versions: item.versions,
-		Failures: item.failures, Crashes: item.earlyBreaks,
+		Failures: item.failures, Crashes: item.earlyBreaks, DiscardedTexts: item.discardedTexts,
 	}
 	offer.Content, _ = item.contentPlace()
 	at := slices.IndexFunc(s.offers, func(o OfferItems) bool { return o.To == e.gateway })
@@ -201,6 +201,7 @@
 	}
 	item.delegatedHere, item.delegation, item.notBefore, item.offeredEngine, item.Content = true, nil, now, offer.Engine, offer.Given
 	item.failures, item.earlyBreaks = max(item.failures, offer.Failures), max(item.earlyBreaks, offer.Crashes)
+	item.discardedTexts = max(item.discardedTexts, offer.DiscardedTexts)
 	if len(offer.Events) > len(item.events) && item.allowsVersions(offer.Versions) {
 		item.events, item.versions = offer.Events, offer.Versions
 	}
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -196,10 +196,8 @@
 	case RunBroken:
 		if r.awaitsFirstEvent {
 			item.earlyBreaks++
+			item.notBefore = now.Add(s.earlyBreakDelay(item.earlyBreaks))
 			s.avoidEngine(now, r, s.settings.FailureBackoff)
-			if item.earlyBreaks > maxBreaksWithoutBackoff {
-				item.notBefore = now.Add(earlyBreakBackoff << min(item.earlyBreaks-maxBreaksWithoutBackoff, maxBackoffDoublings))
-			}
 		} else {
 			item.earlyBreaks = 0
 			s.avoidEngine(now, r, s.settings.FailureBackoff/4)
@@ -210,13 +208,11 @@
 // unsentRetryDelay is the delay before an item is started again whose content couldn't be read, as the log is unavailable.
 const unsentRetryDelay = 200 * time.Millisecond
 
-const (
-	// maxBreaksWithoutBackoff is how many runs of an item may break off before their first event without a backoff. Some
-	// requests crash every engine that runs them.
-	maxBreaksWithoutBackoff = 2
-	// earlyBreakBackoff is doubled with each further break.
-	earlyBreakBackoff = time.Second
-	// maxBackoffDoublings limits the delay to 16 s, so that an item is retried before it is abandoned at the end of its route's
-	// retention, which may be after some 40 s.
-	maxBackoffDoublings = 4
-)
+// maxEarlyBreakDelay limits the delay of an item whose runs break off before their first event, again and again. The cause is
+// the engines, not the item: a longer delay would hold back an accepted item that crashed engines happened to run.
+const maxEarlyBreakDelay = 500 * time.Millisecond
+
+// earlyBreakDelay returns the delay after a number of such runs on end. It doubles from RetryDelay on.
+func (s *Scheduler) earlyBreakDelay(breaks int) time.Duration {
+	return min(s.settings.RetryDelay<<min(breaks-1, maxRetryDoublings), maxEarlyBreakDelay)
+}
--- a/core/services/jujubebatch/score.go
+++ b/core/services/jujubebatch/score.go
@@ -14,8 +14,8 @@
 	scoringShare = 0.75
 	// maxScoringRetryDelay limits the delay after a scoring call without a response, which doubles from RetryDelay on.
 	maxScoringRetryDelay = time.Second
-	// maxScoringDoublings prevents an overflow of the shift.
-	maxScoringDoublings = 8
+	// maxRetryDoublings prevents an overflow of the shift.
+	maxRetryDoublings = 8
 )
 
 // StartScoring requests the score of an item's text from a plain service; HandleScoringEnd handles the outcome, and CancelRun
@@ -189,7 +189,7 @@
 		s.queueResult(item, Errored)
 		return
 	}
-	item.notBefore = now.Add(min(s.settings.RetryDelay<<min(item.scoreRetries, maxScoringDoublings), maxScoringRetryDelay))
+	item.notBefore = now.Add(min(s.settings.RetryDelay<<min(item.scoreRetries, maxRetryDoublings), maxScoringRetryDelay))
 	item.scoreRetries++
 }
 
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -69,10 +69,11 @@
 	// score.
 	scoreFailures map[string]bool
 	scoreRetries  int
-	// failures counts the engines' internal errors for the item, earlyBreaks the runs that broke off before their first event and
-	// the texts that couldn't be stored.
-	failures    int
-	earlyBreaks int
+	// failures counts the engines' internal errors for the item, earlyBreaks the runs on end that broke off before their first
+	// event, and discardedTexts the texts that couldn't be stored.
+	failures       int
+	earlyBreaks    int
+	discardedTexts int
 	// resultQueued is true once the result has been handed over for appending.
 	resultQueued bool
 }
