fleet: balance the models over the engines

Cause: models are assigned while the engines' entries are read, one after the other; the first ones get all models and nothing moves later. Ruled out: the engine's report (received) and another holder (none).

Change: one model at a time moves from the engine with the most to the one with the fewest; an engine that names a rate counts one more, and loads after others.

--- a/core/services/jujubefleet/assign.go
+++ b/core/services/jujubefleet/assign.go
@@ -48,6 +48,43 @@
 			counts[name]--
 		}
 	}
+	f.rebalance()
+}
+
+// rebalance moves one model from the engine with the most assigned models to the one with the fewest. Engines are assigned as they
+// appear, so that without it the first ones would have all models and the last one none.
+func (f *Fleet) rebalance() {
+	var fullest, emptiest *engine
+	for _, e := range f.engines.All() {
+		if e.Leaving || len(e.Models) == 0 || e.order != nil {
+			continue
+		}
+		if fullest == nil || e.assignedWeight() > fullest.assignedWeight() {
+			fullest = e
+		}
+		if emptiest == nil || e.assignedWeight() < emptiest.assignedWeight() {
+			emptiest = e
+		}
+	}
+	if fullest == nil || fullest.assignedWeight()-emptiest.assignedWeight() < 2 {
+		return
+	}
+	for i, name := range fullest.assignedModels {
+		if slices.Contains(emptiest.Models, name) && !slices.Contains(emptiest.assignedModels, name) {
+			fullest.assignedModels = slices.Delete(fullest.assignedModels, i, i+1)
+			emptiest.assignedModels = append(emptiest.assignedModels, name)
+			slices.Sort(emptiest.assignedModels)
+			return
+		}
+	}
+}
+
+// assignedWeight is the number of an engine's assigned models. An engine that names a rate counts one more.
+func (e *engine) assignedWeight() int {
+	if e.isLimited {
+		return len(e.assignedModels) + 1
+	}
+	return len(e.assignedModels)
 }
 
 // pickEngine returns the engine to assign to a model next, or nil if the model has all engines.
@@ -57,7 +94,7 @@
 		if e.Leaving || !slices.Contains(e.Models, name) || slices.Contains(e.assignedModels, name) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(f.versionLag(e, name), f.versionLag(best, name)), cmp.Compare(len(e.assignedModels), len(best.assignedModels))) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(f.versionLag(e, name), f.versionLag(best, name)), cmp.Compare(e.assignedWeight(), best.assignedWeight())) < 0 {
 			best = e
 		}
 	}
@@ -68,7 +105,7 @@
 func (f *Fleet) unassignModel(name model.ModelName) {
 	var fullest *engine
 	for _, e := range f.engines.All() {
-		if slices.Contains(e.assignedModels, name) && (fullest == nil || len(e.assignedModels) > len(fullest.assignedModels)) {
+		if slices.Contains(e.assignedModels, name) && (fullest == nil || e.assignedWeight() > fullest.assignedWeight()) {
 			fullest = e
 		}
 	}
--- a/core/services/jujubefleet/fleet.go
+++ b/core/services/jujubefleet/fleet.go
@@ -99,6 +99,8 @@
 	// pollAt is when the engine's state has to be polled; zero if nothing is awaited.
 	pollAt  time.Time
 	retryAt time.Time
+	// isLimited is true while the engine names a rate of requests, so that it serves fewer items than others.
+	isLimited bool
 	// holder is the instance that last announced an order to this engine, at holderAnnouncedAt.
 	holder            model.InstanceID
 	holderAnnouncedAt time.Time
@@ -209,6 +211,13 @@
 	}
 }
 
+// SetLimited sets whether an engine names a rate of requests that it accepts.
+func (f *Fleet) SetLimited(id model.EndpointID, limited bool) {
+	if e, ok := f.engines.Get(id); ok {
+		e.isLimited = limited
+	}
+}
+
 // isHeldByOther reports whether another instance has announced an order to an engine within the lease time.
 func (f *Fleet) isHeldByOther(now time.Time, e *engine) bool {
 	return e.holder != "" && e.holder != f.self && now.Sub(e.holderAnnouncedAt) < f.settings.LeaseTime
--- a/core/services/jujubefleet/need.go
+++ b/core/services/jujubefleet/need.go
@@ -29,7 +29,8 @@
 var needLoadShares = [needNone]float64{1, 0.8, 0.5}
 
 // nextLoad returns the engine and the model to load next: for the most urgent need and, among equal needs, for the model
-// with the smallest share of up-to-date engines. Engines that no step of the newest version accepts precede others.
+// with the smallest share of up-to-date engines. Engines that name no rate precede others, and then those that no step of the
+// newest version accepts.
 func (f *Fleet) nextLoad(now time.Time, busy, maxLoads int) (*engine, model.ModelName) {
 	counts := f.countEngines()
 	var best *engine
@@ -45,6 +46,7 @@
 				continue
 			}
 			rank := counts[name].rank(t.version - e.Versions[name])
+			rank.limited = e.isLimited
 			if rank.need == needNone || maxLoads > 1 && float64(busy) >= math.Ceil(needLoadShares[rank.need]*float64(maxLoads)) {
 				continue
 			}
@@ -65,9 +67,10 @@
 
 // loadRank is the sort key of loads; the load with the lowest rank is ordered first.
 type loadRank struct {
-	need  int
-	share float64
-	lag   model.WeightVersion
+	need    int
+	share   float64
+	limited bool
+	lag     model.WeightVersion
 }
 
 // rank returns the rank of a load by an engine that is lag versions behind.
@@ -76,17 +79,24 @@
 	share := func(count int) float64 { return float64(count) / float64(max(1, c.assigned)) }
 	switch {
 	case lag > 1 && share(c.serving) < urgentServingShare:
-		return loadRank{needUrgent, share(c.serving), lag}
+		return loadRank{need: needUrgent, share: share(c.serving), lag: lag}
 	case 2*c.newest < c.assigned:
-		return loadRank{needNewest, share(c.newest), lag}
+		return loadRank{need: needNewest, share: share(c.newest), lag: lag}
 	case lag > 1:
-		return loadRank{needSpare, share(c.serving), lag}
+		return loadRank{need: needSpare, share: share(c.serving), lag: lag}
 	}
 	return loadRank{need: needNone}
 }
 
 func (r loadRank) compare(other loadRank) int {
-	return cmp.Or(cmp.Compare(r.need, other.need), cmp.Compare(r.share, other.share), cmp.Compare(other.lag, r.lag))
+	byRate := 0
+	if r.limited != other.limited {
+		byRate = -1
+		if r.limited {
+			byRate = 1
+		}
+	}
+	return cmp.Or(cmp.Compare(r.need, other.need), cmp.Compare(r.share, other.share), byRate, cmp.Compare(other.lag, r.lag))
 }
 
 // countEngines returns the numbers of engines of each model.
--- a/core/services/jujubethrottle/permit.go
+++ b/core/services/jujubethrottle/permit.go
@@ -52,10 +52,10 @@
 	Ask Decision = "Ask"
 )
 
-// Verdict is a decision with the time until which a denial lasts.
+// Verdict is a decision with the time of the next permit.
 type Verdict struct {
 	Decision Decision
-	// RetryAt is when a permit may be available; zero unless denied.
+	// RetryAt is when another permit may be available; zero if one is available now or that isn't known.
 	RetryAt time.Time
 }
 
@@ -114,7 +114,7 @@
 	Notice Notice
 	// Permits is the number of requests that may be sent within permitTTL; zero if the request is denied.
 	Permits int
-	// RetryAfter is how long no permit will be available, if the request is denied.
+	// RetryAfter is how long no other permit will be available; zero if one is available now.
 	RetryAfter model.Duration
 }
 
@@ -133,8 +133,11 @@
 	batch := max(1, int(l.perSecond*permitTTL.Seconds())/t.liveCount)
 	for reply.Permits < batch {
 		verdict := l.issued.take(now, l.perSecond, request.Class)
-		if verdict.Decision != Permitted {
+		reply.RetryAfter = 0
+		if !verdict.RetryAt.IsZero() {
 			reply.RetryAfter = model.Duration(verdict.RetryAt.Sub(now))
+		}
+		if verdict.Decision != Permitted {
 			break
 		}
 		reply.Permits++
@@ -150,12 +153,21 @@
 		return Verdict{Decision: Permitted}
 	}
 	l.share, l.permits.silentUntil = bucket{}, time.Time{}
-	if reply.Permits > 0 {
+	verdict := Verdict{Decision: Permitted}
+	if reply.RetryAfter > 0 {
+		l.permits.deniedUntil[class] = now.Add(reply.RetryAfter.Std())
+	}
+	switch {
+	case reply.Permits > 1:
 		l.permits.left, l.permits.expiry = reply.Permits-1, now.Add(permitTTL)
-		return Verdict{Decision: Permitted}
+		return verdict
+	case reply.Permits == 0:
+		verdict.Decision = Denied
+	}
+	if reply.RetryAfter > 0 {
+		verdict.RetryAt = l.permits.deniedUntil[class]
 	}
-	l.permits.deniedUntil[class] = now.Add(reply.RetryAfter.Std())
-	return Verdict{Decision: Denied, RetryAt: l.permits.deniedUntil[class]}
+	return verdict
 }
 
 // HandleNoReply records that the gateway didn't respond, and decides on the request that asked for a permit by this instance's
@@ -169,26 +181,39 @@
 	return t.takeShare(now, l)
 }
 
+// take decides on a request of a class and uses a token if it is permitted.
 func (i *issuer) take(now time.Time, rate float64, class Class) Verdict {
+	verdict := i.check(now, rate, class)
+	if verdict.Decision != Permitted {
+		if class == Interactive {
+			i.deniedAt = now
+		}
+		return verdict
+	}
+	i.all.tokens--
+	if i.isShared(now, class) {
+		i.background.tokens--
+	}
+	return Verdict{Decision: Permitted, RetryAt: i.check(now, rate, class).RetryAt}
+}
+
+// check decides on a request of a class without using a token.
+func (i *issuer) check(now time.Time, rate float64, class Class) Verdict {
 	rate = max(rate, minRate)
-	switch {
-	case class == Control:
-		return i.all.take(now, rate, controlOverdraft)
-	case class == Background && now.Sub(i.deniedAt) < denialMemory:
+	if i.isShared(now, class) {
 		if verdict := i.background.check(now, backgroundShare*rate, 0); verdict.Decision != Permitted {
 			return verdict
 		}
-		verdict := i.all.take(now, rate, 0)
-		if verdict.Decision == Permitted {
-			i.background.tokens--
-		}
-		return verdict
 	}
-	verdict := i.all.take(now, rate, 0)
-	if verdict.Decision != Permitted && class == Interactive {
-		i.deniedAt = now
+	if class == Control {
+		return i.all.check(now, rate, controlOverdraft)
 	}
-	return verdict
+	return i.all.check(now, rate, 0)
+}
+
+// isShared reports whether requests of a class are bounded by their share of the rate.
+func (i *issuer) isShared(now time.Time, class Class) bool {
+	return class == Background && now.Sub(i.deniedAt) < denialMemory
 }
 
 // bucket is a token bucket. It begins empty: when it is created, the endpoint has just received requests from all instances.
--- a/entry/services/jujubenode/throttle.go
+++ b/entry/services/jujubenode/throttle.go
@@ -51,6 +51,7 @@
 		return false
 	}
 	n.scheduler.SetLimited(notice.Endpoint, notice.Limited)
+	n.fleet.SetLimited(notice.Endpoint, notice.Limited)
 	if !notice.Limited {
 		n.router.Throttle(notice.Endpoint, model.PriorityInteractive, time.Time{})
 	}
@@ -170,13 +171,15 @@
 	return verdict
 }
 
-// applyVerdict counts a denial and excludes the endpoint from the choices for requests of its class until it ends. The lock is
-// held.
+// applyVerdict counts a denial and excludes the endpoint from the choices for requests of its class until the next permit. The
+// lock is held.
 func (n *Node) applyVerdict(id model.EndpointID, class jujubethrottle.Class, verdict jujubethrottle.Verdict) {
-	if verdict.Decision != jujubethrottle.Denied {
+	if verdict.Decision == jujubethrottle.Denied {
+		n.metrics.countDenial()
+	}
+	if verdict.RetryAt.IsZero() {
 		return
 	}
-	n.metrics.countDenial()
 	switch class {
 	case jujubethrottle.Interactive:
 		n.router.Throttle(id, model.PriorityInteractive, verdict.RetryAt)
