throttle: bound what one named rate can cost

Found by reading the change: a rate of 18 digits kept its gateway issuing one batch of permits forever, with the node's lock held; a negative age in a record from another instance kept a rate from ending; an engine stayed excluded for up to 4 s after it had stopped naming a rate; a heartbeat that is read before the endpoint's own entry was forgotten; an order for which there was no permit was followed by a poll that needs one.

Change: batches have at most 64 permits, ages count as zero at least, the exclusion ends with the limit, limits of endpoints that aren't known yet are kept while the instance starts, and orders have the outcome Unsent.

--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -102,10 +102,15 @@
 	return e.gateway
 }
 
-// SetLimited sets whether an engine names a rate of requests that it accepts.
+// SetLimited sets whether an engine names a rate of requests that it accepts. Without one it isn't throttled any more.
 func (s *Scheduler) SetLimited(id model.EndpointID, limited bool) {
-	if e, ok := s.engines.Get(id); ok {
-		e.isLimited = limited
+	e, ok := s.engines.Get(id)
+	if !ok {
+		return
+	}
+	e.isLimited = limited
+	if !limited {
+		e.throttledUntil = time.Time{}
 	}
 }
 
--- a/core/services/jujubefleet/balance_test.go
+++ b/core/services/jujubefleet/balance_test.go
@@ -79,3 +79,18 @@
 	}
 	assert.Assert(t, others*8 > 2*limited*3, "%d loads of eight limited engines, %d of three others", limited, others)
 }
+
+// TestUnsentOrderIsRepeated guards against an order that is assumed to be carried out, or an engine that is polled, although
+// nothing was sent because the engine's rate was used up.
+func TestUnsentOrderIsRepeated(t *testing.T) {
+	f := newFleet(1, "m")
+	f.SetTargetVersion("m", 2)
+	orders := f.Plan(start, 7)
+	assert.Equal(t, len(orders), 1)
+	f.HandleOutcome(start, orders[0], jujubefleet.Unsent)
+	assert.Equal(t, len(f.EnginesToPoll(start)), 0)
+	assert.Equal(t, len(f.Plan(start, 7)), 0)
+	again := f.Plan(start.Add(time.Second), 7)
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Expected, orders[0].Expected)
+}
--- a/core/services/jujubefleet/fleet.go
+++ b/core/services/jujubefleet/fleet.go
@@ -250,6 +250,8 @@
 	Fenced Outcome = "Fenced"
 	// Unknown means that there was no response; the order may be executed later.
 	Unknown Outcome = "Unknown"
+	// Unsent means that the order wasn't sent, because the engine's rate of requests was used up.
+	Unsent Outcome = "Unsent"
 )
 
 // HandleOutcome applies the outcome of an order.
@@ -270,6 +272,9 @@
 		e.retryAt, e.pollAt = now.Add(f.settings.RetryDelay), now
 	case Unknown:
 		e.pollAt = now.Add(f.settings.RetryDelay)
+	case Unsent:
+		f.clearOrder(e)
+		e.retryAt = now.Add(f.settings.RetryDelay)
 	}
 }
 
--- a/core/services/jujubethrottle/permit.go
+++ b/core/services/jujubethrottle/permit.go
@@ -35,6 +35,8 @@
 	// permitTTL is how long permits may be used. At high rates an instance gets its share of the permits of this time at once, so
 	// that not every request needs a call to the gateway.
 	permitTTL = 250 * time.Millisecond
+	// maxBatch bounds the permits that an instance gets at once, whatever rate an endpoint names.
+	maxBatch = 64
 	// gatewayBackoff is how long a gateway that didn't respond isn't asked again.
 	gatewayBackoff = 1500 * time.Millisecond
 )
@@ -130,7 +132,7 @@
 		return Reply{Notice: t.notice(now, request.Notice.Endpoint), Permits: 1}
 	}
 	reply := Reply{Notice: t.notice(now, request.Notice.Endpoint)}
-	batch := max(1, int(l.perSecond*permitTTL.Seconds())/t.liveCount)
+	batch := int(max(1, min(maxBatch, l.perSecond*permitTTL.Seconds()/float64(t.liveCount))))
 	for reply.Permits < batch {
 		verdict := l.issued.take(now, l.perSecond, request.Class)
 		reply.RetryAfter = 0
--- a/core/services/jujubethrottle/throttle.go
+++ b/core/services/jujubethrottle/throttle.go
@@ -26,7 +26,8 @@
 
 // limit is the last known observation of an endpoint that has named a rate.
 type limit struct {
-	// incarnation is the endpoint's incarnation on this instance when the observation was made.
+	// incarnation is the endpoint's incarnation on this instance when the first observation was made, or 0 if the endpoint wasn't
+	// known yet.
 	incarnation model.Incarnation
 	limited     bool
 	perSecond   float64
@@ -53,19 +54,27 @@
 // SetLiveCount sets the number of live instances.
 func (t *Throttle) SetLiveCount(count int) { t.liveCount = max(1, count) }
 
-// SetIncarnation drops the limit of an endpoint that has restarted.
-func (t *Throttle) SetIncarnation(id model.EndpointID, incarnation model.Incarnation) {
-	if l, ok := t.limits.Get(id); ok && l.incarnation != incarnation {
+// SetIncarnation drops the limit of an endpoint that has restarted, and reports whether the endpoint is limited.
+func (t *Throttle) SetIncarnation(id model.EndpointID, incarnation model.Incarnation) bool {
+	l, ok := t.limits.Get(id)
+	switch {
+	case !ok:
+		return false
+	case l.incarnation == 0:
+		l.incarnation = incarnation
+	case l.incarnation != incarnation:
 		t.limits.Delete(id)
+		return false
 	}
+	return l.limited
 }
 
 // Remove drops the limit of an endpoint that is gone.
 func (t *Throttle) Remove(id model.EndpointID) { t.limits.Delete(id) }
 
-// Apply applies an observation of an endpoint's incarnation, unless a later one is known. It reports whether the limit changed.
+// Apply applies an observation of an endpoint's incarnation, or of one that isn't known yet if that is 0, unless a later one is known. It reports whether the limit changed.
 func (t *Throttle) Apply(now time.Time, incarnation model.Incarnation, notice Notice) bool {
-	observedAt := now.Add(-notice.Age.Std())
+	observedAt := now.Add(-max(0, notice.Age.Std()))
 	l, ok := t.limits.Get(notice.Endpoint)
 	switch {
 	case !ok && !notice.Limited:
--- a/entry/services/jujubenode/endpoints.go
+++ b/entry/services/jujubenode/endpoints.go
@@ -47,7 +47,8 @@
 	batchEngine := s
 	batchEngine.Versions = maps.Clone(s.Versions)
 	n.scheduler.PutEngine(batchEngine)
-	n.throttle.SetIncarnation(s.ID, s.Incarnation)
+	isLimited := n.throttle.SetIncarnation(s.ID, s.Incarnation)
+	n.scheduler.SetLimited(s.ID, isLimited)
 	if len(s.Versions) == 0 {
 		return
 	}
@@ -59,6 +60,7 @@
 	}
 	slices.Sort(engine.Models)
 	n.fleet.PutEngine(engine)
+	n.fleet.SetLimited(s.ID, isLimited)
 }
 
 // MarkLeaving records that an endpoint announced in a response that it is leaving. It gets no more work from this
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -208,7 +208,7 @@
 
 // sendOrder sends an order to an engine and applies the outcome.
 func (n *Node) sendOrder(ctx context.Context, order jujubefleet.Order) {
-	outcome, err := jujubefleet.Refused, error(nil)
+	outcome, err := jujubefleet.Unsent, errors.New("the engine's rate is used up")
 	if n.acquirePermit(ctx, order.Engine, jujubethrottle.Control).Decision == jujubethrottle.Permitted {
 		outcome, err = n.announceAndSendOrder(ctx, order)
 	}
--- a/entry/services/jujubenode/throttle.go
+++ b/entry/services/jujubenode/throttle.go
@@ -45,9 +45,11 @@
 	}
 }
 
-// applyRate applies an observation of an endpoint's rate and reports whether the rate changed. The lock is held.
+// applyRate applies an observation of an endpoint's rate and reports whether the rate changed. Endpoints are unknown while this
+// instance starts; later, an unknown one is gone. The lock is held.
 func (n *Node) applyRate(now time.Time, notice jujubethrottle.Notice, source string) bool {
-	if !n.throttle.Apply(now, n.endpointIncarnation(notice.Endpoint), notice) {
+	incarnation := n.endpointIncarnation(notice.Endpoint)
+	if n.ready && incarnation == 0 || !n.throttle.Apply(now, incarnation, notice) {
 		return false
 	}
 	n.scheduler.SetLimited(notice.Endpoint, notice.Limited)
