throttle: invite denied instances one permit apart

The gateway was asked by all instances at each permit, and RouteDispatched was logged for requests that weren't sent.

Change: the gateway tells denied instances times one permit apart, at most 0.5 s away; requests are logged as dispatched once they have a permit; a scoring call that wasn't sent is repeated at the time of the refusal instead of after a delay that doubles. The share of the rate for scoring is gone: with the invitations callers aren't held back by scoring calls, and less of the rate is unused.

--- a/core/services/jujubebatch/score.go
+++ b/core/services/jujubebatch/score.go
@@ -46,6 +46,9 @@
 	Score string
 	// Failures are the signatures of the servers' internal errors during the call.
 	Failures []string
+	// Refused is true if the call wasn't sent, because the rates of all servers are used up for RetryAfter.
+	Refused    bool
+	RetryAfter time.Duration
 }
 
 // AddResponse adds a server's response to the outcome.
@@ -179,6 +182,10 @@
 		s.queueResult(item, Completed)
 		return
 	}
+	if outcome.Refused {
+		item.notBefore = now.Add(outcome.RetryAfter)
+		return
+	}
 	if item.scoreFailures == nil {
 		item.scoreFailures = map[string]bool{}
 	}
--- a/core/services/jujubethrottle/permit.go
+++ b/core/services/jujubethrottle/permit.go
@@ -6,24 +6,21 @@
 	model "jujubepier.example/core/models/jujubemodel"
 )
 
-// Class determines which part of an endpoint's rate a request may use.
+// Class determines how a request gets a permit.
 type Class int
 
 const (
-	// Interactive requests are those of callers and the runs of items.
+	// Interactive requests are those of callers and the runs of items. A denied Background
+	// request of their instance doesn't hold them back.
 	Interactive Class = iota
-	// Background requests use at most backgroundShare of the rate while Interactive ones are denied: scoring calls and polls of
-	// an engine's state.
+	// Background requests are scoring calls and polls of an engine's state.
 	Background
-	// Control requests may overdraw the bucket: an order waits on the log already, and decides on many later requests.
+	// Control requests may overdraw the bucket: an order decides on many later requests.
 	Control
 	numClasses
 )
 
 const (
-	backgroundShare = 0.75
-	// denialMemory is how long the share applies after an Interactive request was denied.
-	denialMemory = 2 * time.Second
 	// controlOverdraft is the number of permits that Control requests may use in advance.
 	controlOverdraft = 1
 	// minRate is the lowest rate in requests a second. An endpoint that names a lower one still gets a request now and then,
@@ -35,6 +32,9 @@
 	// permitTTL is how long permits may be used. At high rates an instance gets its share of the permits of this time at once, so
 	// that not every request needs a call to the gateway.
 	permitTTL = 250 * time.Millisecond
+	// maxInvitation bounds how long a denied request is told to wait. Denied requests are told times one permit apart, so that not
+	// all instances ask for the next permit at once.
+	maxInvitation = 500 * time.Millisecond
 	// maxBatch bounds the permits that an instance gets at once, whatever rate an endpoint names.
 	maxBatch = 64
 	// gatewayBackoff is how long a gateway that didn't respond isn't asked again.
@@ -74,11 +74,9 @@
 
 // issuer issues the permits of an endpoint.
 type issuer struct {
-	all bucket
-	// background bounds the permits of Background requests, which also count in all, until denialMemory after deniedAt, when an
-	// Interactive request was last denied.
-	background bucket
-	deniedAt   time.Time
+	bucket bucket
+	// invitedUntil is the latest time at which a denied request was told to ask again.
+	invitedUntil time.Time
 }
 
 // Check decides on a request to an endpoint whose gateway is the given instance; isGateway is true if that is this instance.
@@ -185,37 +183,30 @@
 
 // take decides on a request of a class and uses a token if it is permitted.
 func (i *issuer) take(now time.Time, rate float64, class Class) Verdict {
-	verdict := i.check(now, rate, class)
-	if verdict.Decision != Permitted {
-		if class == Interactive {
-			i.deniedAt = now
-		}
-		return verdict
+	rate = max(rate, minRate)
+	overdraft := 0.0
+	if class == Control {
+		overdraft = controlOverdraft
 	}
-	i.all.tokens--
-	if i.isShared(now, class) {
-		i.background.tokens--
+	verdict := i.bucket.take(now, rate, overdraft)
+	if verdict.Decision != Permitted {
+		return i.invite(now, rate, verdict)
 	}
-	return Verdict{Decision: Permitted, RetryAt: i.check(now, rate, class).RetryAt}
+	verdict.RetryAt = i.bucket.check(now, rate, overdraft).RetryAt
+	return verdict
 }
 
-// check decides on a request of a class without using a token.
-func (i *issuer) check(now time.Time, rate float64, class Class) Verdict {
-	rate = max(rate, minRate)
-	if i.isShared(now, class) {
-		if verdict := i.background.check(now, backgroundShare*rate, 0); verdict.Decision != Permitted {
-			return verdict
-		}
+// invite postpones the time of a denial behind those of the denials before it.
+func (i *issuer) invite(now time.Time, rate float64, verdict Verdict) Verdict {
+	interval := time.Duration(float64(time.Second) / rate)
+	if next := i.invitedUntil.Add(interval); next.After(verdict.RetryAt) {
+		verdict.RetryAt = next
 	}
-	if class == Control {
-		return i.all.check(now, rate, controlOverdraft)
+	if latest := now.Add(max(maxInvitation, interval)); verdict.RetryAt.After(latest) {
+		verdict.RetryAt = latest
 	}
-	return i.all.check(now, rate, 0)
-}
-
-// isShared reports whether requests of a class are bounded by their share of the rate.
-func (i *issuer) isShared(now time.Time, class Class) bool {
-	return class == Background && now.Sub(i.deniedAt) < denialMemory
+	i.invitedUntil = verdict.RetryAt
+	return verdict
 }
 
 // bucket is a token bucket. It begins empty: when it is created, the endpoint has just received requests from all instances.
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -273,6 +273,7 @@
 			return decision, err
 		}
 		if n.acquirePermit(ctx, decision.Endpoint, class).Decision == jujubethrottle.Permitted {
+			n.logRouteDecision(f, decision)
 			return decision, nil
 		}
 		n.mu.Lock()
@@ -317,8 +318,8 @@
 			return decision, f.contextError(ctx)
 		}
 	}
-	n.logRouteDecision(f, decision)
 	if decision.Kind != jujuberouter.Dispatch {
+		n.logRouteDecision(f, decision)
 		return decision, newRouteRefusal(decision)
 	}
 	return decision, nil
--- a/entry/services/jujubenode/score.go
+++ b/entry/services/jujubenode/score.go
@@ -73,5 +73,8 @@
 	f.retryable, f.priority = true, model.PriorityTrainer
 	f.onResponse = func(response Response) { outcome.AddResponse(response.Status, response.Stamp) }
 	_, err = f.run(ctx)
+	if refused, ok := jujubeerror.IsErrRefused(err); ok && refused.Code == jujubeerror.CodeOverloaded && f.attempts == 0 {
+		outcome.Refused, outcome.RetryAfter = true, refused.RetryAfter
+	}
 	return outcome, f.attempts, err
 }
