--- a/core/services/jujubethrottle/permit.go
+++ b/core/services/jujubethrottle/permit.go
@@ -32,8 +32,8 @@
 	// permitTTL is how long permits may be used. At high rates an instance gets its share of the permits of this time at once, so
 	// that not every request needs a call to the gateway.
 	permitTTL = 250 * time.Millisecond
-	// maxInvitation bounds how long a denied request is told to wait. Denied requests are told times one permit apart, so that not
-	// all instances ask for the next permit at once.
+	// maxInvitation bounds the time until a denied request may ask again. These times are one permit apart, so that not all
+	// instances ask for the next permit at once.
 	maxInvitation = 500 * time.Millisecond
 	// maxBatch bounds the permits that an instance gets at once, whatever rate an endpoint names.
 	maxBatch = 64
@@ -75,7 +75,7 @@
 // issuer issues the permits of an endpoint.
 type issuer struct {
 	bucket bucket
-	// invitedUntil is the latest time at which a denied request was told to ask again.
+	// invitedUntil is the latest time at which a denied request may ask again.
 	invitedUntil time.Time
 }
 
@@ -196,7 +196,7 @@
 	return verdict
 }
 
-// invite postpones the time of a denial behind those of the denials before it.
+// invite sets the time at which a denied request may ask again to one permit after that of the denial before it.
 func (i *issuer) invite(now time.Time, rate float64, verdict Verdict) Verdict {
 	interval := time.Duration(float64(time.Second) / rate)
 	if next := i.invitedUntil.Add(interval); next.After(verdict.RetryAt) {
--- a/core/services/jujubethrottle/throttle_test.go
+++ b/core/services/jujubethrottle/throttle_test.go
@@ -252,8 +252,8 @@
 	s.checkRate(from, 10)
 }
 
-// TestRateOfZero guards against an endpoint that names a rate of 0 and never gets a request again, so that nobody learns when the
-// limit ends.
+// TestRateOfZero guards against a limit that never ends: an endpoint that names a rate of 0 gets no request, and so sends no response
+// without a rate.
 func TestRateOfZero(t *testing.T) {
 	s := newSimulation(t, 5, 0)
 	s.run(settleTime, 20, jujubethrottle.Interactive)
--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -18,7 +18,6 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubedesired"
-	"jujubepier.example/core/services/jujubefleet"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -194,75 +193,6 @@
 	return s.Store.Newest(ctx, topic, after)
 }
 
-// fakeEngines responds to each item with three events and counts the runs of each item.
-type fakeEngines struct {
-	mu   sync.Mutex
-	runs map[jujubebatch.ItemID]int
-	// used are the engines that were sent an item.
-	used map[model.EndpointID]bool
-	// large is the data of each event of an item, by the item's id.
-	large map[jujubebatch.ItemID]string
-	// hold keeps runs from ending while it is set.
-	hold chan struct{}
-	// ordered counts the orders.
-	ordered atomic.Int64
-	// respond returns the response of plain endpoints; if it is nil, there are none.
-	respond func(ctx context.Context, call jujubenode.Call) (jujubenode.Response, error)
-}
-
-func (e *fakeEngines) Run(ctx context.Context, start jujubebatch.StartRun, _ jujubebatch.Content, sink jujubenode.RunSink) (jujubebatch.EndKind, error) {
-	e.mu.Lock()
-	e.runs[start.Item]++
-	if e.used == nil {
-		e.used = map[model.EndpointID]bool{}
-	}
-	e.used[start.Engine] = true
-	hold := e.hold
-	e.mu.Unlock()
-	if hold != nil {
-		select {
-		case <-hold:
-		case <-ctx.Done():
-			return jujubebatch.RunBroken, ctx.Err()
-		}
-	}
-	if !sink.Accepted(1) {
-		return jujubebatch.RunRefused, nil
-	}
-	for number := start.After + 1; number <= 3; number++ {
-		data := fmt.Sprintf("%s.%d", start.Item, number)
-		if large, ok := e.large[start.Item]; ok {
-			data = large
-		}
-		if !sink.Event(number, data, 1) {
-			return jujubebatch.RunBroken, nil
-		}
-	}
-	return jujubebatch.RunComplete, nil
-}
-
-func (e *fakeEngines) Order(context.Context, jujubefleet.Order, string) (jujubefleet.Outcome, error) {
-	e.ordered.Add(1)
-	return jujubefleet.Holds, nil
-}
-
-func (e *fakeEngines) ReadState(_ context.Context, engine jujubefleet.Engine) (jujubefleet.Report, error) {
-	return jujubefleet.Report{Engine: engine.ID, Incarnation: engine.Incarnation, Versions: engine.Versions}, nil
-}
-
-func (e *fakeEngines) count(id jujubebatch.ItemID) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.runs[id]
-}
-
-func (e *fakeEngines) Call(ctx context.Context, call jujubenode.Call) (jujubenode.Response, error) {
-	if e.respond != nil {
-		return e.respond(ctx, call)
-	}
-	return jujubenode.Response{}, jujubenode.ErrCall{Ran: model.RanNo, Reason: "no plain endpoints"}
-}
-
 var topicDesired = jujubenode.Topic{Name: "desired", Keyed: true}
 
 // testCluster is a store, engines and the instances that were started.
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,7 +14,6 @@
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujuberouter"
-	"jujubepier.example/core/services/jujubethrottle"
 )
 
 const (
@@ -222,117 +220,6 @@
 	return errors.Wrap(ctx.Err(), "the caller has disconnected")
 }
 
-// attemptKind is why an attempt is made.
-type attemptKind int
-
-const (
-	firstOrRetry attemptKind = iota
-	// hedged attempts are made while an earlier one is in flight. They use no permits of endpoints that name a rate.
-	hedged
-)
-
-// send chooses an endpoint that hasn't been tried yet and sends the request there.
-func (f *forwarding) send(ctx context.Context, kind attemptKind) error {
-	n := f.node
-	if f.attempts >= max(1, f.route.MaxAttempts) || time.Until(f.request.Deadline) < minAttemptTime {
-		return refusal(jujubeerror.CodeNoEndpoint, "no further try is left")
-	}
-	id := model.RequestID(fmt.Sprintf("%s/%d", f.request.ID, f.attempts))
-	decision, err := f.choose(ctx, id, kind)
-	if err != nil {
-		return err
-	}
-	f.attempts++
-	f.inFlight++
-	f.triedEndpoints = append(f.triedEndpoints, decision.Endpoint)
-	call := Call{
-		ID: f.request.ID, Method: f.request.Method, URI: f.request.URI, Host: f.request.Host, Header: f.request.Header,
-		Body: f.request.Body, Endpoint: decision.Endpoint, Incarnation: decision.Incarnation, Address: decision.Address,
-		Timeout: time.Until(f.request.Deadline),
-	}
-	n.tomb.Go(func() error {
-		response, err := n.endpointCaller.Call(ctx, call)
-		n.finishAttempt(id, call, response, err)
-		f.outcomes <- attempt{call.Endpoint, response, err}
-		return nil
-	})
-	return nil
-}
-
-// choose returns the router's decision to dispatch the request with a permit of its endpoint. The router excludes an endpoint
-// that denied one, so the request goes to another one or is refused.
-func (f *forwarding) choose(ctx context.Context, id model.RequestID, kind attemptKind) (jujuberouter.Decision, error) {
-	n := f.node
-	class := jujubethrottle.Interactive
-	if f.priority > model.PriorityInteractive {
-		class = jujubethrottle.Background
-	}
-	for {
-		decision, err := f.dispatch(ctx, id, kind)
-		if err != nil {
-			return decision, err
-		}
-		if n.acquirePermit(ctx, decision.Endpoint, class).Decision == jujubethrottle.Permitted {
-			n.logRouteDecision(f, decision)
-			return decision, nil
-		}
-		n.mu.Lock()
-		n.deliverDecisions(n.router.Cancel(time.Now(), id))
-		n.mu.Unlock()
-		if ctx.Err() != nil {
-			return decision, f.contextError(ctx)
-		}
-	}
-}
-
-// dispatch returns the router's decision to dispatch the request, or the error with which it is refused.
-func (f *forwarding) dispatch(ctx context.Context, id model.RequestID, kind attemptKind) (jujuberouter.Decision, error) {
-	n := f.node
-	service := f.route.Choose(string(f.request.ID))
-	now := time.Now()
-	n.mu.Lock()
-	exclude := f.triedEndpoints
-	if kind == hedged {
-		for _, notice := range n.throttle.Limited(now) {
-			exclude = append(slices.Clip(exclude), notice.Endpoint)
-		}
-	}
-	decision := n.router.Route(now, jujuberouter.Request{
-		ID: id, Kind: model.KindService, Service: service, Priority: f.priority, Arrived: now, Deadline: f.request.Deadline,
-		Exclude: exclude,
-	})
-	var waiter chan jujuberouter.Decision
-	if decision.Kind == jujuberouter.Wait {
-		waiter = make(chan jujuberouter.Decision, 1)
-		n.routeWaiters[id] = waiter
-	}
-	n.mu.Unlock()
-	if waiter != nil {
-		select {
-		case decision = <-waiter:
-		case <-ctx.Done():
-			n.mu.Lock()
-			delete(n.routeWaiters, id)
-			n.deliverDecisions(n.router.Cancel(time.Now(), id))
-			n.mu.Unlock()
-			return decision, f.contextError(ctx)
-		}
-	}
-	if decision.Kind != jujuberouter.Dispatch {
-		n.logRouteDecision(f, decision)
-		return decision, newRouteRefusal(decision)
-	}
-	return decision, nil
-}
-
-// newRouteRefusal returns the refusal of a request that the router didn't dispatch.
-func newRouteRefusal(decision jujuberouter.Decision) error {
-	if decision.Code == jujubeerror.CodeOverloaded {
-		return jujubeerror.ErrRefused{Code: decision.Code, Ran: model.RanNo, RetryAfter: decision.RetryAfter, Message: decision.Reason}
-	}
-	return refusal(jujubeerror.CodeNoEndpoint, decision.Reason)
-}
-
 // finishAttempt reports the outcome of an attempt to the router.
 func (n *Node) finishAttempt(id model.RequestID, call Call, response Response, err error) {
 	n.mu.Lock()
