node: read the desired state over further paths when one hangs

Cause: a read of the operators' topic made few and long tries, one after the other: 1 s directly, 1.1 s through one other instance, which the store may have stopped to answer as well, and 2 to 8 s each for a list of the newest records. Ruled out in the same logs: versions that are read and not applied, or go back.

Reads of that topic are now tried over a new connection and through up to eight other instances, one started after the other without waiting for failures, and the first response counts. An instance that the store doesn't answer says so at once when it is asked for others.

--- a/core/services/jujubepath/path.go
+++ b/core/services/jujubepath/path.go
@@ -94,6 +94,27 @@
 	return "", false
 }
 
+// maxPausedPeers bounds the peers that failed lately among those to try: while the store is away for all, each instance would
+// otherwise ask all others without end.
+const maxPausedPeers = 2
+
+// OrderPeers returns up to count peers in the order in which to try them for one call: the one that is used now, then the next by
+// name. Of those that failed lately only two are among them, at last.
+func (p *Path) OrderPeers(now time.Time, live []model.InstanceID, count int) []model.InstanceID {
+	start, _ := slices.BinarySearch(live, p.currentPeer)
+	var ordered, paused []model.InstanceID
+	for i := range live {
+		peer := live[(start+i)%len(live)]
+		if now.Before(p.peerPausedUntil[peer]) {
+			paused = append(paused, peer)
+		} else {
+			ordered = append(ordered, peer)
+		}
+	}
+	ordered = append(ordered, paused[:min(maxPausedPeers, len(paused))]...)
+	return ordered[:min(count, len(ordered))]
+}
+
 // RecordPeer records the outcome of a call through a peer.
 func (p *Path) RecordPeer(now time.Time, id model.InstanceID, ok bool) {
 	if ok {
--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -148,6 +149,8 @@
 	mu sync.Mutex
 	// blocked is true while the store refuses the calls.
 	blocked bool
+	// hold, unless it is nil, is called before each response to a read is passed on; it may delay the response or lose it.
+	hold func(ctx context.Context, call string) error
 	// reads counts the reads of the instance.
 	reads atomic.Int64
 }
@@ -158,6 +161,29 @@
 	s.blocked = blocked
 }
 
+func (s *blockableStore) setHold(hold func(ctx context.Context, call string) error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = hold
+}
+
+// loseResponse makes a read hang until its caller gives up.
+func loseResponse(ctx context.Context, call string) error {
+	<-ctx.Done()
+	return jujubenode.ErrStore{Call: call, Done: true, Reason: ctx.Err().Error()}
+}
+
+// holdResponse delays or loses the response to a read.
+func (s *blockableStore) holdResponse(ctx context.Context, call string) error {
+	s.mu.Lock()
+	hold := s.hold
+	s.mu.Unlock()
+	if hold == nil {
+		return nil
+	}
+	return hold(ctx, call)
+}
+
 func (s *blockableStore) err() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,6 +206,9 @@
 	}
 	s.reads.Add(1)
 	batch, err := s.Store.Read(ctx, topic, part, from, wait, maxBytes)
+	if err := s.holdResponse(ctx, topic.Name); err != nil {
+		return jujubenode.LogBatch{}, err
+	}
 	if err := s.err(); err != nil {
 		return jujubenode.LogBatch{}, err
 	}
@@ -190,7 +219,11 @@
 	if err := s.err(); err != nil {
 		return jujubenode.LogPage{}, err
 	}
-	return s.Store.Newest(ctx, topic, after)
+	page, err := s.Store.Newest(ctx, topic, after)
+	if err := s.holdResponse(ctx, topic.Name+" after "+after); err != nil {
+		return jujubenode.LogPage{}, err
+	}
+	return page, err
 }
 
 var topicDesired = jujubenode.Topic{Name: "desired", Keyed: true}
@@ -202,6 +235,8 @@
 	engines *fakeEngines
 	// callers sends the plain requests of the instances that start; by default these go to engines.
 	callers jujubenode.EndpointCaller
+	// holdAtStart is the hold of the stores of instances that start.
+	holdAtStart func(ctx context.Context, call string) error
 	// links are the links of instances to the endpoints; those of other instances work.
 	links map[model.InstanceID]*testLinks
 	// plainAddresses are the addresses of the plain endpoints, by default ones that nothing listens on.
@@ -221,6 +256,13 @@
 	leaveFuncs map[model.InstanceID]func()
 }
 
+// publish writes a record to the topic with the desired state.
+func (c *testCluster) publish(key, value string) {
+	c.t.Helper()
+	_, err := c.store.Append(c.t.Context(), topicDesired, 0, []jujubenode.Record{{Key: key, Value: []byte(value)}}, jujubenode.NoCondition)
+	assert.NilError(c.t, err)
+}
+
 // leave shuts down an instance gracefully and waits.
 func (c *testCluster) leave(id model.InstanceID) { c.leaveFuncs[id]() }
 
@@ -262,7 +304,7 @@
 	c.addresses[id] = listener.Addr().String()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	store := &blockableStore{Store: c.store}
+	store := &blockableStore{Store: c.store, hold: c.holdAtStart}
 	dataCentre := model.DataCentre("dc-" + id)
 	if c.sameDataCentre {
 		dataCentre = "dc-a"
@@ -294,7 +336,15 @@
 			node.SetTargetVersion(now, "m", 2)
 			return
 		}
-		node.SetDesired(now, &jujubedesired.State{Version: 1, Routes: []jujubedesired.Route{*route, *scoringRoute, *unsafeRoute}})
+		version, err := strconv.ParseInt(string(record.Value), 10, 64)
+		assert.Check(c.t, err)
+		routes := []jujubedesired.Route{*route, *scoringRoute, *unsafeRoute}
+		if version >= 2 {
+			added := *scoringRoute
+			added.PathPrefix = "/added/"
+			routes = append(routes, added)
+		}
+		node.SetDesired(now, &jujubedesired.State{Version: version, Routes: routes})
 		plainAddresses := c.plainAddresses
 		if len(plainAddresses) == 0 {
 			plainAddresses = []string{"127.0.0.1:1", "127.0.0.1:1"}
@@ -315,7 +365,7 @@
 			})
 		}
 	}
-	node.Follow(jujubenode.Feed{Topic: topicDesired, Apply: apply, Reset: func(now time.Time, records []jujubenode.Record) {
+	node.Follow(jujubenode.Feed{Topic: topicDesired, HasDesired: true, Apply: apply, Reset: func(now time.Time, records []jujubenode.Record) {
 		for _, record := range records {
 			apply(now, record)
 		}
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -42,6 +42,9 @@
 	// onCaughtUp is called after each read up to the end of the partition; the node's lock is held.
 	onCaughtUp func(now time.Time)
 
+	// urgent is true for a topic whose changes must arrive in time although the path to the store is at fault.
+	urgent bool
+
 	// pages holds the pages of an incomplete snapshot, so that a failure doesn't restart it from the beginning. Only
 	// run uses it.
 	pages snapshotPages
@@ -57,6 +60,8 @@
 	caughtUpAt time.Time
 	// hasUnread is true while the partition's end, as of the latest read, hasn't been reached.
 	hasUnread bool
+	// readCh is closed and replaced after each read up to the end of the partition.
+	readCh chan struct{}
 	// reads, records and bytes count the reads, and the records and bytes they returned.
 	reads, records, bytes int
 	// failingSince is when reads began to fail; zero while they succeed.
@@ -105,7 +110,7 @@
 	f.node.mu.Lock()
 	from := f.next
 	f.node.mu.Unlock()
-	batch, err := f.node.store.Read(ctx, f.topic, f.part, from, wait, maxReadBytes)
+	batch, err := f.read(ctx, from, wait)
 	var trimmed ErrTrimmed
 	if errors.As(err, &trimmed) {
 		if f.topic.Keyed {
@@ -123,12 +128,21 @@
 	if err != nil {
 		return err
 	}
-	f.applyBatch(from, batch, 0)
+	f.applyBatch(from, batch, time.Now())
 	return nil
 }
 
-// applyBatch applies records. age is the time since batch.End was the end of the partition.
-func (f *follower) applyBatch(from int64, batch LogBatch, age time.Duration) {
+// read returns the records from an offset on.
+func (f *follower) read(ctx context.Context, from int64, wait time.Duration) (LogBatch, error) {
+	if f.isUrgent() {
+		batch, _, err := f.node.store.ReadUrgently(ctx, f.topic, f.part, from, wait, maxReadBytes)
+		return batch, err
+	}
+	return f.node.store.Read(ctx, f.topic, f.part, from, wait, maxReadBytes)
+}
+
+// applyBatch applies records. readAt is a time at which batch.End was the end of the partition.
+func (f *follower) applyBatch(from int64, batch LogBatch, readAt time.Time) {
 	f.node.mu.Lock()
 	defer f.node.mu.Unlock()
 	now := time.Now()
@@ -145,24 +159,33 @@
 	}
 	f.hasUnread = f.next < batch.End
 	if !f.hasUnread {
-		if endAt := now.Add(-age); endAt.After(f.caughtUpAt) {
-			f.caughtUpAt = endAt
-		}
-		if f.onCaughtUp != nil {
-			f.onCaughtUp(f.caughtUpAt)
-		}
+		f.recordCaughtUp(readAt)
 	}
 	if len(batch.Records) > 0 {
 		f.node.notifyChange()
 	}
 }
 
+// recordCaughtUp records that all records up to a time have been read. The lock is held.
+func (f *follower) recordCaughtUp(readAt time.Time) {
+	if readAt.After(f.caughtUpAt) {
+		f.caughtUpAt = readAt
+	}
+	if f.onCaughtUp != nil {
+		f.onCaughtUp(f.caughtUpAt)
+	}
+	close(f.readCh)
+	f.readCh = make(chan struct{})
+}
+
 // snapshotPages holds the pages of a snapshot read so far.
 type snapshotPages struct {
 	records []Record
 	// end is the end of the partition before the first page was read. Reading continues there, so that changes made
 	// during the snapshot are read too.
 	end int64
+	// askedAt is when the first page was asked for. Changes since then may be missing.
+	askedAt time.Time
 }
 
 // maxSnapshotRecords bounds a snapshot. It is many times the number of entries of the largest site.
@@ -175,12 +198,12 @@
 		if len(f.pages.records) > 0 {
 			after = f.pages.records[len(f.pages.records)-1].Key
 		}
-		page, err := f.node.store.Newest(ctx, f.topic, after)
+		page, askedAt, err := f.readPage(ctx, after)
 		if err != nil {
 			return err
 		}
 		if after == "" {
-			f.pages.end = page.End
+			f.pages.end, f.pages.askedAt = page.End, askedAt
 		}
 		f.pages.records = append(f.pages.records, page.Records...)
 		if more = page.More; more && len(f.pages.records) > maxSnapshotRecords {
@@ -197,14 +220,29 @@
 	f.next = max(f.next, complete.end)
 	f.dropRecent()
 	f.reset(now, complete.records)
-	f.caughtUpAt = now
-	if f.onCaughtUp != nil {
-		f.onCaughtUp(now)
-	}
+	f.recordCaughtUp(now)
 	f.node.notifyChange()
 	return nil
 }
 
+// isUrgent reports whether reads have to be urgent. What is read at the start is large, and all instances that start together share
+// the store's rate, so that further tries would only delay it.
+func (f *follower) isUrgent() bool {
+	f.node.mu.Lock()
+	defer f.node.mu.Unlock()
+	return f.urgent && !f.caughtUpAt.IsZero()
+}
+
+// readPage returns a page of the newest records and when it was asked for.
+func (f *follower) readPage(ctx context.Context, after string) (page LogPage, askedAt time.Time, err error) {
+	if f.isUrgent() {
+		return f.node.store.NewestUrgently(ctx, f.topic, after)
+	}
+	askedAt = time.Now()
+	page, err = f.node.store.Newest(ctx, f.topic, after)
+	return page, askedAt, err
+}
+
 // nextWait returns how long the next read may wait for a record: zero while there are unread ones.
 func (f *follower) nextWait() time.Duration {
 	if f.hasUnreadRecords() {
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -330,18 +330,6 @@
 	})
 }
 
-// MatchRoute returns the route of a request; ok is false if the desired state has none, and known is false until a desired
-// state and the quarantined requests have been read.
-func (n *Node) MatchRoute(host, path string) (route *jujubedesired.Route, ok, known bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.desired == nil || n.quarantineFollower.caughtUpAt.IsZero() {
-		return nil, false, false
-	}
-	route, ok = n.desired.Match(host, path)
-	return route, ok, true
-}
-
 // MaxBodyBytes returns the limit for the body of a caller's request; zero means no limit.
 func (n *Node) MaxBodyBytes() int64 {
 	n.mu.Lock()
--- a/entry/services/jujubenode/logrelay.go
+++ b/entry/services/jujubenode/logrelay.go
@@ -55,7 +55,7 @@
 	n.mu.Unlock()
 	if address != "" {
 		if reply, ok := f.readFromRelay(ctx, address, from); ok {
-			f.applyBatch(from, LogBatch{Records: reply.Records, End: reply.End}, reply.Age)
+			f.applyBatch(from, LogBatch{Records: reply.Records, End: reply.End}, time.Now().Add(-reply.Age))
 			return nil
 		}
 	}
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -69,6 +69,9 @@
 	Reset func(now time.Time, records []Record)
 	// HasEndpoints is true for the topic that holds the endpoints' registry entries.
 	HasEndpoints bool
+	// HasDesired is true for the topic that holds the desired state. It is read urgently, and requests are answered from it only
+	// while its age is known.
+	HasDesired bool
 }
 
 // EngineClient sends calls to model engines.
@@ -94,6 +97,8 @@
 	Store          Store
 	EngineClient   EngineClient
 	EndpointCaller EndpointCaller
+	// CloseIdleStoreConnections closes the idle connections to the store; may be nil.
+	CloseIdleStoreConnections func()
 	// DialEndpoint opens a connection to an endpoint directly; ConnectEndpoint uses it.
 	DialEndpoint DialFunc
 	// CloseIdleConnections closes the idle connections to endpoints; may be nil.
@@ -160,6 +165,8 @@
 	partitions        []*partition
 	instancesFollower *follower
 	rolloutFollower   *follower
+	// desiredFollower reads the desired state.
+	desiredFollower *follower
 	// quarantineFollower has to have read its topic before a request is sent to an endpoint.
 	quarantineFollower *follower
 }
@@ -204,7 +211,7 @@
 		node: n, dial: options.DialEndpoint, closeIdle: options.CloseIdleConnections,
 		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()),
 	}
-	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses)
+	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections)
 	n.metrics = newNodeMetrics(n)
 	n.loads = newBatchWriter(loadQueueSize, loadBatchDelay, n.appendLoads)
 	n.streams = newBatchWriter(streamQueueSize, streamBatchDelay, n.appendStreams)
@@ -224,13 +231,16 @@
 func (n *Node) Follow(feed Feed) {
 	f := n.addFollower(feed.Topic, 0, func(now time.Time, _ int64, record Record) { feed.Apply(now, record) })
 	f.reset = feed.Reset
+	if feed.HasDesired {
+		f.urgent, n.desiredFollower = true, f
+	}
 	if feed.HasEndpoints {
 		f.onCaughtUp = n.endpoints.RecordRead
 	}
 }
 
 func (n *Node) addFollower(topic Topic, part int, apply func(time.Time, int64, Record)) *follower {
-	f := &follower{node: n, topic: topic, part: part, apply: apply}
+	f := &follower{node: n, topic: topic, part: part, apply: apply, readCh: make(chan struct{})}
 	n.followers = append(n.followers, f)
 	return f
 }
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -45,6 +45,8 @@
 	log    *jujubeevent.Log
 	// peers returns the addresses of the other live instances.
 	peers func() map[model.InstanceID]string
+	// closeIdle closes the idle connections to the store.
+	closeIdle func()
 
 	mu   sync.Mutex
 	path *jujubepath.Path
@@ -57,9 +59,13 @@
 	restoredCh chan struct{}
 }
 
-func newRelayedStore(self model.InstanceID, direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string) *relayedStore {
+func newRelayedStore(self model.InstanceID, direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string, closeIdle func()) *relayedStore {
+	if closeIdle == nil {
+		closeIdle = func() {}
+	}
 	return &relayedStore{
-		direct: direct, pool: jujubepeer.NewPool(), log: log, peers: peers, path: jujubepath.New(self, jujubepath.DefaultSettings()),
+		closeIdle: closeIdle,
+		direct:    direct, pool: jujubepeer.NewPool(), log: log, peers: peers, path: jujubepath.New(self, jujubepath.DefaultSettings()),
 		catchUpTimeout: jujubepath.AdaptiveTimeout{Min: minCatchUpTimeout, Max: maxCatchUpTimeout},
 		restoredCh:     make(chan struct{}),
 	}
@@ -269,6 +275,13 @@
 	return nil
 }
 
+// isDirect reports whether the store answered this instance's last direct call.
+func (s *relayedStore) isDirect() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.path.IsDirect()
+}
+
 // sleep waits for the delay, or until the store is directly reachable again.
 func (s *relayedStore) sleep(ctx context.Context, delay time.Duration) {
 	s.mu.Lock()
@@ -340,15 +353,25 @@
 	}
 }
 
-// Relay serves the calls of other instances. Calls to the store are made directly and never relayed again.
+// Relay serves the calls of other instances. Calls to the store are made directly and never relayed again; while the store doesn't
+// answer this instance either, they fail at once.
 type Relay struct {
 	node  *Node
 	store Store
 	ctx   context.Context
 }
 
+// errNoDirectPath returns the error of a call for another instance that wasn't made.
+func errNoDirectPath(call string) error {
+	return ErrStore{Call: call, Reason: "the store doesn't answer this instance"}
+}
+
 // Append appends records on behalf of another instance.
 func (r *Relay) Append(args RelayArgs, reply *RelayReply) error {
+	if !r.node.store.isDirect() {
+		reply.setError(errNoDirectPath("Relay.Append"))
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
 	defer cancel()
 	offset, err := r.store.Append(ctx, args.Topic, args.Part, args.Records, args.Position)
@@ -359,6 +382,10 @@
 
 // Read returns records to another instance.
 func (r *Relay) Read(args RelayArgs, reply *RelayReply) error {
+	if !r.node.store.isDirect() {
+		reply.setError(errNoDirectPath("Relay.Read"))
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
 	defer cancel()
 	batch, err := r.store.Read(ctx, args.Topic, args.Part, args.Position, args.Wait, args.MaxBytes)
@@ -369,6 +396,10 @@
 
 // Newest returns a page of the newest records to another instance.
 func (r *Relay) Newest(args RelayArgs, reply *RelayReply) error {
+	if !r.node.store.isDirect() {
+		reply.setError(errNoDirectPath("Relay.Newest"))
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
 	defer cancel()
 	page, err := r.store.Newest(ctx, args.Topic, args.After)
--- a/entry/services/jujubenode/score.go
+++ b/entry/services/jujubenode/score.go
@@ -55,8 +55,8 @@
 			return outcome, 0, err
 		}
 	}
-	route, ok, _ := n.MatchRoute(start.Call.Host, start.Call.Path)
-	if !ok {
+	route, err := n.MatchRoute(ctx, start.Call.Host, start.Call.Path)
+	if err != nil {
 		return outcome, 0, refusal(jujubeerror.CodeNoEndpoint, "the scoring call has no route")
 	}
 	timeout := defaultScoringTimeout
