node: deny a route only from a view whose age is known

Callers saw: 404 for a route that had been added longer before than a change may take.

Cause: absence was concluded from a view of unknown age. The time up to which a topic is read was that of the response's arrival, not that at which it was asked for; a list of the newest records in several pages counted as read at its last page; and nothing looked at the age before a 404. An instance whose reads hang went on denying.

The age counts from asking now (for a read that waited and found nothing, from the end of its wait). Without a route in a view of more than 1 s a request waits up to 0.3 s for the next read, and is then refused with the promise that it hasn't run. Event 1007 has the age and the revision from which a route was denied; without it the hypotheses couldn't be told from the logs.

The same cause elsewhere: a 404 for a submission, whose age check used the same time.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -12,6 +12,7 @@
 	RequestRetried  Number = 1005
 	// GenerationRestarted is logged for callers' own generations; items have TextDropped.
 	GenerationRestarted Number = 1006
+	RouteAbsent         Number = 1007
 
 	PartAccepted    Number = 2001
 	PartRefused     Number = 2002
@@ -113,6 +114,7 @@
 		{RouteRefused, "RouteRefused", info, "A request was refused before it was sent; Code and RetryAfter are those of the response to the caller."},
 		{RequestFailed, "RequestFailed", warn, "An attempt of a request on an endpoint failed."},
 		{RequestRetried, "RequestRetried", info, "A failed attempt is retried on another endpoint."},
+		{RouteAbsent, "RouteAbsent", info, "A request has no route in the desired state; Age is how long ago that is known to have been the newest. An old one is refused as not ready."},
 		{GenerationRestarted, "GenerationRestarted", info, "A generation starts anew on another engine, because no engine of the software version that began its text can continue it."},
 		{PartAccepted, "PartAccepted", info, "A trainer's step part was accepted, or taken over from an earlier attempt."},
 		{PartRefused, "PartRefused", info, "A trainer's step part or pull was refused."},
--- a/entry/services/jujubenode/desired_test.go
+++ b/entry/services/jujubenode/desired_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -49,3 +51,104 @@
 		})
 	}
 }
+
+// TestNoRouteIsDeniedFromAnOldView guards against a 404 for a route that has been added, from an instance that hasn't read the
+// desired state since, nor knows it: reads fail, or a response arrives long after it was asked for.
+func TestNoRouteIsDeniedFromAnOldView(t *testing.T) {
+	const late = 1800 * time.Millisecond
+	for name, hold := range map[string]func(published chan<- struct{}) func(ctx context.Context, call string) error{
+		"the only page of the newest records is late": func(published chan<- struct{}) func(ctx context.Context, call string) error {
+			return holdPage(published, "desired after ", late)
+		},
+		"the last page is late": func(published chan<- struct{}) func(ctx context.Context, call string) error {
+			return holdPage(published, "desired after desired", late)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cluster := newTestCluster(t)
+			cluster.publish("later", "1")
+			cluster.store.pageRecords = 1
+			if strings.Contains(name, "only") {
+				cluster.store.pageRecords = 500
+			}
+			asked := make(chan struct{}, 1)
+			cluster.holdAtStart = hold(asked)
+			node, _, _ := cluster.startUnready("a")
+			<-asked
+			cluster.publish("desired", "2")
+			publishedAt := time.Now()
+			for time.Since(publishedAt) < late+maxApplyTime {
+				_, denied := hasRoute(t.Context(), node)
+				assert.Assert(t, !denied || time.Since(publishedAt) < maxApplyTime/2, "the route was denied %v after it had been added", time.Since(publishedAt))
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
+// holdPage delays one page of the newest records and loses the responses to the reads after it. It signals that the page was asked
+// for.
+func holdPage(asked chan<- struct{}, page string, late time.Duration) func(ctx context.Context, call string) error {
+	return func(ctx context.Context, call string) error {
+		switch call {
+		case page:
+			asked <- struct{}{}
+			time.Sleep(late)
+		case topicDesired.Name:
+			return loseResponse(ctx, call)
+		}
+		return nil
+	}
+}
+
+// TestRoutesWhileStoreIsAway checks that requests on known routes are served while no instance can read the desired state, that
+// others are refused with the promise that they haven't run, and that they are denied again as soon as the state is read.
+func TestRoutesWhileStoreIsAway(t *testing.T) {
+	cluster := newTestCluster(t)
+	a, store, _ := cluster.start("a")
+	_, denied := hasRoute(t.Context(), a)
+	assert.Assert(t, denied)
+	store.setHold(loseResponse)
+	time.Sleep(maxApplyTime)
+	_, err := a.MatchRoute(t.Context(), "h", "/added/x")
+	refused, ok := jujubeerror.IsErrRefused(err)
+	assert.Assert(t, ok && refused.Ran == model.RanNo && refused.RetryAfter > 0, "%v", err)
+	startedAt := time.Now()
+	_, err = a.MatchRoute(t.Context(), "h", "/score/x")
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(startedAt) < 50*time.Millisecond)
+	store.setHold(nil)
+	waitFor(t, "the route is denied", func() bool {
+		_, denied := hasRoute(t.Context(), a)
+		return denied
+	})
+}
+
+// TestSubmissionIsntDeniedByALateRead guards against a 404 for a submission that was accepted long before, because the read of the
+// log that didn't have it yet arrived late.
+func TestSubmissionIsntDeniedByALateRead(t *testing.T) {
+	const late = 1500 * time.Millisecond
+	cluster := newTestCluster(t)
+	a, store, _ := cluster.start("a")
+	b, _, _ := cluster.start("b")
+	asked := make(chan struct{}, 100)
+	store.setHold(func(_ context.Context, call string) error {
+		if call == "submissions" {
+			asked <- struct{}{}
+			time.Sleep(late)
+		}
+		return nil
+	})
+	time.Sleep(500 * time.Millisecond) // the reads in flight have been asked for
+	answered := make(chan error, 1)
+	go func() {
+		_, err := a.ReadResults(t.Context(), "s", 0, 0)
+		answered <- err
+	}()
+	for range 3 {
+		<-asked // those of the two partitions, and that of the request
+	}
+	assert.NilError(t, b.Submit(t.Context(), route, newSubmission("s", 1)))
+	err := <-answered
+	assert.Assert(t, !errors.As(err, new(jujubenode.ErrUnknownSubmission)), "%v after the submission was accepted: %v", late, err)
+}
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -56,7 +56,8 @@
 
 	// next is the offset of the next record; this field and those below are guarded by the node's lock.
 	next int64
-	// caughtUpAt is when the partition was last read up to its end; zero before the first time.
+	// caughtUpAt is a time up to which all records of the partition are known to have been read: that at which the read was asked
+	// for, since a response may take any time to arrive. It is zero before the first time.
 	caughtUpAt time.Time
 	// hasUnread is true while the partition's end, as of the latest read, hasn't been reached.
 	hasUnread bool
@@ -110,7 +111,7 @@
 	f.node.mu.Lock()
 	from := f.next
 	f.node.mu.Unlock()
-	batch, err := f.read(ctx, from, wait)
+	batch, readAt, err := f.read(ctx, from, wait)
 	var trimmed ErrTrimmed
 	if errors.As(err, &trimmed) {
 		if f.topic.Keyed {
@@ -128,17 +129,22 @@
 	if err != nil {
 		return err
 	}
-	f.applyBatch(from, batch, time.Now())
+	f.applyBatch(from, batch, readAt)
 	return nil
 }
 
-// read returns the records from an offset on.
-func (f *follower) read(ctx context.Context, from int64, wait time.Duration) (LogBatch, error) {
+// read returns the records from an offset on, and a time at which their end is known to have been that of the partition.
+func (f *follower) read(ctx context.Context, from int64, wait time.Duration) (batch LogBatch, readAt time.Time, err error) {
+	askedAt := time.Now()
 	if f.isUrgent() {
-		batch, _, err := f.node.store.ReadUrgently(ctx, f.topic, f.part, from, wait, maxReadBytes)
-		return batch, err
+		batch, askedAt, err = f.node.store.ReadUrgently(ctx, f.topic, f.part, from, wait, maxReadBytes)
+	} else {
+		batch, err = f.node.store.Read(ctx, f.topic, f.part, from, wait, maxReadBytes)
 	}
-	return f.node.store.Read(ctx, f.topic, f.part, from, wait, maxReadBytes)
+	if len(batch.Records) == 0 && time.Since(askedAt) >= wait {
+		askedAt = askedAt.Add(wait) // the store has waited for records, and there were none
+	}
+	return batch, askedAt, err
 }
 
 // applyBatch applies records. readAt is a time at which batch.End was the end of the partition.
@@ -220,7 +226,7 @@
 	f.next = max(f.next, complete.end)
 	f.dropRecent()
 	f.reset(now, complete.records)
-	f.recordCaughtUp(now)
+	f.recordCaughtUp(complete.askedAt)
 	f.node.notifyChange()
 	return nil
 }
--- a/entry/services/jujubenode/route.go
+++ b/entry/services/jujubenode/route.go
@@ -2,11 +2,23 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
 
 	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubedesired"
 )
 
+const (
+	// maxDesiredAge is the greatest age of the desired state from which an instance denies that a route exists: half of the time
+	// in which a change has to be in force. It is read every 0.4 s.
+	maxDesiredAge = time.Second
+	// maxDesiredWait is how long a request without a route waits for the desired state to be read again.
+	maxDesiredWait = 300 * time.Millisecond
+)
+
 // ErrNoRoute is returned for a request that no route of the desired state matches.
 type ErrNoRoute struct {
 	Host, Path string
@@ -15,17 +27,48 @@
 // Error returns what has no route.
 func (e ErrNoRoute) Error() string { return "no route for " + e.Host + e.Path }
 
-// MatchRoute returns the route of a request. Without one it returns ErrNoRoute, or a refusal until the desired state and the
-// quarantined requests have been read.
-func (n *Node) MatchRoute(_ context.Context, host, path string) (*jujubedesired.Route, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.desired == nil || n.quarantineFollower.caughtUpAt.IsZero() {
-		return nil, refusal(jujubeerror.CodeNotReady, "the desired state or the quarantine hasn't been read yet")
+// MatchRoute returns the route of a request. Without one it returns ErrNoRoute, or a refusal if the desired state was read too long
+// ago to tell: a route may have been added since. A request that has a route is served whatever the age, because reads are urgent,
+// so that an old state means that neither this instance nor those it asks can reach the store.
+func (n *Node) MatchRoute(ctx context.Context, host, path string) (*jujubedesired.Route, error) {
+	timer := time.NewTimer(maxDesiredWait)
+	defer timer.Stop()
+	for mayWait := true; ; {
+		n.mu.Lock()
+		if n.desired == nil || n.quarantineFollower.caughtUpAt.IsZero() {
+			n.mu.Unlock()
+			return nil, refusal(jujubeerror.CodeNotReady, "the desired state or the quarantine hasn't been read yet")
+		}
+		route, ok := n.desired.Match(host, path)
+		revision, age := n.desired.Version, n.desiredAge(time.Now())
+		changedCh := n.desiredFollower.readCh
+		n.mu.Unlock()
+		switch {
+		case ok:
+			return route, nil
+		case age <= maxDesiredAge || !mayWait:
+			n.log.Write(jujubeevent.RouteAbsent, func() logrus.Fields {
+				return logrus.Fields{"Host": host, "Path": path, "Revision": revision, "Age": age.String()}
+			})
+			if age <= maxDesiredAge {
+				return nil, ErrNoRoute{Host: host, Path: path}
+			}
+			return nil, refusal(jujubeerror.CodeNotReady, "the desired state hasn't been read lately")
+		}
+		select {
+		case <-changedCh:
+		case <-timer.C:
+			mayWait = false
+		case <-ctx.Done():
+			mayWait = false
+		}
 	}
-	route, ok := n.desired.Match(host, path)
-	if !ok {
-		return nil, ErrNoRoute{Host: host, Path: path}
+}
+
+// desiredAge returns the age of this instance's view of the desired state; the lock is held.
+func (n *Node) desiredAge(now time.Time) time.Duration {
+	if n.desiredFollower.caughtUpAt.IsZero() {
+		return now.Sub(n.started)
 	}
-	return route, nil
+	return now.Sub(n.desiredFollower.caughtUpAt)
 }
