node: end a stream as broken if its continuation has no event

Callers saw a stream that had broken off end as if it were complete: the next server answered 200, sent no event and ended. Cause: the end of any attempt with status 200 was taken for that of the stream. It is now a failed try; the caller, who continues the stream himself after a broken connection, learns from a server whether there is more.

--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -189,11 +189,18 @@
 func (s *streaming) passEvents(ctx context.Context, decision jujuberouter.Decision, response StreamResponse) error {
 	defer response.Events.Close()
 	s.maybeRan = true
+	// An attempt that continues the stream and ends without an event may be that of a server which gave up. The caller continues
+	// the stream itself if it was complete.
+	isContinued := s.started
 	for {
 		event, err := response.Events.Next()
 		if err != nil && s.started {
+			if isContinued && errors.Is(err, io.EOF) {
+				return ErrCall{Ran: model.RanUnknown, Reason: "the continued stream has no event"}
+			}
 			return ignoreEOF(err)
 		}
+		isContinued = false
 		if err == nil && event.Number <= s.after {
 			return ErrCall{Ran: model.RanUnknown, Reason: "the endpoint repeats an event"}
 		}
