batch: confirm the end of a text by a second engine

Items had the same fault as callers' streams: a run that continued a text and ended with status 200 and no event completed it, so that a short text was listed. Unlike a stream, an item has no caller who asks again, and a text whose run broke off after its last event must be listed. A second run, on another engine if one is free, decides; it has to prefill the prompt again.

--- a/core/services/jujubebatch/crash_test.go
+++ b/core/services/jujubebatch/crash_test.go
@@ -67,3 +67,48 @@
 		assert.Assert(t, ts.now.Sub(startedAt) <= maxUnplaced, "the item isn't placed again")
 	}
 }
+
+// TestEmptyContinuationIsConfirmed guards against a text that is listed as complete because the engine that was to continue it ended
+// its response without an event, and against a complete text that is never listed because the end of its run was lost.
+func TestEmptyContinuationIsConfirmed(t *testing.T) {
+	for name, test := range map[string]struct {
+		// more is true if the second continuation has another event.
+		more bool
+		text string
+	}{
+		"the engine gave up":         {true, "x\ny"},
+		"only the end had been lost": {false, "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestScheduler(t, 3)
+			ts.accept(newSubmission("s", 1, "a"))
+			nextRun := func() jujubebatch.StartRun {
+				for waited := time.Duration(0); waited <= maxUnplaced; waited += 50 * time.Millisecond {
+					if runs := tick[jujubebatch.StartRun](ts); len(runs) > 0 {
+						ts.HandleRunAccepted(ts.now, runs[0].Run, 1)
+						return runs[0]
+					}
+					ts.now = ts.now.Add(50 * time.Millisecond)
+				}
+				t.Fatal("the item isn't placed")
+				return jujubebatch.StartRun{}
+			}
+			first := nextRun()
+			ts.HandleRunEvent(ts.now, first.Run, 1, "x", 1)
+			ts.HandleRunEnd(ts.now, first.Run, jujubebatch.RunBroken)
+			second := nextRun()
+			assert.Equal(t, second.After, 1)
+			ts.HandleRunEnd(ts.now, second.Run, jujubebatch.RunComplete)
+			assert.Equal(t, len(tick[jujubebatch.AppendEntry](ts)), 0, "the text is listed")
+			third := nextRun()
+			assert.Assert(t, third.Engine != second.Engine)
+			if test.more {
+				ts.HandleRunEvent(ts.now, third.Run, 2, "y", 1)
+			}
+			ts.HandleRunEnd(ts.now, third.Run, jujubebatch.RunComplete)
+			entries := tick[jujubebatch.AppendEntry](ts)
+			assert.Equal(t, len(entries), 1)
+			assert.Equal(t, entries[0].Entry.Result.Text, test.text)
+		})
+	}
+}
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -160,7 +160,7 @@
 			}
 		}
 	}
-	r.awaitsFirstEvent, r.lastEventAt = false, now
+	r.awaitsFirstEvent, r.lastEventAt, item.hasEmptyEnd = false, now, false
 	if len(item.events) == 0 {
 		item.softwareVersion = r.softwareVersion
 	}
@@ -189,8 +189,16 @@
 		return
 	}
 	item.notBefore = now.Add(s.settings.RetryDelay)
-	if kind == RunComplete && len(item.events) == 0 {
-		kind = RunBroken
+	if kind == RunComplete && r.awaitsFirstEvent {
+		if len(item.events) > 0 && !item.hasEmptyEnd {
+			// The text is complete, or the engine gave up. A second run, on another engine if one is free, decides.
+			item.hasEmptyEnd = true
+			s.avoidEngine(now, r, s.settings.FailureBackoff/4)
+			return
+		}
+		if len(item.events) == 0 {
+			kind = RunBroken
+		}
 	}
 	switch kind {
 	case RunComplete:
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -78,6 +78,8 @@
 	failures       int
 	earlyBreaks    int
 	discardedTexts int
+	// hasEmptyEnd is true once a run that continued the text has ended without an event.
+	hasEmptyEnd bool
 	// resultQueued is true once the result has been handed over for appending.
 	resultQueued bool
 }
