node: lead without the log only by the promises of all instances

A refused token ended the leadership only until the next look at the outage.

Cause: 'no instance reaches the log' was concluded from one other instance, which may be behind the same cut. Now all that may claim the lease have to promise not to, for a second; without one of them the leader stops within the lease time. A refused token is dead for good.

TestOneLeaderUnderCuts (instances, a log, cuts in any groups and directions, pauses, restarts, lost and late appends) fails with 'two instances lead' if one promise suffices, as before, or if promises aren't kept.

--- a/core/services/jujubelease/lease.go
+++ b/core/services/jujubelease/lease.go
@@ -15,6 +15,8 @@
 type sentRecord struct {
 	number int64
 	at     time.Time
+	// claimAt is the offset at which a claim takes effect on a conditional log; -1 for other records.
+	claimAt int64
 }
 
 // Lease is one instance's view of a lease. It is not safe for concurrent use.
@@ -43,6 +45,13 @@
 	releasing      bool
 	logUnavailable bool
 	degraded       bool
+	// fencedToken is the highest fencing token of this instance that an endpoint has refused; -1 for none. A claim with it never
+	// counts as held again.
+	fencedToken int64
+	// noClaimBefore is until when this instance has promised not to claim the lease.
+	noClaimBefore time.Time
+	// promises holds until when other instances have promised this one not to claim the lease.
+	promises map[model.InstanceID]time.Time
 }
 
 // New returns a lease without any records.
@@ -50,6 +59,7 @@
 	return &Lease{
 		name: name, self: self, incarnation: incarnation, settings: settings.withDefaults(),
 		applied: appliedState{offset: -1, fencingToken: -1, conditional: settings.Conditional}, heldToken: -1,
+		fencedToken: -1, promises: make(map[model.InstanceID]time.Time),
 	}
 }
 
@@ -84,9 +94,12 @@
 // isHeld reports whether this instance is certain to hold the lease. The validity counts from when the last renewal was sent,
 // so that a holder that was paused doesn't consider the lease held for too long.
 func (l *Lease) isHeld(now time.Time) bool {
-	return l.isHolder() && l.heldToken == l.applied.fencingToken && !l.releasing && now.Before(l.heldUntil)
+	return l.isHolder() && l.heldToken == l.applied.fencingToken && !l.isFenced() && !l.releasing && now.Before(l.heldUntil)
 }
 
+// isFenced reports whether an endpoint has refused the token of the last accepted claim.
+func (l *Lease) isFenced() bool { return l.applied.fencingToken <= l.fencedToken }
+
 // SetLogUnavailable sets whether the log is unavailable to this instance.
 func (l *Lease) SetLogUnavailable(now time.Time, unavailable bool) {
 	if unavailable && !l.logUnavailable {
@@ -98,13 +111,9 @@
 // HandleAppendFailure records that the last append failed or got no response. The record may still have taken effect.
 func (l *Lease) HandleAppendFailure() { l.outstanding = false }
 
-// InvalidateFence ends the holding of the lease because an endpoint refused its fencing token: another instance has claimed it
-// since.
-func (l *Lease) InvalidateFence(fencingToken int64) {
-	if l.heldToken == fencingToken {
-		l.heldUntil = time.Time{}
-	}
-}
+// InvalidateFence ends the holding of the lease for good because an endpoint refused its fencing token: another instance has claimed
+// it since.
+func (l *Lease) InvalidateFence(fencingToken int64) { l.fencedToken = max(l.fencedToken, fencingToken) }
 
 // Tick returns the record to append, if any; at most one is outstanding at a time.
 func (l *Lease) Tick(now time.Time, candidate bool) []model.LeaseRecord {
@@ -128,6 +137,8 @@
 		return nil
 	case held:
 		return l.send(now, model.LeaseRecord{Renew: l.heldToken})
+	case now.Before(l.noClaimBefore):
+		return nil
 	case l.applied.fencingToken < 0 && !l.applied.partial, l.applied.released, !now.Before(l.claimAfter),
 		l.applied.holder == l.self && l.applied.incarnation < l.incarnation:
 		return l.send(now, model.LeaseRecord{Claim: true})
@@ -139,7 +150,11 @@
 	l.lastNumber++
 	record.Lease, record.Holder, record.Incarnation = l.name, l.self, l.incarnation
 	record.TTL, record.Number = model.Duration(l.settings.TTL), l.lastNumber
-	l.sent = append(l.sent, sentRecord{l.lastNumber, now})
+	sent := sentRecord{number: l.lastNumber, at: now, claimAt: -1}
+	if record.Claim {
+		sent.claimAt = l.NextOffset()
+	}
+	l.sent = append(l.sent, sent)
 	if len(l.sent) > maxSent {
 		l.sent = l.sent[1:]
 	}
@@ -156,6 +171,6 @@
 	if l.isHolder() && l.heldToken == l.applied.fencingToken {
 		state.Expires = l.heldUntil
 	}
-	state.Degraded = l.logUnavailable && l.degraded && l.isHolder() && !l.releasing
+	state.Degraded = l.logUnavailable && l.degraded && l.isHolder() && !l.isFenced() && !l.releasing
 	return state
 }
--- a/core/services/jujubelease/settings.go
+++ b/core/services/jujubelease/settings.go
@@ -51,7 +51,7 @@
 	Held bool
 	// Expires is the local time until which Held stays true without a renewal; zero when this instance isn't the holder.
 	Expires time.Time
-	// Degraded is true when this instance held the lease as the log became unavailable, so that no other can have claimed it
-	// through that log. Work that is fenced and repeatable may continue with Fence; Held still becomes false with time.
+	// Degraded is true when this instance held the lease as the log became unavailable to it. Others may have claimed it since,
+	// unless all of them have promised not to (see LeadsWithoutLog).
 	Degraded bool
 }
--- a/core/services/jujuberegistry/registry.go
+++ b/core/services/jujuberegistry/registry.go
@@ -102,6 +102,18 @@
 	r.lastRead = now
 }
 
+// Recent returns the latest heartbeats of the instances that wrote one in a time before the last read of the log and haven't left, also
+// of those that count as gone.
+func (r *Registry) Recent(window time.Duration) []Heartbeat {
+	var recent []Heartbeat
+	for _, registration := range r.registrations.All() {
+		if r.lastRead.Sub(registration.receivedAt) < window {
+			recent = append(recent, registration.heartbeat)
+		}
+	}
+	return recent
+}
+
 // Live returns the instances that are alive, sorted by name.
 func (r *Registry) Live(now time.Time) []Heartbeat {
 	var live []Heartbeat
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -11,7 +11,6 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubefleet"
-	"jujubepier.example/core/services/jujubelease"
 	"jujubepier.example/core/services/jujuberegistry"
 	"jujubepier.example/core/services/jujubethrottle"
 )
@@ -112,7 +111,7 @@
 	}
 	records := n.lease.Tick(now, candidate)
 	state := n.lease.State(now)
-	leads := (state.Held || n.leadsDuringOutage(state)) && n.state == jujuberegistry.Ready && !n.isCutOff()
+	leads := (state.Held || n.leadsWithoutLog(now)) && n.state == jujuberegistry.Ready && !n.isCutOff()
 	switch {
 	case leads && (n.leadingSince.IsZero() || n.leaderFencingToken != state.Fence):
 		n.leadingSince, n.leaderFencingToken = now, state.Fence
@@ -125,13 +124,9 @@
 	for _, record := range records {
 		n.appendLeaseRecord(ctx, record)
 	}
-}
-
-// leadsDuringOutage reports whether this instance held the lease when the log became unavailable and no instance can
-// reach the log now. No instance can have claimed the lease since then, and the engines' fencing tokens reject the orders of
-// an outdated leader.
-func (n *Node) leadsDuringOutage(state jujubelease.State) bool {
-	return state.Degraded && n.store.isConfirmedDown(time.Now())
+	if state.Degraded {
+		n.askForPromises(ctx, state.Fence)
+	}
 }
 
 // leaseCandidates is the number of instances that may claim a free lease: two of them may be lost at once.
@@ -241,18 +236,19 @@
 	n.notifyChange()
 }
 
-// announceAndSendOrder announces an order on the log, and sends it if this instance still leads afterwards. While no
-// instance can reach the log, the leader sends it even if the announcement fails.
+// announceAndSendOrder announces an order on the log, and sends it if this instance still leads afterwards. A leader without the log
+// sends it even if the announcement fails.
 func (n *Node) announceAndSendOrder(ctx context.Context, order jujubefleet.Order) (jujubefleet.Outcome, error) {
 	load := LoadRecord{Engine: order.Engine, Model: order.Model, Version: order.Version, Holder: n.identity.Instance}
 	err := n.publishLoad(ctx, load)
 	n.mu.Lock()
-	state := n.lease.State(time.Now())
+	now := time.Now()
+	state, leadsWithoutLog := n.lease.State(now), n.leadsWithoutLog(now)
 	n.mu.Unlock()
-	if err != nil && !n.leadsDuringOutage(state) {
+	if err != nil && !leadsWithoutLog {
 		return jujubefleet.Refused, err
 	}
-	if !state.Held && !n.leadsDuringOutage(state) || state.Fence != order.Fence {
+	if !state.Held && !leadsWithoutLog || state.Fence != order.Fence {
 		return jujubefleet.Refused, errors.New("the lease was lost")
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
