--- a/core/services/jujubequarantine/quarantine.go
+++ b/core/services/jujubequarantine/quarantine.go
@@ -64,14 +64,6 @@
 	return Settings{Limit: 3, SharedLimit: 5, SettleTime: 300 * time.Millisecond}
 }
 
-// Entry is a fingerprint that is suspect or quarantined.
-type Entry struct {
-	Fingerprint model.Fingerprint
-	State       Status
-	Crashes     []model.CrashID
-	Until       time.Time
-}
-
 // suspicion holds the crashes that a fingerprint was in flight in.
 type suspicion struct {
 	// crashes is sorted by id. Cleared crashes are kept, so that a late gossip update about them has no effect.
@@ -359,43 +351,3 @@
 	v, _ := q.verdicts.Get(f)
 	return newVerdictUpdate(f, v)
 }
-
-// Count returns the number of fingerprints in a state other than Clear.
-func (q *Quarantine) Count(now time.Time, state Status) int {
-	count := 0
-	for f := range q.suspects.All() {
-		if q.Check(now, f) == state {
-			count++
-		}
-	}
-	for f := range q.verdicts.All() {
-		if _, isCounted := q.suspects.Get(f); !isCounted && q.Check(now, f) == state {
-			count++
-		}
-	}
-	return count
-}
-
-// List returns the quarantined fingerprints and then the suspects, each in order, as of the latest time passed to Check.
-func (q *Quarantine) List() []Entry {
-	var entries []Entry
-	for f, v := range q.verdicts.All() {
-		if v.isInForce(q.latestTime) {
-			entries = append(entries, Entry{Fingerprint: f, State: Quarantined, Crashes: slices.Clone(v.crashes), Until: v.until})
-		}
-	}
-	for f := range q.suspects.All() {
-		if q.Check(q.latestTime, f) != Suspect {
-			continue
-		}
-		entry := Entry{Fingerprint: f, State: Suspect}
-		for _, c := range q.activeCrashes(q.latestTime, f) {
-			entry.Crashes = append(entry.Crashes, c.id)
-			if c.until.After(entry.Until) {
-				entry.Until = c.until
-			}
-		}
-		entries = append(entries, entry)
-	}
-	return entries
-}
--- /dev/null
+++ b/entry/services/jujubenode/desired.go
@@ -0,0 +1,37 @@
+package jujubenode
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubedesired"
+)
+
+// SetDesired applies a newer desired state. It is called from a feed, with the node's lock held.
+func (n *Node) SetDesired(_ time.Time, state *jujubedesired.State) {
+	if n.desired != nil && state.Version <= n.desired.Version {
+		return
+	}
+	n.desired = state
+	n.scheduler.SetDesired(state)
+	singleVersion := false
+	for i := range state.Routes {
+		singleVersion = singleVersion || state.Routes[i].SingleVersion
+	}
+	n.fleet.SetSingleVersion(singleVersion)
+	n.log.Write(jujubeevent.ConfigApplied, func() logrus.Fields {
+		return logrus.Fields{"Revision": state.Version, "Routes": len(state.Routes), "Services": len(state.Services)}
+	})
+}
+
+// SetTargetVersion records a model's newest weight version. It is called from a feed, with the node's lock held.
+func (n *Node) SetTargetVersion(_ time.Time, name model.ModelName, version model.WeightVersion) {
+	if n.fleet.SetTargetVersion(name, version) {
+		n.log.Write(jujubeevent.WeightsAnnounced, func() logrus.Fields {
+			return logrus.Fields{"Model": name, "Version": version}
+		})
+	}
+}
--- a/entry/services/jujubenode/desired_test.go
+++ b/entry/services/jujubenode/desired_test.go
@@ -86,8 +86,7 @@
 	}
 }
 
-// holdPage delays one page of the newest records and loses the responses to the reads after it. It signals that the page was asked
-// for.
+// holdPage delays one response with newest records and loses those to the reads after it. It signals that it was requested.
 func holdPage(asked chan<- struct{}, page string, late time.Duration) func(ctx context.Context, call string) error {
 	return func(ctx context.Context, call string) error {
 		switch call {
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -370,32 +370,6 @@
 	return n.ready && n.state == jujuberegistry.Ready
 }
 
-// SetDesired applies a newer desired state. It is called from a feed, with the node's lock held.
-func (n *Node) SetDesired(_ time.Time, state *jujubedesired.State) {
-	if n.desired != nil && state.Version <= n.desired.Version {
-		return
-	}
-	n.desired = state
-	n.scheduler.SetDesired(state)
-	singleVersion := false
-	for i := range state.Routes {
-		singleVersion = singleVersion || state.Routes[i].SingleVersion
-	}
-	n.fleet.SetSingleVersion(singleVersion)
-	n.log.Write(jujubeevent.ConfigApplied, func() logrus.Fields {
-		return logrus.Fields{"Revision": state.Version, "Routes": len(state.Routes), "Services": len(state.Services)}
-	})
-}
-
-// SetTargetVersion records a model's newest weight version. It is called from a feed, with the node's lock held.
-func (n *Node) SetTargetVersion(_ time.Time, name model.ModelName, version model.WeightVersion) {
-	if n.fleet.SetTargetVersion(name, version) {
-		n.log.Write(jujubeevent.WeightsAnnounced, func() logrus.Fields {
-			return logrus.Fields{"Model": name, "Version": version}
-		})
-	}
-}
-
 // Kill stops the node immediately, as a crash of its process does.
 func (n *Node) Kill() { n.tomb.Kill(nil) }
 
--- a/entry/services/jujubenode/urgent.go
+++ b/entry/services/jujubenode/urgent.go
@@ -13,14 +13,14 @@
 // The limits of urgent reads. A change of the desired state has to be in force within 2 s, also at an instance whose connections to
 // the store hang, or that the store doesn't answer together with half of the others.
 const (
-	// urgentDelay is how long after the end of its wait an urgent read may take before it is tried over further paths. The
-	// store responds in 4 ms, or in 250 ms when it is slow.
+	// urgentDelay is how long after the end of its wait an urgent read may take before further paths are used. The store
+	// responds in 4 ms, or in 250 ms when it is slow.
 	urgentDelay = 300 * time.Millisecond
 	// urgentStagger is the time between the starts of two further tries.
 	urgentStagger = 75 * time.Millisecond
 	// urgentTryTimeout bounds each further try, which doesn't wait for records.
 	urgentTryTimeout = 350 * time.Millisecond
-	// maxUrgentPeers bounds the instances through which one urgent read is tried.
+	// maxUrgentPeers bounds the instances through which one urgent read goes.
 	maxUrgentPeers = 8
 )
 
@@ -100,8 +100,7 @@
 	return last
 }
 
-// urgentTries returns the paths of a read in the order in which they are tried. While the store refuses this instance, the probe
-// tries the direct path.
+// urgentTries returns the paths of a read in order. While the store refuses this instance, only the probe uses the direct path.
 func (s *relayedStore) urgentTries(wait time.Duration, first, again func(context.Context) (RelayReply, error), method string, args RelayArgs) []urgentTry {
 	addresses := s.peers()
 	ids := make([]model.InstanceID, 0, len(addresses))
