node: start nothing after a pause until the log has been read

A second without a tick now counts as a pause, and nothing starts until the partitions have been read up to their ends since.

--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -44,6 +44,8 @@
 	numPartitions = 2
 	// tickInterval is the time between two checks of time limits; other events wake the scheduler immediately.
 	tickInterval = 50 * time.Millisecond
+	// maxPause is the time between two ticks from which on the process counts as having been paused.
+	maxPause = time.Second
 	// wakeCoalesceDelay coalesces events that arrive together, such as the items of one response.
 	wakeCoalesceDelay = 4 * time.Millisecond
 	// initialServiceTime is the router's estimate of a plain request's duration until the first response.
@@ -162,6 +164,9 @@
 	// leaveDeadline is when a leaving instance exits; zero before it leaves.
 	leaveDeadline time.Time
 	stopServing   func(ctx context.Context)
+	// lastTick is the time of the last tick, and resumedAt that of the last one after a pause of the process. Until the log has
+	// been read again since then, nothing starts: submissions may have ended meanwhile.
+	lastTick, resumedAt time.Time
 
 	followers         []*follower
 	partitions        []*partition
@@ -329,9 +334,13 @@
 		n.dropEndpoint(now, id)
 	}
 	n.deliverDecisions(n.router.Tick(now))
+	if now.Sub(n.lastTick) > maxPause {
+		n.resumedAt = now
+	}
+	n.lastTick = now
 	unread := false
 	for _, p := range n.partitions {
-		unread = unread || p.follower.hasUnread || p.follower.caughtUpAt.IsZero()
+		unread = unread || p.follower.hasUnread || !p.follower.caughtUpAt.After(n.resumedAt)
 	}
 	n.scheduler.SetLagging(unread)
 	n.executeActions(n.scheduler.Tick(now))
