--- a/core/models/jujubemodel/hash.go
+++ b/core/models/jujubemodel/hash.go
@@ -15,11 +15,15 @@
 
 // NewFingerprint hashes the parts of a request's content. A separator follows each part, so that moving bytes from one part
 // to the next changes the hash.
-func NewFingerprint(parts ...string) Fingerprint {
+func NewFingerprint(parts ...string) Fingerprint { return NewBodyFingerprint(nil, parts...) }
+
+// NewBodyFingerprint hashes the parts of a request's content and then its body, which may be large and isn't copied.
+func NewBodyFingerprint(body []byte, parts ...string) Fingerprint {
 	digest := xxhash.New()
 	for _, part := range parts {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
+	_, _ = digest.Write(body)
 	return Fingerprint(digest.Sum64())
 }
--- a/entry/services/jujubenode/crashes.go
+++ b/entry/services/jujubenode/crashes.go
@@ -60,11 +60,11 @@
 
 // fingerprint identifies the content of a request, whoever sends it.
 func (r *PlainRequest) fingerprint() model.Fingerprint {
-	return model.NewFingerprint("call", r.Host, r.Method, r.URI, string(r.Body))
+	return model.NewBodyFingerprint(r.Body, "call", r.Host, r.Method, r.URI)
 }
 
 // checkContent returns the refusal of a request whose content has crashed endpoints. A suspect gets no second copy while one runs,
-// since both endpoints could crash.
+// since both endpoints could crash. The lock is held.
 func (f *forwarding) checkContent(now time.Time, kind attemptKind) error {
 	if f.fingerprint == 0 {
 		return nil
@@ -84,7 +84,7 @@
 	return nil
 }
 
-// excludeSuspects returns the endpoints to exclude so that a suspect doesn't run beside another one.
+// excludeSuspects returns the endpoints to exclude so that a suspect doesn't run beside another one. The lock is held.
 func (f *forwarding) excludeSuspects(now time.Time) []model.EndpointID {
 	if f.fingerprint == 0 || f.node.crashes.quarantine.Check(now, f.fingerprint) == jujubequarantine.Clear {
 		return nil
@@ -311,6 +311,7 @@
 	n.applyUpdate(now, update)
 }
 
+// applyUpdate merges an update of another instance; the lock is held.
 func (n *Node) applyUpdate(now time.Time, update model.Rumour) {
 	n.crashes.quarantine.ApplyUpdate(now, update)
 	n.publishUpdates(n.crashes.quarantine.PopDerived())
