node: count crashes under requests that were given up

A server that ends without a reset, as on a loss of power, leaves its requests hanging until their callers' time limit. They counted as cancelled then, so that the newer incarnation, read a moment later, was blamed on nothing.

--- a/entry/services/jujubenode/crashes.go
+++ b/entry/services/jujubenode/crashes.go
@@ -110,21 +110,23 @@
 	return nil
 }
 
-// endRun records how an attempt ended. isPending is true if it broke off and may have crashed its endpoint; the lock is held.
-func (n *Node) endRun(ctx context.Context, now time.Time, id model.RequestID, err error) (isPending bool) {
+// endRun records how an attempt ended, and reports whether its endpoint has to be checked because it broke off. The lock is held.
+func (n *Node) endRun(ctx context.Context, now time.Time, id model.RequestID, err error) bool {
 	runs := n.crashes.runs
 	var callErr ErrCall
 	var updates []model.Rumour
+	isPending := false
 	switch {
 	case err == nil:
 		updates = runs.Complete(now, id)
-	case ctx.Err() != nil || !errors.As(err, &callErr) || callErr.Ran == model.RanNo:
+	case !errors.As(err, &callErr) || callErr.Ran == model.RanNo:
 		runs.Cancel(now, id)
 	default:
 		updates, isPending = runs.Break(now, id)
 	}
 	n.publishUpdates(updates)
-	return isPending
+	// A request that this instance has given up says little about the process now. If that had ended silently, its entry tells.
+	return isPending && ctx.Err() == nil
 }
 
 // awaitProcessCheck waits until it is known whether the endpoint of a call that broke off has crashed, for a limited time. One
