--- a/entry/services/jujubenode/crashes_test.go
+++ b/entry/services/jujubenode/crashes_test.go
@@ -1,6 +1,7 @@
 package jujubenode_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -138,3 +139,31 @@
 		}
 	}
 }
+
+// TestNoRequestBeforeQuarantineIsRead guards against an instance that has just started and sends requests to endpoints before it knows
+// which ones crash them.
+func TestNoRequestBeforeQuarantineIsRead(t *testing.T) {
+	cluster := newTestCluster(t)
+	release := make(chan struct{})
+	cluster.holdAtStart = func(ctx context.Context, call string) error {
+		if !strings.HasPrefix(call, "quarantine") {
+			return nil
+		}
+		select {
+		case <-release:
+			return nil
+		case <-ctx.Done():
+			return loseResponse(ctx, call)
+		}
+	}
+	node, _, _ := cluster.startUnready("a")
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		_, err := node.MatchRoute(t.Context(), "h", "/score/x")
+		refused, ok := jujubeerror.IsErrRefused(err)
+		assert.Assert(t, ok && refused.Code == jujubeerror.CodeNotReady && refused.Ran == model.RanNo, "%v", err)
+	}
+	close(release)
+	waitFor(t, "the instance is ready", node.IsReady)
+	_, err := node.MatchRoute(t.Context(), "h", "/score/x")
+	assert.NilError(t, err)
+}
