--- a/core/services/jujubelease/promise.go
+++ b/core/services/jujubelease/promise.go
@@ -9,7 +9,7 @@
 const (
 	// promiseTime is how long an instance doesn't claim the lease after it has promised that to the holder.
 	promiseTime = time.Second
-	// promiseMargin is how much earlier the holder considers a promise expired. It counts from when the promise was asked for.
+	// promiseMargin is how much earlier the holder considers a promise expired. It counts from when the promise was requested.
 	promiseMargin = 300 * time.Millisecond
 )
 
@@ -34,9 +34,9 @@
 	return false
 }
 
-// RecordPromise records the promise of another instance that was asked for at the given time.
-func (l *Lease) RecordPromise(askedAt time.Time, from model.InstanceID) {
-	l.promises[from] = askedAt.Add(promiseTime - promiseMargin)
+// RecordPromise records the promise of another instance that was requested at the given time.
+func (l *Lease) RecordPromise(requestedAt time.Time, from model.InstanceID) {
+	l.promises[from] = requestedAt.Add(promiseTime - promiseMargin)
 }
 
 // LeadsWithoutLog reports whether this instance, which held the lease when the log became unavailable to it, still holds it: all other
--- a/core/services/jujubequarantine/platform_test.go
+++ b/core/services/jujubequarantine/platform_test.go
@@ -44,7 +44,7 @@
 	assert.Assert(t, q.RetryAfter(now, 300) <= settled)
 	assert.Equal(t, q.Check(now.Add(settled), 300), quarantine.Quarantined)
 	assert.Assert(t, q.RetryAfter(now.Add(settled), 300) > time.Hour)
-	// Two that are always in flight together can't be told apart, and must not go on for ever.
+	// Two that are always in flight together can't be distinguished, and must not go on for ever.
 	recordCrashes(q, now, 10, 5, 400, 401)
 	assert.Equal(t, q.Check(now.Add(settled), 400), quarantine.Quarantined)
 }
--- a/core/services/jujubequarantine/update.go
+++ b/core/services/jujubequarantine/update.go
@@ -98,7 +98,7 @@
 	return payload.Until
 }
 
-// RemoveUpdate forgets the crash or the verdict that an update with this kind and key told of. An operator removes all those of a
+// RemoveUpdate forgets the crash or the verdict of an update with this kind and key. An operator removes all those of a
 // fingerprint from the store to let it run again.
 func (q *Quarantine) RemoveUpdate(kind model.GossipKind, key string) {
 	fingerprint, id, _ := strings.Cut(key, "/")
--- a/entry/services/jujubenode/crashes.go
+++ b/entry/services/jujubenode/crashes.go
@@ -23,9 +23,9 @@
 	maxProcessCheckWait = 100 * time.Millisecond
 	// quarantineRetryDelay is the delay before updates that couldn't be written to the store are written again.
 	quarantineRetryDelay = 200 * time.Millisecond
-	// tellDelay is how long an append of updates may take before the other instances are told directly; the store responds in
+	// shareDelay is how long an append of updates may take before they are also sent to the other instances directly; the store responds in
 	// 4 ms, or in 250 ms when it is slow.
-	tellDelay = 100 * time.Millisecond
+	shareDelay = 100 * time.Millisecond
 	// expiredRecordMargin is how long after their expiry records are kept; the clocks of the instances differ, and may jump by
 	// seconds.
 	expiredRecordMargin = time.Minute
@@ -125,7 +125,7 @@
 		updates, isPending = runs.Break(now, id)
 	}
 	n.publishUpdates(updates)
-	// A request that this instance has given up says little about the process now. If that had ended silently, its entry tells.
+	// A request that this instance has given up is no reason for a check. If the process has ended silently, its registry entry shows it.
 	return isPending && ctx.Err() == nil
 }
 
@@ -237,11 +237,11 @@
 	}
 }
 
-// shareUpdates writes updates to the store. If that fails or takes long it also tells the other instances directly.
+// shareUpdates writes updates to the store. If that fails or takes long, it also sends them to the other instances.
 func (n *Node) shareUpdates(ctx context.Context, updates []model.Rumour) error {
 	writtenCh := make(chan error, 1)
 	go func() { writtenCh <- n.appendUpdates(ctx, updates) }()
-	timer := time.NewTimer(tellDelay)
+	timer := time.NewTimer(shareDelay)
 	defer timer.Stop()
 	select {
 	case err := <-writtenCh:
--- a/entry/services/jujubenode/desired_test.go
+++ b/entry/services/jujubenode/desired_test.go
@@ -53,7 +53,7 @@
 }
 
 // TestNoRouteIsDeniedFromAnOldView guards against a 404 for a route that has been added, from an instance that hasn't read the
-// desired state since, nor knows it: reads fail, or a response arrives long after it was asked for.
+// desired state since, nor knows it: reads fail, or a response arrives long after it was requested.
 func TestNoRouteIsDeniedFromAnOldView(t *testing.T) {
 	const late = 1800 * time.Millisecond
 	for name, hold := range map[string]func(published chan<- struct{}) func(ctx context.Context, call string) error{
@@ -138,7 +138,7 @@
 		}
 		return nil
 	})
-	time.Sleep(500 * time.Millisecond) // the reads in flight have been asked for
+	time.Sleep(500 * time.Millisecond) // the reads in flight have been requested
 	answered := make(chan error, 1)
 	go func() {
 		_, err := a.ReadResults(t.Context(), "s", 0, 0)
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -56,8 +56,8 @@
 
 	// next is the offset of the next record; this field and those below are guarded by the node's lock.
 	next int64
-	// caughtUpAt is a time up to which all records of the partition are known to have been read: that at which the read was asked
-	// for, since a response may take any time to arrive. It is zero before the first time.
+	// caughtUpAt is a time up to which all records of the partition are known to have been read: that at which the read was
+	// requested, since a response may take any time to arrive. It is zero before the first time.
 	caughtUpAt time.Time
 	// hasUnread is true while the partition's end, as of the latest read, hasn't been reached.
 	hasUnread bool
@@ -135,16 +135,16 @@
 
 // read returns the records from an offset on, and a time at which their end is known to have been that of the partition.
 func (f *follower) read(ctx context.Context, from int64, wait time.Duration) (batch LogBatch, readAt time.Time, err error) {
-	askedAt := time.Now()
+	requestedAt := time.Now()
 	if f.isUrgent() {
-		batch, askedAt, err = f.node.store.ReadUrgently(ctx, f.topic, f.part, from, wait, maxReadBytes)
+		batch, requestedAt, err = f.node.store.ReadUrgently(ctx, f.topic, f.part, from, wait, maxReadBytes)
 	} else {
 		batch, err = f.node.store.Read(ctx, f.topic, f.part, from, wait, maxReadBytes)
 	}
-	if len(batch.Records) == 0 && time.Since(askedAt) >= wait {
-		askedAt = askedAt.Add(wait) // the store has waited for records, and there were none
+	if len(batch.Records) == 0 && time.Since(requestedAt) >= wait {
+		requestedAt = requestedAt.Add(wait) // the store has waited for records, and there were none
 	}
-	return batch, askedAt, err
+	return batch, requestedAt, err
 }
 
 // applyBatch applies records. readAt is a time at which batch.End was the end of the partition.
@@ -190,8 +190,8 @@
 	// end is the end of the partition before the first page was read. Reading continues there, so that changes made
 	// during the snapshot are read too.
 	end int64
-	// askedAt is when the first page was asked for. Changes since then may be missing.
-	askedAt time.Time
+	// requestedAt is when the first page was requested. Changes since then may be missing.
+	requestedAt time.Time
 }
 
 // maxSnapshotRecords bounds a snapshot. It is many times the number of entries of the largest site.
@@ -204,12 +204,12 @@
 		if len(f.pages.records) > 0 {
 			after = f.pages.records[len(f.pages.records)-1].Key
 		}
-		page, askedAt, err := f.readPage(ctx, after)
+		page, requestedAt, err := f.readPage(ctx, after)
 		if err != nil {
 			return err
 		}
 		if after == "" {
-			f.pages.end, f.pages.askedAt = page.End, askedAt
+			f.pages.end, f.pages.requestedAt = page.End, requestedAt
 		}
 		f.pages.records = append(f.pages.records, page.Records...)
 		if more = page.More; more && len(f.pages.records) > maxSnapshotRecords {
@@ -226,7 +226,7 @@
 	f.next = max(f.next, complete.end)
 	f.dropRecent()
 	f.reset(now, complete.records)
-	f.recordCaughtUp(complete.askedAt)
+	f.recordCaughtUp(complete.requestedAt)
 	f.node.notifyChange()
 	return nil
 }
@@ -239,14 +239,14 @@
 	return f.urgent && !f.caughtUpAt.IsZero()
 }
 
-// readPage returns a page of the newest records and when it was asked for.
-func (f *follower) readPage(ctx context.Context, after string) (page LogPage, askedAt time.Time, err error) {
+// readPage returns a page of the newest records and when it was requested.
+func (f *follower) readPage(ctx context.Context, after string) (page LogPage, requestedAt time.Time, err error) {
 	if f.isUrgent() {
 		return f.node.store.NewestUrgently(ctx, f.topic, after)
 	}
-	askedAt = time.Now()
+	requestedAt = time.Now()
 	page, err = f.node.store.Newest(ctx, f.topic, after)
-	return page, askedAt, err
+	return page, requestedAt, err
 }
 
 // nextWait returns how long the next read may wait for a record: zero while there are unread ones.
--- a/entry/services/jujubenode/logrelay.go
+++ b/entry/services/jujubenode/logrelay.go
@@ -54,12 +54,12 @@
 	}
 	n.mu.Unlock()
 	if address != "" {
-		askedAt := time.Now()
+		requestedAt := time.Now()
 		if reply, ok := f.readFromRelay(ctx, address, from); ok {
 			if len(reply.Records) == 0 {
-				askedAt = askedAt.Add(min(f.nextWait(), time.Since(askedAt))) // the relay has waited for records
+				requestedAt = requestedAt.Add(min(f.nextWait(), time.Since(requestedAt))) // the relay has waited for records
 			}
-			f.applyBatch(from, LogBatch{Records: reply.Records, End: reply.End}, askedAt.Add(-reply.Age))
+			f.applyBatch(from, LogBatch{Records: reply.Records, End: reply.End}, requestedAt.Add(-reply.Age))
 			return nil
 		}
 	}
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -155,12 +155,12 @@
 	leadingSince time.Time
 	// leaderFencingToken is the fencing token of the lease that this instance acquired last.
 	leaderFencingToken int64
-	// promisesAskedAt is when other instances were last asked not to claim the lease.
-	promisesAskedAt time.Time
-	state           jujuberegistry.State
-	heartbeatNumber int64
-	lastHeartbeat   time.Time
-	ready           bool
+	// promisesRequestedAt is when the other instances were last requested to promise not to claim the lease.
+	promisesRequestedAt time.Time
+	state               jujuberegistry.State
+	heartbeatNumber     int64
+	lastHeartbeat       time.Time
+	ready               bool
 	// leaveDeadline is when a leaving instance exits; zero before it leaves.
 	leaveDeadline time.Time
 	stopServing   func(ctx context.Context)
--- a/entry/services/jujubenode/outage.go
+++ b/entry/services/jujubenode/outage.go
@@ -63,9 +63,9 @@
 	n.mu.Lock()
 	now := time.Now()
 	addresses := n.claimants()
-	isDue := now.Sub(n.promisesAskedAt) >= promiseInterval
+	isDue := now.Sub(n.promisesRequestedAt) >= promiseInterval
 	if isDue {
-		n.promisesAskedAt = now
+		n.promisesRequestedAt = now
 	}
 	n.mu.Unlock()
 	if !isDue {
--- a/entry/services/jujubenode/processcheck.go
+++ b/entry/services/jujubenode/processcheck.go
@@ -11,7 +11,7 @@
 const (
 	// processCheckTimeout bounds a check of an endpoint's process, including the connections that other instances open for it.
 	processCheckTimeout = 400 * time.Millisecond
-	// maxProcessWitnesses bounds the other instances that are asked in a check.
+	// maxProcessWitnesses bounds the other instances that take part in a check.
 	maxProcessWitnesses = 2
 )
 
@@ -75,7 +75,7 @@
 	Address string
 }
 
-// CheckProcessReply is what the asked instance has found out; neither is true if it doesn't know.
+// CheckProcessReply is the result; neither is true if it isn't known.
 type CheckProcessReply struct {
 	Alive, Gone bool
 }
--- a/entry/services/jujubenode/urgent.go
+++ b/entry/services/jujubenode/urgent.go
@@ -35,15 +35,15 @@
 
 // urgentOutcome is the outcome of a try.
 type urgentOutcome struct {
-	try     urgentTry
-	reply   RelayReply
-	err     error
-	askedAt time.Time
+	try         urgentTry
+	reply       RelayReply
+	err         error
+	requestedAt time.Time
 }
 
 // ReadUrgently returns records like Read, over the path that responds first: the direct one, a new connection, and other
-// instances, started one after the other without waiting for the earlier ones to fail. askedAt is when the try that responded began.
-func (s *relayedStore) ReadUrgently(ctx context.Context, topic Topic, part int, from int64, wait time.Duration, maxBytes int) (batch LogBatch, askedAt time.Time, err error) {
+// instances, started one after the other without waiting for the earlier ones to fail. requestedAt is when the try that responded began.
+func (s *relayedStore) ReadUrgently(ctx context.Context, topic Topic, part int, from int64, wait time.Duration, maxBytes int) (batch LogBatch, requestedAt time.Time, err error) {
 	read := func(wait time.Duration) func(context.Context) (RelayReply, error) {
 		return func(ctx context.Context) (RelayReply, error) {
 			batch, err := s.direct.Read(ctx, topic, part, from, wait, maxBytes)
@@ -52,17 +52,17 @@
 	}
 	args := RelayArgs{Topic: topic, Part: part, Position: from, MaxBytes: maxBytes}
 	outcome := s.race(ctx, wait, read(wait), read(0), "Relay.Read", args)
-	return LogBatch{Records: outcome.reply.Records, End: outcome.reply.Offset}, outcome.askedAt, outcome.err
+	return LogBatch{Records: outcome.reply.Records, End: outcome.reply.Offset}, outcome.requestedAt, outcome.err
 }
 
 // NewestUrgently returns a page of the newest records like Newest, over the path that responds first.
-func (s *relayedStore) NewestUrgently(ctx context.Context, topic Topic, after string) (page LogPage, askedAt time.Time, err error) {
+func (s *relayedStore) NewestUrgently(ctx context.Context, topic Topic, after string) (page LogPage, requestedAt time.Time, err error) {
 	read := func(ctx context.Context) (RelayReply, error) {
 		page, err := s.direct.Newest(ctx, topic, after)
 		return RelayReply{Records: page.Records, Offset: page.End, More: page.More}, err
 	}
 	outcome := s.race(ctx, 0, read, read, "Relay.Newest", RelayArgs{Topic: topic, After: after})
-	return LogPage{Records: outcome.reply.Records, End: outcome.reply.Offset, More: outcome.reply.More}, outcome.askedAt, outcome.err
+	return LogPage{Records: outcome.reply.Records, End: outcome.reply.Offset, More: outcome.reply.More}, outcome.requestedAt, outcome.err
 }
 
 // race makes the tries and returns the first response, or the last failure.
@@ -138,7 +138,7 @@
 func (s *relayedStore) try(ctx context.Context, try urgentTry, method string) urgentOutcome {
 	callCtx, cancel := context.WithTimeout(ctx, try.timeout)
 	defer cancel()
-	outcome := urgentOutcome{try: try, askedAt: time.Now()}
+	outcome := urgentOutcome{try: try, requestedAt: time.Now()}
 	outcome.reply, outcome.err = try.call(callCtx)
 	if outcome.err != nil && ctx.Err() != nil {
 		return outcome
