quarantine: weigh completions by process, software version and success

Callers saw servers end under a request that had ended three before. Any whole response counted as a completion of its content: an error of the server's own, a redirect, the response of another software version. It took back the content's crashes at all instances, and the instance that received it never blamed the content again.

Ruled out: crashes that can't be attributed (the request was alone) and records that don't reach the other instance (without such responses the same requests stop at both).

Now crashes are never taken back. A completion is a success (2xx, signed; a stream has an event) and counts once for its process, only against crashes of its own software version, and one per version from before the first crash. Content is cleared when more processes complete it than end under it (as many on the service's own interface, where each run of a suspect needs a grant), and a quarantine is ended by no completion. A crash is put down to the most suspect of what was in flight: neighbours that complete elsewhere stay served, and one that never ran again doesn't keep a crash from being attributed. Completions are records of their own kind, which earlier builds ignore; crashes that those clear count. A full table keeps suspects with several crashes.

--- a/core/models/jujubemodel/id.go
+++ b/core/models/jujubemodel/id.go
@@ -28,8 +28,8 @@
 	// SoftwareVersion names the build of an endpoint's software. Versions have no order, and what two versions generate doesn't fit
 	// together. Empty means not reported.
 	SoftwareVersion string
-	// CrashID names one crash: the endpoint id and the incarnation that ended.
-	CrashID string
+	// ProcessID names one process of an endpoint: the endpoint id and its incarnation.
+	ProcessID string
 )
 
 // Incarnation is the start time of a process in Unix milliseconds. A higher one replaces a lower one with the same id.
--- a/core/models/jujubemodel/member.go
+++ b/core/models/jujubemodel/member.go
@@ -37,6 +37,7 @@
 	GossipWeights         GossipKind = "Weights"
 	GossipStepAttempt     GossipKind = "StepAttempt"
 	GossipSuspect         GossipKind = "Suspect"
+	GossipCompletion      GossipKind = "Completion"
 	GossipQuarantine      GossipKind = "Quarantine"
 	GossipSuccessor       GossipKind = "Successor"
 	GossipFence           GossipKind = "Fence"
--- a/core/models/jujubemodel/status.go
+++ b/core/models/jujubemodel/status.go
@@ -89,7 +89,7 @@
 	Fingerprint Fingerprint
 	// State is Suspect or Quarantined.
 	State   string
-	Crashes []CrashID
+	Crashes []ProcessID
 	// Until is when the state expires.
 	Until time.Time
 }
--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -90,6 +90,7 @@
 	// EndpointPathChanged and ConnectionRelayed concern this instance's links to all endpoints.
 	EndpointPathChanged Number = 7012
 	ConnectionRelayed   Number = 7013
+	SuspectCompleted    Number = 7014
 
 	InstanceStarted  Number = 8001
 	InstanceReady    Number = 8002
@@ -184,6 +185,7 @@
 		{PermitFailed, "PermitFailed", warn, "The gateway of an endpoint that names a rate didn't respond; this instance uses its own share of the rate for a while."},
 		{EndpointPathChanged, "EndpointPathChanged", warn, "This instance is cut off from the endpoints and connects to them through other instances from now on, or (Direct) reaches them again."},
 		{ConnectionRelayed, "ConnectionRelayed", info, "A connection to an endpoint was opened by another instance, Peer, or couldn't be opened by others either; Error is the reason."},
+		{SuspectCompleted, "SuspectCompleted", info, "An endpoint completed a request whose content is suspected of crashing endpoints; once more processes have completed it than ended, it is cleared."},
 		{InstanceStarted, "InstanceStarted", info, "The process listens; it becomes ready once it has a configuration."},
 		{InstanceReady, "InstanceReady", info, "The instance accepts requests from callers."},
 		{InstanceLeaving, "InstanceLeaving", info, "The graceful shutdown has started; Until is the expiry of the last address response that names the instance."},
--- a/core/services/jujubecore/crash_test.go
+++ b/core/services/jujubecore/crash_test.go
@@ -161,3 +161,62 @@
 	}
 	assert.Assert(t, refused, "content that crashes every engine isn't refused")
 }
+
+// sendCaller sends a caller's request and ends it, and returns the engine that it was dispatched to; empty if it was refused.
+func (s *soloCore) sendCaller(id model.RequestID, content model.Fingerprint, ended func(engine model.EndpointID) core.RequestEnded) model.EndpointID {
+	arrived := core.RequestArrived{ID: id, Kind: model.KindEngine, Model: "llm", Deadline: s.now.Add(time.Minute), Fingerprint: content}
+	actions := s.core.Apply(s.now, arrived)
+	for range 60 { // until the grant of a suspect
+		for _, action := range actions {
+			decided, ok := action.(core.RouteDecided)
+			if !ok || decided.Decision.Request != id {
+				continue
+			}
+			if decided.Decision.Endpoint == "" {
+				return ""
+			}
+			end := ended(decided.Decision.Endpoint)
+			end.ID = id
+			s.core.Apply(s.now, end)
+			return decided.Decision.Endpoint
+		}
+		s.now = s.now.Add(core.TickInterval)
+		actions = s.core.Tick(s.now)
+	}
+	return ""
+}
+
+// TestErrorsClearNoContent guards against content of callers that goes on ending engines because some of them respond to it with an
+// error of their own, before the first crash or between two, or complete it once.
+func TestErrorsClearNoContent(t *testing.T) {
+	const content model.Fingerprint = 7
+	for name, test := range map[string]struct {
+		response core.RequestEnded
+		// limit is the highest number of engines that may end.
+		limit int
+	}{
+		"error":    {core.RequestEnded{OK: true, Failed: true}, 2},
+		"complete": {core.RequestEnded{OK: true}, 3},
+	} {
+		for crashesBefore := range 2 {
+			t.Run(fmt.Sprint(name, " after ", crashesBefore), func(t *testing.T) {
+				s := newSoloCore(t)
+				crashes, responded := 0, false
+				for i := range 30 {
+					s.sendCaller(model.RequestID(fmt.Sprint("r", i)), content, func(engine model.EndpointID) core.RequestEnded {
+						if !responded && crashes == crashesBefore || responded && test.response.Failed && i%2 == 0 {
+							responded = true
+							return test.response
+						}
+						crashes++
+						s.core.Apply(s.now, core.EndpointLost{Endpoint: engine, Incarnation: s.incarnation})
+						return core.RequestEnded{Broken: true}
+					})
+					s.incarnation++
+					s.reportEngines()
+				}
+				assert.Assert(t, responded && crashes <= test.limit, "%d engines ended", crashes)
+			})
+		}
+	}
+}
--- a/core/services/jujubecore/endpoints.go
+++ b/core/services/jujubecore/endpoints.go
@@ -134,6 +134,7 @@
 	if incarnation == 0 || endpoint.isLeaving() {
 		return
 	}
+	ended := jujubequarantine.Process{Endpoint: endpoint.info.ID, Incarnation: incarnation}
 	var inFlight []model.Fingerprint
 	for id, request := range c.requests.All() {
 		if request.owed || request.endpoint != endpoint.info.ID || request.incarnation != incarnation || request.crashCounted {
@@ -142,11 +143,12 @@
 		request.crashCounted = true
 		c.requests.Put(id, request)
 		inFlight = append(inFlight, request.fingerprint)
+		ended.SoftwareVersion = max(ended.SoftwareVersion, request.software)
 	}
 	if len(inFlight) == 0 {
 		return
 	}
-	c.publishAll(now, c.quarantine.RecordCrash(now, jujubequarantine.NewCrashID(endpoint.info.ID, incarnation), inFlight))
+	c.publishAll(now, c.quarantine.RecordCrash(now, ended, inFlight))
 	for _, f := range inFlight {
 		c.unpin(f)
 	}
--- a/core/services/jujubecore/event.go
+++ b/core/services/jujubecore/event.go
@@ -81,7 +81,10 @@
 type RequestEnded struct {
 	event
 	ID model.RequestID
+	// OK is true when the endpoint gave a whole response.
 	OK bool
+	// Failed is true when the response isn't a success: it doesn't prove that the endpoint has run the content.
+	Failed bool
 	// Refused is true when the endpoint responded but didn't run the request.
 	Refused bool
 	// Broken is true when the connection was lost or the endpoint stopped responding.
--- a/core/services/jujubecore/members.go
+++ b/core/services/jujubecore/members.go
@@ -121,7 +121,7 @@
 		if json.Unmarshal(update.Payload, &payload) == nil {
 			c.claims.SetSuccessor(payload.From, payload.Incarnation, payload.To)
 		}
-	case model.GossipSuspect, model.GossipQuarantine:
+	case model.GossipSuspect, model.GossipCompletion, model.GossipQuarantine:
 		c.quarantine.ApplyUpdate(now, update)
 		c.publishAll(now, c.quarantine.PopDerived())
 	}
--- a/core/services/jujubecore/requests.go
+++ b/core/services/jujubecore/requests.go
@@ -21,6 +21,7 @@
 	// endpoint is empty until the request is dispatched.
 	endpoint    model.EndpointID
 	incarnation model.Incarnation
+	software    model.SoftwareVersion
 	// crashCounted is true once the request was reported as in flight in a crash.
 	crashCounted bool
 	// coordinator is the instance that was asked for a grant, or that issued it.
@@ -141,7 +142,7 @@
 			return append(c.admitRequest(now, request), c.applyDecisions(now, freed)...)
 		}
 		request.endpoint = decision.Endpoint
-		request.incarnation = decision.Incarnation
+		request.incarnation, request.software = decision.Incarnation, decision.SoftwareVersion
 		request.retryAt = time.Time{}
 		c.requests.Put(id, request)
 		if !request.owed {
@@ -182,20 +183,21 @@
 	outcome := jujuberouter.Outcome{
 		OK: ended.OK, Failed: ended.Broken, ConnectionRefused: ended.Refused, Tokens: ended.Tokens, Load: ended.Load,
 	}
-	return c.finishRequest(now, ended.ID, outcome)
+	return c.finishRequest(now, ended.ID, outcome, ended.OK && !ended.Failed)
 }
 
-// finishRequest ends a dispatched request and dispatches requests that waited for its capacity.
-func (c *Core) finishRequest(now time.Time, id model.RequestID, outcome jujuberouter.Outcome) []Action {
+// finishRequest ends a dispatched request and dispatches requests that waited for its capacity. Completed reports whether the response
+// proves that the endpoint has run the content.
+func (c *Core) finishRequest(now time.Time, id model.RequestID, outcome jujuberouter.Outcome, completed bool) []Action {
 	request, known := c.requests.Get(id)
 	if !known {
 		return nil
 	}
 	c.requests.Delete(id)
 	if !request.owed {
-		c.finishQuarantineRun(now, request, outcome.OK)
+		c.finishQuarantineRun(now, request, completed)
 	}
-	actions := c.releaseGrant(now, request, outcome.OK)
+	actions := c.releaseGrant(now, request, completed)
 	return append(actions, c.applyDecisions(now, c.router.Finish(now, id, outcome))...)
 }
 
@@ -203,7 +205,9 @@
 func (c *Core) finishQuarantineRun(now time.Time, request requestState, completed bool) {
 	wasRunning := c.quarantine.HasUnprovenRun(request.fingerprint)
 	if completed {
-		c.publishAll(now, c.quarantine.CompleteRun(now, request.fingerprint, request.endpoint))
+		c.publishAll(now, c.quarantine.CompleteRun(now, request.fingerprint, jujubequarantine.Process{
+			Endpoint: request.endpoint, Incarnation: request.incarnation, SoftwareVersion: request.software,
+		}))
 	} else {
 		c.quarantine.RemoveRun(now, request.fingerprint, request.endpoint)
 	}
@@ -218,7 +222,7 @@
 		return nil
 	}
 	if request.endpoint != "" {
-		return c.finishRequest(now, id, jujuberouter.Outcome{OK: false})
+		return c.finishRequest(now, id, jujuberouter.Outcome{OK: false}, false)
 	}
 	c.requests.Delete(id)
 	actions := c.releaseGrant(now, request, false)
--- a/core/services/jujubecore/streams.go
+++ b/core/services/jujubecore/streams.go
@@ -139,7 +139,7 @@
 	c.steps.HandleStreamEnd(now, ended.Stream, end)
 	actions := c.finishRequest(now, model.RequestID(ended.Stream), jujuberouter.Outcome{
 		OK: ended.OK, Failed: ended.Broken, Tokens: ended.Tokens, Load: ended.Load,
-	})
+	}, ended.OK)
 	if ended.OK {
 		// The sample is scored without waiting for the next tick.
 		actions = append(actions, c.tickSteps(now)...)
--- a/core/services/jujubecore/suspects.go
+++ b/core/services/jujubecore/suspects.go
@@ -144,7 +144,7 @@
 	return []Action{ReleaseSuspect{Steward: request.coordinator, Release: release}}
 }
 
-// releaseSuspect ends a grant on the coordinator and records the result of the run.
+// releaseSuspect ends a grant on the coordinator. What the run has proved is among the known updates.
 func (c *Core) releaseSuspect(now time.Time, release SuspectReleased) {
 	for _, update := range release.Known {
 		c.applyGossipUpdate(now, update)
@@ -156,11 +156,7 @@
 		return
 	}
 	c.grants = slices.Delete(c.grants, index, index+1)
-	if release.Completed {
-		c.publishAll(now, c.quarantine.CompleteRun(now, release.Fingerprint, release.Endpoint))
-	} else {
-		c.quarantine.RemoveRun(now, release.Fingerprint, release.Endpoint)
-	}
+	c.quarantine.RemoveRun(now, release.Fingerprint, release.Endpoint)
 	if !c.quarantine.HasUnprovenRun(release.Fingerprint) {
 		c.unpin(release.Fingerprint)
 	}
--- a/core/services/jujubemember/settings.go
+++ b/core/services/jujubemember/settings.go
@@ -62,6 +62,7 @@
 			model.GossipEndpointLeaving: time.Hour,
 			model.GossipStepAttempt:     10 * time.Minute,
 			model.GossipSuspect:         time.Hour,
+			model.GossipCompletion:      time.Hour,
 			model.GossipQuarantine:      24 * time.Hour,
 			model.GossipSuccessor:       20 * time.Minute,
 		},
--- a/core/services/jujubequarantine/attribution.go
+++ b/core/services/jujubequarantine/attribution.go
@@ -1,7 +1,6 @@
 package jujubequarantine
 
 import (
-	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -22,7 +21,7 @@
 		derived.version = v.version + 1 + v.version%2
 	}
 	for _, c := range active[:q.settings.Limit] {
-		derived.crashes = append(derived.crashes, c.id)
+		derived.crashes = append(derived.crashes, c.process)
 	}
 	q.mergeVerdict(now, f, derived)
 	merged, _ := q.verdicts.Get(f)
@@ -30,12 +29,21 @@
 }
 
 // hasReachedLimit reports whether a fingerprint has crashed so many endpoints that it may not run again.
-func (q *Quarantine) hasReachedLimit(now time.Time, f model.Fingerprint, active []crash) bool {
-	return len(active) >= q.settings.SharedLimit || len(active) >= q.settings.Limit && q.ownCrashes(now, f, active) >= q.settings.Limit
+func (q *Quarantine) hasReachedLimit(now time.Time, f model.Fingerprint, active []evidence) bool {
+	if len(active) < q.settings.Limit {
+		return false
+	}
+	a := q.assess(now, f)
+	if q.isSound(a) {
+		return false
+	}
+	own, shared := q.attribute(now, f, a, active)
+	return shared >= q.settings.SharedLimit && a.excess >= q.settings.Limit ||
+		own >= q.settings.Limit && q.settings.SharedLimit > q.settings.Limit
 }
 
 // settledAt returns when all instances have reported what was in flight in the last of some crashes.
-func (q *Quarantine) settledAt(crashes []crash) time.Time {
+func (q *Quarantine) settledAt(crashes []evidence) time.Time {
 	var last time.Time
 	for _, c := range crashes {
 		if c.learnedAt.After(last) {
@@ -45,17 +53,28 @@
 	return last.Add(q.settings.SettleTime)
 }
 
-// ownCrashes returns the number of a fingerprint's crashes in which no other suspect was in flight. A sound request next to crashing
-// ones has none; once it has completed it isn't a suspect any more, and those crashes are the others' own.
-func (q *Quarantine) ownCrashes(now time.Time, f model.Fingerprint, active []crash) int {
-	own := slices.Clone(active)
+// attribute returns the numbers of a fingerprint's crashes that are its own, as all others that were in flight are less suspect, and
+// of those that nothing more suspect was in flight in. A sound request next to crashing ones completes on other processes, or isn't
+// in flight in further crashes.
+func (q *Quarantine) attribute(now time.Time, f model.Fingerprint, a assessment, active []evidence) (own, shared int) {
+	isShared, isOthers := map[model.ProcessID]bool{}, map[model.ProcessID]bool{}
 	for other := range q.suspects.All() {
 		if other == f {
 			continue
 		}
-		for _, shared := range q.activeCrashes(now, other) {
-			own = slices.DeleteFunc(own, func(c crash) bool { return c.id == shared.id })
+		b := q.assess(now, other)
+		for _, crash := range q.activeCrashes(now, other) {
+			isShared[crash.process] = isShared[crash.process] || !b.isLessSuspect(a)
+			isOthers[crash.process] = isOthers[crash.process] || a.isLessSuspect(b)
+		}
+	}
+	for _, crash := range active {
+		if !isShared[crash.process] {
+			own++
+		}
+		if !isOthers[crash.process] {
+			shared++
 		}
 	}
-	return len(own)
+	return own, shared
 }
--- a/core/services/jujubequarantine/list.go
+++ b/core/services/jujubequarantine/list.go
@@ -11,7 +11,7 @@
 type Entry struct {
 	Fingerprint model.Fingerprint
 	State       Status
-	Crashes     []model.CrashID
+	Crashes     []model.ProcessID
 	Until       time.Time
 }
 
@@ -45,7 +45,7 @@
 		}
 		entry := Entry{Fingerprint: f, State: Suspect}
 		for _, c := range q.activeCrashes(q.latestTime, f) {
-			entry.Crashes = append(entry.Crashes, c.id)
+			entry.Crashes = append(entry.Crashes, c.process)
 			if c.until.After(entry.Until) {
 				entry.Until = c.until
 			}
--- a/core/services/jujubequarantine/quarantine.go
+++ b/core/services/jujubequarantine/quarantine.go
@@ -5,23 +5,25 @@
 //
 // Both interfaces use it. On the service's own interface updates are spread by gossip, suspects run one at a time, through the
 // coordinator only, and the second crash quarantines. On the platform updates are in the store, and instances don't coordinate
-// the runs of suspects: several fingerprints may be in flight in the same crashes, so only crashes under one suspect alone count
-// at once (see ownCrashes), and the third one quarantines.
+// the runs of suspects: several fingerprints may be in flight in the same crashes, so a crash counts at once only against the one
+// that is most suspect of those that were in flight in it (see attribute), and the third one quarantines.
+//
+// What clears a fingerprint is that more processes complete it than end under it, of the same software version. A response proves
+// nothing unless it is a success, and a process counts once: some endpoints that respond without having run the request, or that
+// run software which doesn't crash, can't clear one that ends the others. No completion ends a quarantine.
 //
 // Known limitations of the service's own interface:
 //   - More than two endpoints crash when the first runs of a fingerprint go through different instances at the same time, or are
 //     retried before the gossip update of a crash arrives: each instance allows two crashes of its own.
 //   - While instances disagree about the membership, two of them may both act as the coordinator and each run the suspect once.
-//   - An innocent fingerprint is quarantined when it is in flight in two crashes: with copies that two instances run, or as a
-//     suspect next to a second crashing fingerprint that isn't known yet.
-//   - A fingerprint that crashes only some of its runs isn't detected once it has completed.
+//   - An innocent fingerprint is quarantined when it is in flight in two crashes and hasn't completed: with copies that two instances
+//     run, or as a suspect next to a second crashing fingerprint that isn't known yet.
+//   - A fingerprint that crashes only some of its runs isn't detected while as many processes complete it.
 //   - All suspicions are lost when all instances restart.
 package jujubequarantine
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -48,11 +50,15 @@
 	MaxSuspects int
 	// MaxVerdicts bounds the fingerprints with verdicts.
 	MaxVerdicts int
-	// Limit is the number of crashes in which no other suspect was in flight that quarantine a fingerprint; two by default.
+	// Limit is the number of crashes of its own that quarantine a fingerprint; two by default.
 	Limit int
-	// SharedLimit is the number of crashes that quarantine a fingerprint whatever was in flight with it; by default it is Limit,
-	// for instances that never run two suspects on one endpoint.
+	// SharedLimit is the number of crashes without a more suspect fingerprint that quarantine one, if by Limit fewer processes have
+	// completed it. By default it is Limit, for instances that never run two suspects on one endpoint: they needn't find out which
+	// crashes are a fingerprint's own.
 	SharedLimit int
+	// SoundMargin is by how many processes those that completed a fingerprint have to exceed those that ended under it until it is
+	// no suspect any more.
+	SoundMargin int
 	// SettleTime is how long after a crash other instances may still report fingerprints that were in flight in it. Until
 	// then a fingerprint that has reached the limit is refused, and isn't quarantined yet.
 	SettleTime time.Duration
@@ -61,29 +67,14 @@
 // PlatformSettings returns settings for instances that share updates through the platform's store and don't coordinate the runs
 // of suspects. An update is read by all instances some ms after it was written.
 func PlatformSettings() Settings {
-	return Settings{Limit: 3, SharedLimit: 5, SettleTime: 300 * time.Millisecond}
-}
-
-// suspicion holds the crashes that a fingerprint was in flight in.
-type suspicion struct {
-	// crashes is sorted by id. Cleared crashes are kept, so that a late gossip update about them has no effect.
-	crashes []crash
-}
-
-// crash is the crash of an endpoint. A cleared crash no longer counts against the fingerprint.
-type crash struct {
-	id      model.CrashID
-	until   time.Time
-	cleared bool
-	// learnedAt is when this instance learned of the crash.
-	learnedAt time.Time
+	return Settings{Limit: 3, SharedLimit: 5, SoundMargin: 1, SettleTime: 300 * time.Millisecond}
 }
 
 // verdict is a quarantine (odd version) or the lift of one (even version).
 type verdict struct {
 	version int64
 	// crashes holds the crashes that led to a quarantine, at most Settings.Limit, or those that a lift cleared.
-	crashes []model.CrashID
+	crashes []model.ProcessID
 	until   time.Time
 }
 
@@ -100,7 +91,7 @@
 	// runsByEndpoint holds the fingerprints that this instance runs on an endpoint, once per run.
 	runsByEndpoint map[model.EndpointID][]model.Fingerprint
 	// completed holds the fingerprints that have completed; completedOrder has the same ones, oldest first.
-	completed      map[model.Fingerprint]bool
+	completed      map[model.Fingerprint]completedContent
 	completedOrder []model.Fingerprint
 	// derived holds the verdicts that resulted from merged crashes, until PopDerived returns them.
 	derived []model.Rumour
@@ -132,36 +123,8 @@
 	return &Quarantine{
 		settings: settings, suspects: jujubetable.New[model.Fingerprint, *suspicion](),
 		verdicts: jujubetable.New[model.Fingerprint, *verdict](), runsByFingerprint: map[model.Fingerprint][]model.EndpointID{},
-		runsByEndpoint: map[model.EndpointID][]model.Fingerprint{}, completed: map[model.Fingerprint]bool{},
-	}
-}
-
-// NewCrashID returns the id of the crash of an endpoint's incarnation.
-func NewCrashID(endpoint model.EndpointID, incarnation model.Incarnation) model.CrashID {
-	return model.CrashID(string(endpoint) + "~" + strconv.FormatInt(int64(incarnation), 10))
-}
-
-// crashIDEndpoint returns the endpoint that a crash id names.
-func crashIDEndpoint(id model.CrashID) model.EndpointID {
-	if separator := strings.LastIndexByte(string(id), '~'); separator >= 0 {
-		return model.EndpointID(id[:separator])
+		runsByEndpoint: map[model.EndpointID][]model.Fingerprint{}, completed: map[model.Fingerprint]completedContent{},
 	}
-	return model.EndpointID(id)
-}
-
-// activeCrashes returns the crashes that count against a fingerprint: those neither cleared nor expired.
-func (q *Quarantine) activeCrashes(now time.Time, f model.Fingerprint) []crash {
-	s, ok := q.suspects.Get(f)
-	if !ok {
-		return nil
-	}
-	var active []crash
-	for _, c := range s.crashes {
-		if !c.cleared && now.Before(c.until) {
-			active = append(active, c)
-		}
-	}
-	return active
 }
 
 // Check returns the status of a fingerprint. The verdict that it may derive is returned by PopDerived.
@@ -175,7 +138,7 @@
 	}
 	active := q.activeCrashes(now, f)
 	switch {
-	case len(active) == 0:
+	case q.isSound(q.assess(now, f)):
 		return Clear
 	case q.hasReachedLimit(now, f, active):
 		return Quarantined
@@ -211,7 +174,7 @@
 	case Suspect:
 		return q.AdmitSuspect(now, f, endpoint)
 	}
-	if q.completed[f] || slices.Contains(q.runsByFingerprint[f], endpoint) {
+	if q.completed[f] != nil || slices.Contains(q.runsByFingerprint[f], endpoint) {
 		return true
 	}
 	return !q.HasUnprovenRun(f)
@@ -219,7 +182,7 @@
 
 // HasUnprovenRun reports whether this instance runs the fingerprint and it has never completed.
 func (q *Quarantine) HasUnprovenRun(f model.Fingerprint) bool {
-	return !q.completed[f] && len(q.runsByFingerprint[f]) > 0
+	return q.completed[f] == nil && len(q.runsByFingerprint[f]) > 0
 }
 
 // UnprovenRunEndpoints returns the endpoints on which this instance runs the fingerprint, if it has never completed.
@@ -285,46 +248,34 @@
 	return true
 }
 
-// CompleteRun records that a run completed. It clears the fingerprint's crashes, but no verdict, and returns gossip updates of
-// the cleared crashes.
-func (q *Quarantine) CompleteRun(now time.Time, f model.Fingerprint, endpoint model.EndpointID) []model.Rumour {
-	q.RemoveRun(now, f, endpoint)
-	if !q.completed[f] {
-		if len(q.completedOrder) >= q.settings.MaxSuspects {
-			delete(q.completed, q.completedOrder[0])
-			q.completedOrder = append(q.completedOrder[:0], q.completedOrder[1:]...)
-		}
-		q.completed[f] = true
-		q.completedOrder = append(q.completedOrder, f)
-	}
-	if q.Check(now, f) != Suspect {
+// CompleteRun records that a process completed a run with success, and returns gossip updates of what that proves. It ends no
+// quarantine.
+func (q *Quarantine) CompleteRun(now time.Time, f model.Fingerprint, process Process) []model.Rumour {
+	q.RemoveRun(now, f, process.Endpoint)
+	q.rememberCompletion(now, f, process)
+	if len(q.activeCrashes(now, f)) == 0 {
 		return nil
 	}
-	var updates []model.Rumour
-	for _, c := range q.activeCrashes(now, f) {
-		c.cleared = true
-		q.mergeCrash(now, f, c)
-		updates = append(updates, newSuspectUpdate(f, c))
-	}
-	return updates
+	return q.addCompletion(now, f, process, now)
 }
 
-// RecordCrash blames a crash on the fingerprints that this instance had in flight on the endpoint, and returns gossip updates
-// of it. A fingerprint that has completed before isn't blamed, as it doesn't crash every endpoint that runs it.
-func (q *Quarantine) RecordCrash(now time.Time, id model.CrashID, inFlight []model.Fingerprint) []model.Rumour {
+// RecordCrash blames the crash of a process on the fingerprints that this instance had in flight on it, and returns gossip updates
+// of that.
+func (q *Quarantine) RecordCrash(now time.Time, process Process, inFlight []model.Fingerprint) []model.Rumour {
 	var updates []model.Rumour
 	fingerprints := slices.Clone(inFlight)
 	slices.Sort(fingerprints)
 	for _, f := range slices.Compact(fingerprints) {
-		for q.RemoveRun(now, f, crashIDEndpoint(id)) {
+		for q.RemoveRun(now, f, process.Endpoint) {
 			continue
 		}
-		if q.completed[f] {
+		e := evidence{process: process.ID(), software: process.SoftwareVersion, until: now.Add(q.settings.SuspicionTTL)}
+		if !q.mergeCrash(now, f, e) {
 			continue
 		}
-		c := crash{id: id, until: now.Add(q.settings.SuspicionTTL)}
-		if q.mergeCrash(now, f, c) {
-			updates = append(updates, newSuspectUpdate(f, c))
+		updates = append(updates, newSuspectUpdate(f, e))
+		if earlier, ok := q.earlierCompletion(now, f, process.SoftwareVersion); ok {
+			updates = append(updates, q.addCompletion(now, f, earlier.process, earlier.at)...)
 		}
 	}
 	return append(updates, q.PopDerived()...)
@@ -345,7 +296,7 @@
 		lift.crashes = slices.Clone(v.crashes)
 	}
 	for _, c := range q.activeCrashes(now, f) {
-		lift.crashes = append(lift.crashes, c.id)
+		lift.crashes = append(lift.crashes, c.process)
 	}
 	q.mergeVerdict(now, f, lift)
 	v, _ := q.verdicts.Get(f)
--- a/core/services/jujubequarantine/runs.go
+++ b/core/services/jujubequarantine/runs.go
@@ -16,8 +16,12 @@
 type Attempt struct {
 	ID          model.RequestID
 	Fingerprint model.Fingerprint
-	Endpoint    model.EndpointID
-	Incarnation model.Incarnation
+	Process     Process
+}
+
+// isOn reports whether the run is on an incarnation of an endpoint.
+func (a Attempt) isOn(endpoint model.EndpointID, incarnation model.Incarnation) bool {
+	return a.Process.Endpoint == endpoint && a.Process.Incarnation == incarnation
 }
 
 // RunTracker tracks the runs of fingerprints on the incarnations of endpoints, and blames those that were in flight when an
@@ -52,24 +56,24 @@
 // Start records that a run starts.
 func (t *RunTracker) Start(now time.Time, attempt Attempt) {
 	t.running.Put(attempt.ID, attempt)
-	t.quarantine.AddRun(now, attempt.Fingerprint, attempt.Endpoint)
+	t.quarantine.AddRun(now, attempt.Fingerprint, attempt.Process.Endpoint)
 }
 
-// Complete records that a run got its whole response, and returns the updates that clear its fingerprint.
+// Complete records that a run got a whole response that is a success, and returns the updates about that.
 func (t *RunTracker) Complete(now time.Time, id model.RequestID) []model.Rumour {
 	attempt, ok := t.running.Get(id)
 	if !ok {
 		return nil
 	}
 	t.running.Delete(id)
-	return t.quarantine.CompleteRun(now, attempt.Fingerprint, attempt.Endpoint)
+	return t.quarantine.CompleteRun(now, attempt.Fingerprint, attempt.Process)
 }
 
-// Cancel records that a run didn't start, or was cancelled by this instance.
+// Cancel records that a run didn't start, was cancelled by this instance, or got a response that proves nothing about its content.
 func (t *RunTracker) Cancel(now time.Time, id model.RequestID) {
 	if attempt, ok := t.running.Get(id); ok {
 		t.running.Delete(id)
-		t.quarantine.RemoveRun(now, attempt.Fingerprint, attempt.Endpoint)
+		t.quarantine.RemoveRun(now, attempt.Fingerprint, attempt.Process.Endpoint)
 	}
 }
 
@@ -82,9 +86,10 @@
 	}
 	t.Cancel(now, id)
 	t.broken = slices.DeleteFunc(t.broken, func(run brokenRun) bool { return now.Sub(run.at) > brokenRetention })
-	t.broken = append(t.broken, brokenRun{attempt, now})
-	if crashed, ok := t.crashed[attempt.Endpoint]; ok && crashed.incarnation == attempt.Incarnation {
-		return t.RecordCrash(now, attempt.Endpoint, attempt.Incarnation), false
+	t.broken = append(t.broken, brokenRun{attempt: attempt, at: now})
+	process := attempt.Process
+	if crashed, ok := t.crashed[process.Endpoint]; ok && crashed.incarnation == process.Incarnation {
+		return t.RecordCrash(now, process.Endpoint, process.Incarnation), false
 	}
 	return nil, true
 }
@@ -93,27 +98,27 @@
 // connection.
 func (t *RunTracker) RecordAlive(before time.Time, endpoint model.EndpointID, incarnation model.Incarnation) {
 	t.broken = slices.DeleteFunc(t.broken, func(run brokenRun) bool {
-		return run.attempt.Endpoint == endpoint && run.attempt.Incarnation == incarnation && !run.at.After(before)
+		return run.attempt.isOn(endpoint, incarnation) && !run.at.After(before)
 	})
 }
 
 // RecordRemoval blames the crash of an incarnation whose registry entry has expired on the runs that broke off on it. Those in
 // flight aren't blamed: an endpoint may go on serving without an entry.
 func (t *RunTracker) RecordRemoval(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Rumour {
-	return t.quarantine.RecordCrash(now, NewCrashID(endpoint, incarnation), t.takeBroken(now, endpoint, incarnation))
+	return t.blame(now, endpoint, incarnation, t.takeBroken(now, endpoint, incarnation))
 }
 
-// takeBroken removes the runs on an incarnation that broke off, and returns the fingerprints of those that did recently.
-func (t *RunTracker) takeBroken(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Fingerprint {
-	var fingerprints []model.Fingerprint
+// takeBroken removes the runs on an incarnation that broke off, and returns those that did recently.
+func (t *RunTracker) takeBroken(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []Attempt {
+	var attempts []Attempt
 	t.broken = slices.DeleteFunc(t.broken, func(run brokenRun) bool {
-		isOn := run.attempt.Endpoint == endpoint && run.attempt.Incarnation == incarnation
+		isOn := run.attempt.isOn(endpoint, incarnation)
 		if isOn && now.Sub(run.at) <= brokenRetention {
-			fingerprints = append(fingerprints, run.attempt.Fingerprint)
+			attempts = append(attempts, run.attempt)
 		}
 		return isOn
 	})
-	return fingerprints
+	return attempts
 }
 
 // RecordCrash blames the crash of an incarnation on the runs that were in flight on it, and returns the updates about that.
@@ -127,11 +132,22 @@
 	inFlight := t.takeBroken(now, endpoint, incarnation)
 	for _, attempt := range t.running.All() {
 		// It stays in the table: it may be in flight on the next process already, and complete.
-		if attempt.Endpoint == endpoint && attempt.Incarnation == incarnation {
-			inFlight = append(inFlight, attempt.Fingerprint)
+		if attempt.isOn(endpoint, incarnation) {
+			inFlight = append(inFlight, attempt)
 		}
 	}
-	return t.quarantine.RecordCrash(now, NewCrashID(endpoint, incarnation), inFlight)
+	return t.blame(now, endpoint, incarnation, inFlight)
+}
+
+// blame blames the crash of an incarnation on the runs that were in flight on it.
+func (t *RunTracker) blame(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation, inFlight []Attempt) []model.Rumour {
+	process := Process{Endpoint: endpoint, Incarnation: incarnation}
+	var fingerprints []model.Fingerprint
+	for _, attempt := range inFlight {
+		process.SoftwareVersion = max(process.SoftwareVersion, attempt.Process.SoftwareVersion)
+		fingerprints = append(fingerprints, attempt.Fingerprint)
+	}
+	return t.quarantine.RecordCrash(now, process, fingerprints)
 }
 
 // SuspectEndpoints returns the endpoints on which this instance runs suspects other than the fingerprint, which better don't run
@@ -140,7 +156,7 @@
 	var endpoints []model.EndpointID
 	for _, attempt := range t.running.All() {
 		if attempt.Fingerprint != f && t.quarantine.Check(now, attempt.Fingerprint) != Clear {
-			endpoints = append(endpoints, attempt.Endpoint)
+			endpoints = append(endpoints, attempt.Process.Endpoint)
 		}
 	}
 	slices.Sort(endpoints)
--- a/core/services/jujubequarantine/update.go
+++ b/core/services/jujubequarantine/update.go
@@ -1,7 +1,6 @@
 package jujubequarantine
 
 import (
-	"cmp"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -12,34 +11,41 @@
 	"jujubepier.example/core/models/jujubetable"
 )
 
-// maxCrashes bounds the crashes that are kept per fingerprint and listed by a lift, so that a gossip update stays below 1 KB.
-const maxCrashes = 8
-
-// Versions of a GossipSuspect. Its key consists of the fingerprint and the crash. With one key per fingerprint, two crashes that
-// are detected at the same time would get the same version, and one of them would be lost.
 const (
-	versionSuspect = 1
-	versionCleared = 2
+	// maxCrashes bounds the crashes that are kept per fingerprint and listed by a lift, so that a gossip update stays below 1 KB.
+	maxCrashes = 8
+	// maxCompletions bounds the completions that are kept per fingerprint; those of two software versions can outweigh maxCrashes.
+	maxCompletions = 2 * (maxCrashes + 1)
 )
 
-// suspectPayload is the payload of a GossipSuspect.
-type suspectPayload struct {
-	Until time.Time
+// versionEvidence is the version of a GossipSuspect and of a GossipCompletion. Their keys consist of the fingerprint and the process.
+// With one key per fingerprint, two crashes that are detected at the same time would get the same version, and one of them would be
+// lost. Earlier builds publish a version 2 for crashes that any response of another endpoint has cleared; here these count.
+const versionEvidence = 1
+
+// evidencePayload is the payload of a GossipSuspect, for a process that ended, and of a GossipCompletion.
+type evidencePayload struct {
+	Until           time.Time
+	SoftwareVersion model.SoftwareVersion `json:",omitempty"`
 }
 
 // verdictPayload is the payload of a GossipQuarantine, whose odd versions quarantine and whose even versions lift.
 type verdictPayload struct {
-	Crashes []model.CrashID
+	Crashes []model.ProcessID
 	Until   time.Time
 }
 
-func newSuspectUpdate(f model.Fingerprint, c crash) model.Rumour {
-	payload, _ := json.Marshal(suspectPayload{Until: c.until.UTC()}) // can't fail: JSON can encode a time of this era
-	update := model.Rumour{Kind: model.GossipSuspect, Key: formatKey(f) + "/" + string(c.id), Version: versionSuspect, Payload: payload}
-	if c.cleared {
-		update.Version = versionCleared
-	}
-	return update
+func newSuspectUpdate(f model.Fingerprint, e evidence) model.Rumour {
+	return newEvidenceUpdate(model.GossipSuspect, f, e)
+}
+
+func newCompletionUpdate(f model.Fingerprint, e evidence) model.Rumour {
+	return newEvidenceUpdate(model.GossipCompletion, f, e)
+}
+
+func newEvidenceUpdate(kind model.GossipKind, f model.Fingerprint, e evidence) model.Rumour {
+	payload, _ := json.Marshal(evidencePayload{Until: e.until.UTC(), SoftwareVersion: e.software}) // can't fail: JSON can encode a time of this era
+	return model.Rumour{Kind: kind, Key: formatKey(f) + "/" + string(e.process), Version: versionEvidence, Payload: payload}
 }
 
 func newVerdictUpdate(f model.Fingerprint, v *verdict) model.Rumour {
@@ -49,12 +55,15 @@
 
 func formatKey(f model.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
 
-// UpdatesFor returns the gossip updates of all crashes and the verdict that this instance has for a fingerprint.
+// UpdatesFor returns the gossip updates of all crashes, completions and the verdict that this instance has for a fingerprint.
 func (q *Quarantine) UpdatesFor(_ time.Time, f model.Fingerprint) []model.Rumour {
 	var updates []model.Rumour
 	if s, ok := q.suspects.Get(f); ok {
-		for _, c := range s.crashes {
-			updates = append(updates, newSuspectUpdate(f, c))
+		for _, e := range s.crashes {
+			updates = append(updates, newSuspectUpdate(f, e))
+		}
+		for _, e := range s.completions {
+			updates = append(updates, newCompletionUpdate(f, e))
 		}
 	}
 	if v, ok := q.verdicts.Get(f); ok {
@@ -71,13 +80,16 @@
 		return false
 	}
 	switch update.Kind {
-	case model.GossipSuspect:
-		var payload suspectPayload
+	case model.GossipSuspect, model.GossipCompletion:
+		var payload evidencePayload
 		if id == "" || json.Unmarshal(update.Payload, &payload) != nil {
 			return false
 		}
-		c := crash{id: model.CrashID(id), until: payload.Until, cleared: update.Version >= versionCleared}
-		return q.mergeCrash(now, model.Fingerprint(value), c)
+		e := evidence{process: model.ProcessID(id), software: payload.SoftwareVersion, until: payload.Until}
+		if update.Kind == model.GossipCompletion {
+			return q.mergeCompletion(now, model.Fingerprint(value), e)
+		}
+		return q.mergeCrash(now, model.Fingerprint(value), e)
 	case model.GossipQuarantine:
 		var payload verdictPayload
 		if json.Unmarshal(update.Payload, &payload) != nil {
@@ -91,14 +103,14 @@
 
 // Expiry returns when an update expires; zero if it is malformed.
 func Expiry(update model.Rumour) time.Time {
-	var payload suspectPayload // a verdict has the field, too
+	var payload evidencePayload // a verdict has the field, too
 	if err := json.Unmarshal(update.Payload, &payload); err != nil {
 		return time.Time{}
 	}
 	return payload.Until
 }
 
-// RemoveUpdate forgets the crash or the verdict of an update with this kind and key. An operator removes all those of a
+// RemoveUpdate forgets the crash, the completion or the verdict of an update with this kind and key. An operator removes all those of a
 // fingerprint from the store to let it run again.
 func (q *Quarantine) RemoveUpdate(kind model.GossipKind, key string) {
 	fingerprint, id, _ := strings.Cut(key, "/")
@@ -115,8 +127,13 @@
 	if !ok {
 		return
 	}
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.id == model.CrashID(id) })
-	if len(s.crashes) == 0 {
+	isRemoved := func(e evidence) bool { return e.process == model.ProcessID(id) }
+	if kind == model.GossipCompletion {
+		s.completions = slices.DeleteFunc(s.completions, isRemoved)
+	} else {
+		s.crashes = slices.DeleteFunc(s.crashes, isRemoved)
+	}
+	if len(s.crashes)+len(s.completions) == 0 {
 		q.suspects.Delete(f)
 	}
 }
@@ -128,62 +145,39 @@
 	return b
 }
 
-// mergeCrash merges a crash into a fingerprint's suspicion and reports whether that changed it. A cleared crash takes precedence
-// over the same crash uncleared, and the later expiry over the earlier one.
-func (q *Quarantine) mergeCrash(now time.Time, f model.Fingerprint, c crash) bool {
-	c.until = earliest(c.until, now.Add(q.settings.SuspicionTTL)) // another instance's clock may be ahead
-	if !now.Before(c.until) {
-		return false
-	}
+// mergeCrash merges a crash into a fingerprint's suspicion and reports whether that changed it.
+func (q *Quarantine) mergeCrash(now time.Time, f model.Fingerprint, e evidence) bool {
 	v, hasVerdict := q.verdicts.Get(f)
-	if hasVerdict && v.version%2 == 0 && now.Before(v.until) && slices.Contains(v.crashes, c.id) {
-		c.cleared = true
+	e.lifted = hasVerdict && v.version%2 == 0 && now.Before(v.until) && slices.Contains(v.crashes, e.process)
+	return q.mergeInto(now, f, e, func(s *suspicion) *[]evidence { return &s.crashes }, maxCrashes)
+}
+
+// mergeCompletion merges a completion into a fingerprint's suspicion and reports whether that changed it. It may arrive before the
+// crash.
+func (q *Quarantine) mergeCompletion(now time.Time, f model.Fingerprint, e evidence) bool {
+	return q.mergeInto(now, f, e, func(s *suspicion) *[]evidence { return &s.completions }, maxCompletions)
+}
+
+func (q *Quarantine) mergeInto(now time.Time, f model.Fingerprint, e evidence, list func(*suspicion) *[]evidence, limit int) bool {
+	e.until = earliest(e.until, now.Add(q.settings.SuspicionTTL)) // another instance's clock may be ahead
+	if !now.Before(e.until) {
+		return false
 	}
 	s, ok := q.suspects.Get(f)
 	if !ok {
 		s = &suspicion{}
-		insertBounded(q.suspects, f, s, q.settings.MaxSuspects, (*suspicion).expiry)
+		insertBounded(q.suspects, f, s, q.settings.MaxSuspects, (*suspicion).compareForEviction)
 	}
-	c.learnedAt = now
-	changed := s.merge(now, c)
+	e.learnedAt = now
+	all := list(s)
+	var changed bool
+	*all, changed = mergeEvidence(now, *all, e, limit)
 	q.derive(now, f)
 	return changed
 }
 
-// merge adds or updates a crash and reports whether that changed anything. It drops expired crashes, and the one that expires
-// first when there are too many.
-func (s *suspicion) merge(now time.Time, c crash) bool {
-	index, found := slices.BinarySearchFunc(s.crashes, c.id, func(c crash, id model.CrashID) int { return cmp.Compare(c.id, id) })
-	if found {
-		old := s.crashes[index]
-		c.cleared, c.learnedAt = c.cleared || old.cleared, old.learnedAt
-		if old.until.After(c.until) {
-			c.until = old.until
-		}
-		s.crashes[index] = c
-		return c.cleared != old.cleared || !c.until.Equal(old.until)
-	}
-	s.crashes = slices.Insert(s.crashes, index, c)
-	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !now.Before(c.until) })
-	if len(s.crashes) > maxCrashes {
-		oldest := slices.MinFunc(s.crashes, func(a, b crash) int { return a.until.Compare(b.until) })
-		s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return c.id == oldest.id })
-	}
-	return true
-}
-
-// expiry returns when the last crash expires.
-func (s *suspicion) expiry() time.Time {
-	var latest time.Time
-	for _, c := range s.crashes {
-		if c.until.After(latest) {
-			latest = c.until
-		}
-	}
-	return latest
-}
-
-func (v *verdict) expiry() time.Time { return v.until }
+// compareForEviction orders verdicts: those that expire first are evicted first.
+func (v *verdict) compareForEviction(other *verdict) int { return v.until.Compare(other.until) }
 
 // mergeVerdict merges a verdict and reports whether that changed anything. The higher version takes precedence. Verdicts of the
 // same version are merged to the union of their crashes: at most the lowest Settings.Limit ids for a quarantine,
@@ -216,26 +210,27 @@
 	if ok {
 		*old = v
 	} else {
-		insertBounded(q.verdicts, f, &v, q.settings.MaxVerdicts, (*verdict).expiry)
+		insertBounded(q.verdicts, f, &v, q.settings.MaxVerdicts, (*verdict).compareForEviction)
 	}
 	if s, found := q.suspects.Get(f); found && v.version%2 == 0 {
 		for i := range s.crashes {
-			s.crashes[i].cleared = s.crashes[i].cleared || slices.Contains(v.crashes, s.crashes[i].id)
+			s.crashes[i].lifted = s.crashes[i].lifted || slices.Contains(v.crashes, s.crashes[i].process)
 		}
 	}
 	return true
 }
 
-// insertBounded adds an entry to a bounded table. When the table is full, it evicts the entry that expires first.
+// insertBounded adds an entry to a bounded table. When the table is full, it evicts the lowest entry.
 func insertBounded[V any](table *jujubetable.Table[model.Fingerprint, V], f model.Fingerprint, entry V, limit int,
-	expiry func(V) time.Time,
+	compare func(a, b V) int,
 ) {
 	if table.Len() >= limit {
 		var evicted model.Fingerprint
-		var firstExpiry time.Time
+		var lowest V
+		isFirst := true
 		for key, other := range table.All() {
-			if at := expiry(other); firstExpiry.IsZero() || at.Before(firstExpiry) {
-				evicted, firstExpiry = key, at
+			if isFirst || compare(other, lowest) < 0 {
+				evicted, lowest, isFirst = key, other, false
 			}
 		}
 		table.Delete(evicted)
--- a/entry/services/jujubeentry/call.go
+++ b/entry/services/jujubeentry/call.go
@@ -48,6 +48,10 @@
 	Repeated bool
 }
 
+func (a CallAnswer) isSuccess() bool {
+	return a.Status >= http.StatusOK && a.Status < http.StatusMultipleChoices
+}
+
 // CallService routes a call to a server of a plain service. Idempotent calls are retried on other servers when one fails;
 // non-idempotent calls run at most once.
 func (s *Service) CallService(ctx context.Context, call Call) (CallAnswer, error) {
@@ -118,7 +122,9 @@
 	if err != nil && sent {
 		s.probeLost(ctx, decision.Endpoint)
 	}
-	s.apply(jujubecore.RequestEnded{ID: decision.Request, OK: err == nil, Broken: err != nil && ctx.Err() == nil})
+	s.apply(jujubecore.RequestEnded{
+		ID: decision.Request, OK: err == nil, Failed: err == nil && !result.isSuccess(), Broken: err != nil && ctx.Err() == nil,
+	})
 	if err == nil {
 		return result, decision.Endpoint, true, nil
 	}
--- a/entry/services/jujubenode/crashes.go
+++ b/entry/services/jujubenode/crashes.go
@@ -104,21 +104,26 @@
 	}
 	if f.fingerprint != 0 {
 		n.crashes.runs.Start(now, jujubequarantine.Attempt{
-			ID: id, Fingerprint: f.fingerprint, Endpoint: decision.Endpoint, Incarnation: decision.Incarnation,
+			ID: id, Fingerprint: f.fingerprint, Process: jujubequarantine.Process{
+				Endpoint: decision.Endpoint, Incarnation: decision.Incarnation, SoftwareVersion: decision.SoftwareVersion,
+			},
 		})
 	}
 	return nil
 }
 
 // endRun records how an attempt ended, and reports whether its endpoint has to be checked because it broke off. The lock is held.
-func (n *Node) endRun(ctx context.Context, now time.Time, id model.RequestID, err error) bool {
+func (n *Node) endRun(ctx context.Context, now time.Time, id model.RequestID, response Response, err error) bool {
 	runs := n.crashes.runs
 	var callErr ErrCall
 	var updates []model.Rumour
 	isPending := false
 	switch {
-	case err == nil:
+	case err == nil && response.isSuccess():
 		updates = runs.Complete(now, id)
+		n.logCompletion(id, updates)
+	case err == nil:
+		runs.Cancel(now, id)
 	case !errors.As(err, &callErr) || callErr.Ran == model.RanNo:
 		runs.Cancel(now, id)
 	default:
@@ -129,6 +134,16 @@
 	return isPending && ctx.Err() == nil
 }
 
+// logCompletion logs what a completion proves about a suspect.
+func (n *Node) logCompletion(id model.RequestID, updates []model.Rumour) {
+	for _, update := range updates {
+		n.log.Write(jujubeevent.SuspectCompleted, func() logrus.Fields {
+			fingerprint, process, _ := strings.Cut(update.Key, "/")
+			return logrus.Fields{"Request": id, "Fingerprint": fingerprint, "Process": process}
+		})
+	}
+}
+
 // awaitProcessCheck waits until it is known whether the endpoint of a call that broke off has crashed, for a limited time. One
 // check serves all calls to an endpoint that break off at the same time.
 func (n *Node) awaitProcessCheck(ctx context.Context, call Call) {
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -52,10 +52,18 @@
 	Body   []byte
 	// Stamp is the endpoint's signature of the response; empty if there is none.
 	Stamp string
+	// Empty is true for a stream that ended without an event.
+	Empty bool
 	// Running, Waiting and Slots are the endpoint's load; Slots is zero if the endpoint doesn't report it.
 	Running, Waiting, Slots int
 }
 
+// isSuccess reports whether the response shows that the endpoint has run the request. Other responses may come from an endpoint that
+// didn't get that far.
+func (r Response) isSuccess() bool {
+	return r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices && r.Stamp != "" && !r.Empty
+}
+
 // EndpointCaller sends plain requests to endpoints.
 type EndpointCaller interface {
 	Call(ctx context.Context, call Call) (Response, error)
@@ -291,7 +299,7 @@
 		})
 	}
 	n.deliverDecisions(n.router.Finish(now, id, outcome))
-	return n.endRun(ctx, now, id, err)
+	return n.endRun(ctx, now, id, response, err)
 }
 
 func (n *Node) endpointAddress(id model.EndpointID) string {
--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -149,6 +149,7 @@
 		response, err := s.node.endpointCaller.Stream(ctx, call)
 		if err == nil && response.Events != nil {
 			err = s.passEvents(ctx, decision, response)
+			response.Empty = s.after == call.After
 			s.node.finishAttempt(ctx, id, call, response.Response, err)
 			if err == nil || s.sinkFailed {
 				return Response{}, err
