quarantine: count crashes of endpoints that start again at once

A request that ended a server which started again at once ran at every instance, without end: the check of the process connected to the next one, so the run counted as one whose connection had been reset.

A run whose endpoint accepts connections is kept, and is blamed if the entry of the next incarnation is read within a second of the check. A refused connection still doesn't blame a run that was checked as alive before.

The attribution looks only at suspects that share a crash, and isn't made on the service's own interface.

--- a/core/services/jujubequarantine/attribution.go
+++ b/core/services/jujubequarantine/attribution.go
@@ -1,6 +1,7 @@
 package jujubequarantine
 
 import (
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -37,9 +38,11 @@
 	if q.isSound(a) {
 		return false
 	}
+	if q.settings.SharedLimit == q.settings.Limit {
+		return a.excess >= q.settings.Limit
+	}
 	own, shared := q.attribute(now, f, a, active)
-	return shared >= q.settings.SharedLimit && a.excess >= q.settings.Limit ||
-		own >= q.settings.Limit && q.settings.SharedLimit > q.settings.Limit
+	return own >= q.settings.Limit || shared >= q.settings.SharedLimit && a.excess >= q.settings.Limit
 }
 
 // settledAt returns when all instances have reported what was in flight in the last of some crashes.
@@ -57,9 +60,15 @@
 // of those that nothing more suspect was in flight in. A sound request next to crashing ones completes on other processes, or isn't
 // in flight in further crashes.
 func (q *Quarantine) attribute(now time.Time, f model.Fingerprint, a assessment, active []evidence) (own, shared int) {
-	isShared, isOthers := map[model.ProcessID]bool{}, map[model.ProcessID]bool{}
-	for other := range q.suspects.All() {
-		if other == f {
+	isShared, isOthers := make(map[model.ProcessID]bool, len(active)), make(map[model.ProcessID]bool, len(active))
+	for _, crash := range active {
+		isShared[crash.process] = false
+	}
+	for other, suspicion := range q.suspects.All() {
+		if other == f || !slices.ContainsFunc(suspicion.crashes, func(crash evidence) bool {
+			_, isCommon := isShared[crash.process]
+			return isCommon && crash.isActive(now)
+		}) {
 			continue
 		}
 		b := q.assess(now, other)
--- a/core/services/jujubequarantine/platform_test.go
+++ b/core/services/jujubequarantine/platform_test.go
@@ -82,14 +82,24 @@
 		"its connection is reset": {func(r *quarantine.RunTracker) {
 			_, isPending := r.Break(now, "r")
 			assert.Check(t, isPending)
-			r.RecordAlive(now, "e", 1)
+			r.RecordAlive(now, now, "e", 1)
 			r.RecordCrash(now, "e", 1)
 		}, quarantine.Clear},
 		"the check began before it broke off": {func(r *quarantine.RunTracker) {
 			r.Break(now, "r")
-			r.RecordAlive(now.Add(-time.Millisecond), "e", 1)
+			r.RecordAlive(now, now.Add(-time.Millisecond), "e", 1)
 			r.RecordCrash(now, "e", 1)
 		}, quarantine.Suspect},
+		"the endpoint has started again before the check": {func(r *quarantine.RunTracker) {
+			r.Break(now, "r")
+			r.RecordAlive(now, now, "e", 1)
+			r.RecordReplacement(now.Add(500*time.Millisecond), "e", 1)
+		}, quarantine.Suspect},
+		"the endpoint starts again long after the check": {func(r *quarantine.RunTracker) {
+			r.Break(now, "r")
+			r.RecordAlive(now, now, "e", 1)
+			r.RecordReplacement(now.Add(3*time.Second), "e", 1)
+		}, quarantine.Clear},
 		"it breaks off, then the crash is known": {func(r *quarantine.RunTracker) { r.Break(now, "r"); r.RecordCrash(now, "e", 1) }, quarantine.Suspect},
 		"the crash is known, then it breaks off": {func(r *quarantine.RunTracker) { r.RecordCrash(now, "e", 1); r.Break(now, "r") }, quarantine.Suspect},
 		"it hangs on a process that has ended":   {func(r *quarantine.RunTracker) { r.RecordCrash(now, "e", 1) }, quarantine.Suspect},
--- a/core/services/jujubequarantine/runs.go
+++ b/core/services/jujubequarantine/runs.go
@@ -12,6 +12,9 @@
 // its power is only known to have crashed once its registry entry is replaced or expires, after some seconds.
 const brokenRetention = 10 * time.Second
 
+// entryDelay is how long after the start of a process its registry entry may be read.
+const entryDelay = time.Second
+
 // Attempt identifies a run among those of this instance.
 type Attempt struct {
 	ID          model.RequestID
@@ -39,6 +42,8 @@
 type brokenRun struct {
 	attempt Attempt
 	at      time.Time
+	// aliveAt is when a process was found alive at the endpoint's address; zero if none was. It may be the next one already.
+	aliveAt time.Time
 }
 
 type crashedProcess struct {
@@ -94,12 +99,25 @@
 	return nil, true
 }
 
-// RecordAlive records that an incarnation was alive after the runs on it that broke off before a time: the fault was that of a
-// connection.
-func (t *RunTracker) RecordAlive(before time.Time, endpoint model.EndpointID, incarnation model.Incarnation) {
-	t.broken = slices.DeleteFunc(t.broken, func(run brokenRun) bool {
-		return run.attempt.isOn(endpoint, incarnation) && !run.at.After(before)
-	})
+// RecordAlive records that an endpoint accepted connections after the runs on an incarnation that broke off before a time: the fault
+// was that of a connection, unless the incarnation turns out to have been replaced already.
+func (t *RunTracker) RecordAlive(now, before time.Time, endpoint model.EndpointID, incarnation model.Incarnation) {
+	for i := range t.broken {
+		if run := &t.broken[i]; run.attempt.isOn(endpoint, incarnation) && !run.at.After(before) && run.aliveAt.IsZero() {
+			run.aliveAt = now
+		}
+	}
+}
+
+// RecordReplacement blames the crash of an incarnation whose endpoint has started again: also on the runs that broke off before the
+// endpoint was found alive, if that was just before the next incarnation's entry was read.
+func (t *RunTracker) RecordReplacement(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Rumour {
+	for i := range t.broken {
+		if run := &t.broken[i]; run.attempt.isOn(endpoint, incarnation) && now.Sub(run.aliveAt) <= entryDelay {
+			run.aliveAt = time.Time{}
+		}
+	}
+	return t.RecordCrash(now, endpoint, incarnation)
 }
 
 // RecordRemoval blames the crash of an incarnation whose registry entry has expired on the runs that broke off on it. Those in
@@ -113,7 +131,7 @@
 	var attempts []Attempt
 	t.broken = slices.DeleteFunc(t.broken, func(run brokenRun) bool {
 		isOn := run.attempt.isOn(endpoint, incarnation)
-		if isOn && now.Sub(run.at) <= brokenRetention {
+		if isOn && run.aliveAt.IsZero() && now.Sub(run.at) <= brokenRetention {
 			attempts = append(attempts, run.attempt)
 		}
 		return isOn
--- a/entry/services/jujubenode/crashes.go
+++ b/entry/services/jujubenode/crashes.go
@@ -180,15 +180,17 @@
 	isPlanned := engine.Leaving && engine.Incarnation == check.incarnation
 	switch {
 	case state == processAlive || state == processGone && isPlanned:
-		n.crashes.runs.RecordAlive(startedAt, id, check.incarnation)
+		n.crashes.runs.RecordAlive(time.Now(), startedAt, id, check.incarnation)
 	case state == processGone:
-		n.recordCrash(time.Now(), id, check.incarnation, "connections are refused")
+		updates := n.crashes.runs.RecordCrash(time.Now(), id, check.incarnation)
+		n.publishCrash(id, check.incarnation, updates, "connections are refused")
 	}
 }
 
-// recordCrash blames the crash of an endpoint's process on the requests that were in flight on it. The lock is held.
-func (n *Node) recordCrash(now time.Time, id model.EndpointID, incarnation model.Incarnation, evidence string) {
-	n.publishCrash(id, incarnation, n.crashes.runs.RecordCrash(now, id, incarnation), evidence)
+// recordReplacement blames the crash of an endpoint that has started again on the requests that were in flight on its process. The
+// lock is held.
+func (n *Node) recordReplacement(now time.Time, id model.EndpointID, incarnation model.Incarnation) {
+	n.publishCrash(id, incarnation, n.crashes.runs.RecordReplacement(now, id, incarnation), "it has started again")
 }
 
 // recordRemoval blames the crash of an endpoint whose entry has expired on the requests that broke off on it. The lock is held.
--- a/entry/services/jujubenode/endpoints.go
+++ b/entry/services/jujubenode/endpoints.go
@@ -37,7 +37,7 @@
 	})
 	current, known := n.scheduler.EngineState(s.ID)
 	if known && current.Incarnation != s.Incarnation && !current.Leaving {
-		n.recordCrash(now, s.ID, current.Incarnation, "it has started again")
+		n.recordReplacement(now, s.ID, current.Incarnation)
 	}
 	if !known || current.Leaving != s.Leaving || current.Incarnation != s.Incarnation {
 		n.router.ReportLoad(now, model.LoadReport{Endpoint: s.ID, Incarnation: s.Incarnation, At: now, Slots: s.Slots})
