entry: refuse requests that outlast the shutdown of a leaving instance

A leaving instance of the service's own interface accepted requests until its addresses had expired, and then waited ShutdownTimeout for them: one with a longer timeout was cut off. It is now refused as not run, with the addresses of others, from the start of the shutdown on. Found by looking on this interface for what the platform's planned stop did wrong.

TestLeavingInstanceRefusesLongRequests fails without the check (a request of 5 minutes is accepted during a shutdown of 10 s).

--- a/entry/routers/jujubeserver/server_test.go
+++ b/entry/routers/jujubeserver/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -21,13 +22,18 @@
 // startIsolated starts an instance that can't reach the log or the instance list.
 func startIsolated(t *testing.T) *jujubeserver.Server {
 	t.Helper()
-	settings := jujubeentry.DefaultSettings()
+	return startWith(context.Background(), t, jujubeentry.DefaultSettings())
+}
+
+// startWith starts an isolated instance with these settings, which leaves when the context ends.
+func startWith(ctx context.Context, t *testing.T, settings jujubeentry.Settings) *jujubeserver.Server {
+	t.Helper()
 	settings.Instance, settings.DataCentre = "alone", "a"
 	settings.CallerAddress, settings.PeerAddress, settings.OperatorAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	settings.LogAddress, settings.ListAddress = "127.0.0.1:1", "127.0.0.1:1"
 	logger, err := jujubeevent.NewLogger(io.Discard, "error", "json")
 	assert.NilError(t, err)
-	server, kill, err := jujubeserver.Start(context.Background(), settings, logger)
+	server, kill, err := jujubeserver.Start(ctx, settings, logger)
 	assert.NilError(t, err)
 	t.Cleanup(kill)
 	return server
@@ -58,3 +64,29 @@
 			refusal.RetryAfter.Std() == time.Second, "%s: %+v", test.path, refusal)
 	}
 }
+
+// TestLeavingInstanceRefusesLongRequests guards against requests that are accepted by an instance which is leaving, last longer than
+// its shutdown waits for them, and are cut off.
+func TestLeavingInstanceRefusesLongRequests(t *testing.T) {
+	settings := jujubeentry.DefaultSettings()
+	settings.ShutdownTimeout = 10 * time.Second
+	ctx, leave := context.WithCancel(context.Background())
+	server := startWith(ctx, t, settings)
+	submit := func(timeout string) model.Refusal {
+		body := fmt.Sprintf(`{"Key":{"Trainer":"t"},"Attempt":1,"Groups":[{"Prompt":"p","Samples":1}],"MaxTokens":1,"Timeout":%q}`, timeout)
+		response, err := http.Post("http://"+server.Settings.CallerAddress+"/v1/steps", "application/json", strings.NewReader(body))
+		assert.NilError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		var refusal model.Refusal
+		assert.NilError(t, json.NewDecoder(response.Body).Decode(&refusal))
+		return refusal
+	}
+	assert.Equal(t, submit("5m").Code, jujubeerror.CodeNotReady, "accepted before it leaves, and refused by a later check")
+	leave()
+	for end := time.Now().Add(5 * time.Second); submit("5m").Code != jujubeerror.CodeLeaving; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "a request of 5 minutes is accepted")
+	}
+	refusal := submit("5m")
+	assert.Equal(t, refusal.Ran, model.RanNo)
+	assert.Equal(t, submit("2s").Code, jujubeerror.CodeNotReady, "accepted, as the shutdown waits for it")
+}
--- a/entry/services/jujubeentry/call.go
+++ b/entry/services/jujubeentry/call.go
@@ -62,7 +62,7 @@
 	if call.Marked || slices.Contains(limits.NonIdempotentMethods, call.Method) {
 		return s.callAtMostOnce(ctx, call)
 	}
-	done, err := s.admit()
+	done, err := s.admit(call.Timeout)
 	if err != nil {
 		return CallAnswer{}, err
 	}
--- a/entry/services/jujubeentry/generate.go
+++ b/entry/services/jujubeentry/generate.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return model.GenerateResult{}, err
 	}
-	done, err := s.admit()
+	done, err := s.admit(timeout)
 	if err != nil {
 		return model.GenerateResult{}, err
 	}
--- a/entry/services/jujubeentry/idempotency.go
+++ b/entry/services/jujubeentry/idempotency.go
@@ -141,7 +141,7 @@
 
 // runUntilSent tries servers until one of them may have received a byte of the call.
 func (s *Service) runUntilSent(ctx context.Context, call Call) (CallAnswer, error) {
-	done, err := s.admit()
+	done, err := s.admit(call.Timeout)
 	if err != nil {
 		return CallAnswer{}, err
 	}
--- a/entry/services/jujubeentry/leave.go
+++ b/entry/services/jujubeentry/leave.go
@@ -20,11 +20,12 @@
 const shutdownPollPeriod = 50 * time.Millisecond
 
 // admit accepts a request and counts it until the returned function is called. It refuses the request once all address
-// responses that contain this instance have expired.
-func (s *Service) admit() (func(), error) {
+// responses that contain this instance have expired, or if the shutdown may not wait for its end.
+func (s *Service) admit(timeout time.Duration) (func(), error) {
 	s.leaveMu.Lock()
 	defer s.leaveMu.Unlock()
-	if !s.leaveUntil.IsZero() && time.Now().After(s.leaveUntil.Add(arrivalGrace)) {
+	now := time.Now()
+	if !s.leaveUntil.IsZero() && (now.After(s.leaveUntil.Add(arrivalGrace)) || now.Add(timeout).After(s.leaveUntil.Add(s.settings.ShutdownTimeout))) {
 		s.log.Write(jujubeevent.RequestAfterExit, func() logrus.Fields { return logrus.Fields{"Instance": s.self.ID} })
 		return nil, jujubeerror.ErrRefused{
 			Code: jujubeerror.CodeLeaving, Ran: model.RanNo, RetryAfter: time.Millisecond, Message: "instance is shutting down; use another address",
--- a/entry/services/jujubeentry/steps.go
+++ b/entry/services/jujubeentry/steps.go
@@ -23,7 +23,7 @@
 // SubmitPart accepts a trainer's step part. For a resubmitted part it first looks for streams that engines hold from an
 // earlier attempt, so that these are resumed.
 func (s *Service) SubmitPart(ctx context.Context, part model.StepPart) (model.StepAccepted, error) {
-	done, err := s.admit()
+	done, err := s.admit(part.Timeout.Std())
 	if err != nil {
 		return model.StepAccepted{}, err
 	}
