node: refuse requests that can't end before a planned stop

Callers whose requests of 3 s came 3.1 s or later after SIGTERM, with a drain time of 6 s, got no answer: the requests were passed on, the process waited for them and ended 1.75 s after its drain time, when it is killed. Unsafe requests and streams among them. Only submissions were refused towards the end of the drain.

A request whose deadline is later than the end of serving is now refused at once with 503, which is true, and its caller uses another address. What is still in progress at that time, from before the drain, is ended by its context, so that the process ends in time.

--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -109,7 +109,11 @@
 	defer cancel()
 	f := newForwarding(n, route, request)
 	f.fingerprint = request.fingerprint()
-	response, err := f.run(ctx)
+	var response Response
+	err := n.checkTimeLeft(request.Deadline)
+	if err == nil {
+		response, err = f.run(ctx)
+	}
 	f.recordEnd(startedAt, err, nil)
 	return response, err
 }
@@ -262,8 +266,15 @@
 }
 
 func (f *forwarding) contextError(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return jujubeerror.ErrRefused{Code: jujubeerror.CodeDeadline, Ran: model.RanUnknown, Message: "no answer before the deadline"}
+	case errors.Is(context.Cause(ctx), errServingEnded):
+		ran := model.RanUnknown
+		if f.attempts == 0 {
+			ran = model.RanNo
+		}
+		return jujubeerror.ErrRefused{Code: jujubeerror.CodeLeaving, Ran: ran, RetryAfter: leavingRetryAfter, Message: errServingEnded.Error()}
 	}
 	return errors.Wrap(ctx.Err(), "the caller has disconnected")
 }
--- a/entry/services/jujubenode/leave.go
+++ b/entry/services/jujubenode/leave.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujuberegistry"
@@ -18,11 +21,16 @@
 	closeTimeout = 400 * time.Millisecond
 	// handOverTime is the time before the exit in which progress is written for the instances that take over.
 	handOverTime = 700 * time.Millisecond
+	// leavingRetryAfter tells callers to use another address at once.
+	leavingRetryAfter = time.Millisecond
 )
 
-// leave drains this instance. Callers get other addresses immediately, but those that still use this instance's address
-// are served until the drain time is nearly over. Items that still run then continue on other instances from the
-// written progress.
+// errServingEnded is the cause of the end of requests that are still in progress when the instance stops serving.
+var errServingEnded = errors.New("the instance has left")
+
+// leave drains this instance. Callers get other addresses immediately, but those that still use this instance's address are served
+// until the drain time is nearly over, if their requests end by then; others are refused. Items that still run then continue on other
+// instances from the written progress.
 func (n *Node) leave() {
 	n.mu.Lock()
 	startedAt := time.Now()
@@ -39,7 +47,8 @@
 	n.scheduler.Drain()
 	n.executeActions(n.scheduler.Checkpoint(time.Now()))
 	n.mu.Unlock()
-	sleep(background, time.Until(n.leaveDeadline)-handOverTime/2)
+	sleep(background, time.Until(n.servingEnd()))
+	n.endServing()
 	if n.stopServing != nil {
 		closeCtx, cancel := context.WithTimeout(background, closeTimeout)
 		n.stopServing(closeCtx)
@@ -63,6 +72,33 @@
 	}
 }
 
+// servingEnd returns when a leaving instance stops serving callers.
+func (n *Node) servingEnd() time.Time { return n.leaveDeadline.Add(-handOverTime / 2) }
+
+// ServeContext returns a context for a caller's request: it ends with the caller's, and when the instance stops serving. Only requests
+// from before the drain are still in progress then.
+func (n *Node) ServeContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(n.serving, func() { cancel(errServingEnded) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// checkTimeLeft returns the refusal of a request that may last longer than this instance. A request that has been sent to an endpoint
+// can't be passed to another instance any more.
+func (n *Node) checkTimeLeft(deadline time.Time) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaveDeadline.IsZero() || !deadline.After(n.servingEnd()) {
+		return nil
+	}
+	return jujubeerror.ErrRefused{
+		Code: jujubeerror.CodeLeaving, Ran: model.RanNo, RetryAfter: leavingRetryAfter, Message: "the instance leaves before the request's deadline; use another address",
+	}
+}
+
 // isDrainEnding reports whether too little of the drain time is left to accept submissions.
 func (n *Node) isDrainEnding() bool {
 	n.mu.Lock()
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -125,6 +125,9 @@
 	log            *jujubeevent.Log
 	metrics        *nodeMetrics
 	tomb           *tomb.Tomb
+	// serving ends, by endServing, when a leaving instance stops serving callers.
+	serving    context.Context
+	endServing context.CancelFunc
 	// wakeCh wakes the scheduler; its capacity is one.
 	wakeCh    chan struct{}
 	blobCache *blobCache
@@ -186,6 +189,7 @@
 	incarnation := model.Incarnation(options.Started.UnixMilli())
 	id := options.Identity.Instance
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
+	serving, endServing := context.WithCancel(context.Background())
 	n := &Node{
 		identity:       options.Identity,
 		settings:       options.Settings,
@@ -197,6 +201,8 @@
 		stopServing:    options.StopServing,
 		log:            jujubeevent.NewLog(logger),
 		tomb:           new(tomb.Tomb),
+		serving:        serving,
+		endServing:     endServing,
 		wakeCh:         make(chan struct{}, 1),
 		blobCache:      newBlobCache(),
 		scheduler:      jujubebatch.New(id, jujubebatch.DefaultSettings()),
--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -86,7 +86,7 @@
 	defer cancel()
 	s := &streaming{forwarding: newForwarding(n, route, request.PlainRequest), sink: sink, after: request.After, isNew: request.After == 0}
 	s.retryable, s.fingerprint = s.retryable || route.Resumable, request.fingerprint()
-	if !s.isNew {
+	if err = n.checkTimeLeft(request.Deadline); err == nil && !s.isNew {
 		err = s.applyOrigin(ctx, request.Origin)
 	}
 	if err == nil {
