node: bind a stream's software version to the process of its connection

Callers got streams joined from two software versions: an instance that didn't reach the store took up a stream that had broken off elsewhere, at a server that had started again under its id and address with another version. The version came from an entry of unknown age. It happened in the same response and when the caller resumed the stream; a stream that began at such a server was recorded under the earlier version, and went on at a server of that one; and an entry whose start time is earlier, from a clock that was set back, was ignored until its repetition.

What binds a connection to a process: it leads to the process whose entry was the latest one 50 ms after it was opened, which a read of the registry since then shows. A stream is continued only after a read of the registry, and its events are passed on only when the process is known to be the one that was chosen; the origin of a new stream is recorded under the same condition. Otherwise the stream isn't continued, which is refused with 503 as nothing has run, or ends as broken. A read costs one call for each continued stream, and one for each that begins on a connection opened since the last read.

Ruled out: versions of the log's origins (they are those of the entry at the beginning); asking the server (its report has no software version, and plain servers have none).

--- a/core/services/jujuberegistry/incarnation.go
+++ b/core/services/jujuberegistry/incarnation.go
@@ -64,6 +64,21 @@
 	return history.incarnation, true
 }
 
+// registrationTime is how long after an endpoint's process accepts connections its entry may be missing from the store.
+const registrationTime = 50 * time.Millisecond
+
+// ConfirmableAt returns from when on a connection's process can be told from the entries, if they have been read up to that time.
+func ConfirmableAt(connectedAt time.Time) time.Time { return connectedAt.Add(registrationTime) }
+
+// IsConfirmed reports whether a connection is known to lead to the process of an incarnation. Entries belong to an id and an address,
+// which the next process may keep: the connection's own process is the latest one whose entry there was when it had registered.
+// readAt is a time up to which all entries have been observed. It isn't known while an entry may be that of a process with an earlier
+// clock.
+func (t *IncarnationTracker) IsConfirmed(id model.EndpointID, incarnation model.Incarnation, connectedAt, readAt time.Time) bool {
+	history, ok := t.histories.Get(id)
+	return ok && history.incarnation == incarnation && history.unconfirmedStartTime == 0 && !readAt.Before(ConfirmableAt(connectedAt))
+}
+
 // ObserveResponse records the start time in an endpoint's response, which can't be from an earlier process, and returns the
 // incarnation. It returns false if the endpoint is unknown or the time is that of an earlier start.
 func (t *IncarnationTracker) ObserveResponse(now time.Time, id model.EndpointID, startTime model.Incarnation) (model.Incarnation, bool) {
--- a/entry/services/jujubenode/endpoints.go
+++ b/entry/services/jujubenode/endpoints.go
@@ -1,6 +1,7 @@
 package jujubenode
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
@@ -8,9 +9,12 @@
 	"github.com/sirupsen/logrus"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubefleet"
+	"jujubepier.example/core/services/jujuberegistry"
+	"jujubepier.example/core/services/jujuberouter"
 )
 
 // PutEndpoint applies an endpoint's registry entry; the incarnation in it is the endpoint's start time by its own clock.
@@ -67,6 +71,46 @@
 	n.fleet.SetLimited(s.ID, isLimited)
 }
 
+// registryReadTimeout bounds a read of the registry before a stream is continued.
+const registryReadTimeout = 500 * time.Millisecond
+
+// refreshEndpoints reads the registry up to its present end. An endpoint may have started again with another software version.
+func (n *Node) refreshEndpoints(ctx context.Context) error {
+	if n.endpointFollower == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, registryReadTimeout)
+	defer cancel()
+	if err := n.endpointFollower.sync(ctx); err != nil {
+		return refusal(jujubeerror.CodeStoreFailed, "the registry can't be read: "+err.Error())
+	}
+	return nil
+}
+
+// confirmProcess reports whether a connection leads to the process that a routing decision was made for. It reads the registry if it
+// was last read before the connection was opened.
+func (n *Node) confirmProcess(ctx context.Context, decision jujuberouter.Decision, connectedAt time.Time) bool {
+	if n.endpointFollower == nil {
+		return true
+	}
+	isConfirmed := func() (confirmed, isCurrent bool) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		readAt := n.endpointFollower.caughtUpAt
+		return n.incarnations.IsConfirmed(decision.Endpoint, decision.Incarnation, connectedAt, readAt),
+			!readAt.Before(jujuberegistry.ConfirmableAt(connectedAt))
+	}
+	if confirmed, isCurrent := isConfirmed(); confirmed || isCurrent {
+		return confirmed
+	}
+	sleep(ctx, time.Until(jujuberegistry.ConfirmableAt(connectedAt)))
+	if n.refreshEndpoints(ctx) != nil {
+		return false
+	}
+	confirmed, _ := isConfirmed()
+	return confirmed
+}
+
 // MarkLeaving records that an endpoint announced in a response that it is leaving. It gets no more work from this
 // instance, even while its registry entry is still in the state ready.
 func (n *Node) MarkLeaving(id model.EndpointID, incarnation model.Incarnation) {
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -177,6 +177,8 @@
 	rolloutFollower   *follower
 	// desiredFollower reads the desired state.
 	desiredFollower *follower
+	// endpointFollower reads the topic of the endpoints' registry entries; nil without one.
+	endpointFollower *follower
 	// quarantineFollower has to have read its topic before a request is sent to an endpoint.
 	quarantineFollower *follower
 }
@@ -248,7 +250,7 @@
 		f.urgent, n.desiredFollower = true, f
 	}
 	if feed.HasEndpoints {
-		f.onCaughtUp = n.endpoints.RecordRead
+		f.onCaughtUp, n.endpointFollower = n.endpoints.RecordRead, f
 	}
 }
 
--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -22,8 +22,8 @@
 	streamBatchDelay = 4 * time.Millisecond
 	// streamQueueSize bounds the queued origins; it holds those of a second at a large site.
 	streamQueueSize = 2048
-	// streamRecordTimeout bounds how long the first event waits for the record of the stream's origin. Without the record
-	// only this instance can continue the stream.
+	// streamRecordTimeout bounds how long the first event waits until the origin of the stream is known and recorded. Without
+	// the record only this instance can continue the stream.
 	streamRecordTimeout = 150 * time.Millisecond
 )
 
@@ -42,6 +42,8 @@
 	Response
 	// Events is nil if the response isn't a stream.
 	Events EventSource
+	// ConnectedAt is when the connection of the stream was opened.
+	ConnectedAt time.Time
 }
 
 // EventSource returns the events of a stream in order.
@@ -109,7 +111,7 @@
 		return refusal(jujubeerror.CodeNoEndpoint, "what began the stream isn't known")
 	}
 	s.service, s.software = origin.Service, origin.SoftwareVersion
-	return nil
+	return s.node.refreshEndpoints(ctx)
 }
 
 // findStream returns the origin of a stream. Before it reports an unknown one it reads the log up to its end.
@@ -137,6 +139,11 @@
 		if !s.hasAttempt() {
 			return s.fail(refusal(jujubeerror.CodeNoEndpoint, "no further try is left"))
 		}
+		if s.started {
+			if err := s.node.refreshEndpoints(ctx); err != nil {
+				return s.fail(err)
+			}
+		}
 		id := s.attemptID()
 		decision, err := s.choose(ctx, id, firstOrRetry)
 		if err != nil {
@@ -193,6 +200,9 @@
 	// An attempt that continues the stream and ends without an event may be that of a server which gave up. The caller continues
 	// the stream itself if it was complete.
 	isContinued := s.started
+	if !s.isNew && !s.node.confirmProcess(ctx, decision, response.ConnectedAt) {
+		return ErrCall{Ran: model.RanUnknown, Reason: "the software version of the endpoint's process isn't known"}
+	}
 	for {
 		event, err := response.Events.Next()
 		if err != nil && s.started {
@@ -209,7 +219,7 @@
 			if ignoreEOF(err) != nil {
 				return err
 			}
-			s.recordOrigin(ctx, decision)
+			s.recordOrigin(ctx, decision, response.ConnectedAt)
 			s.started = true
 			s.sink.Start(response.Status, response.Header)
 		}
@@ -226,22 +236,23 @@
 
 // recordOrigin records what began a new stream. Nothing promises that every stream can be continued, so a failure to write the
 // record doesn't fail the stream.
-func (s *streaming) recordOrigin(ctx context.Context, decision jujuberouter.Decision) {
+func (s *streaming) recordOrigin(ctx context.Context, decision jujuberouter.Decision, connectedAt time.Time) {
 	if !s.isNew {
 		return
 	}
-	s.isNew, s.software = false, decision.SoftwareVersion
-	if !s.route.Resumable || s.software == "" {
+	s.isNew = false
+	ctx, cancel := context.WithTimeout(ctx, streamRecordTimeout)
+	defer cancel()
+	n := s.node
+	if !s.route.Resumable || decision.SoftwareVersion == "" || !n.confirmProcess(ctx, decision, connectedAt) {
 		return
 	}
-	n := s.node
+	s.software = decision.SoftwareVersion
 	origin := jujubebatch.StreamOrigin{Request: s.request.ID, Service: s.service, SoftwareVersion: s.software}
 	n.mu.Lock()
 	n.scheduler.AddStream(time.Now(), origin)
 	n.mu.Unlock()
-	writeCtx, cancel := context.WithTimeout(ctx, streamRecordTimeout)
-	defer cancel()
-	if err := n.streams.add(writeCtx, origin); err != nil {
+	if err := n.streams.add(ctx, origin); err != nil {
 		n.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
 			return logrus.Fields{"Topic": topicSubmissions.Name, "Request": origin.Request, "Error": err.Error()}
 		})
