batch: begin texts anew whose software version isn't confirmed

Items have the same fault as callers' streams: an engine that starts again under its id with another version, before its entry has been read, generates events that count as those of the earlier version, and an engine of that version continues them.

A run knows when its connection was opened. A run that continues a text is accepted only on a confirmed process, and otherwise its item starts anew. An entry with an earlier start time drops the texts of the runs on its engine until a second entry tells whether it is a late one. Connections that were open before the last read, which most are, cost nothing.

TestUnconfirmedTextStartsAnew: without the check texts of unconfirmed runs are continued after 5 events and checkpointed.

--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -157,6 +157,9 @@
 		Submission: item.submission.ID, Item: item.ID, Engine: e.ID, Given: item.Content, Events: item.events, Versions: item.versions,
 		SoftwareVersion: item.softwareVersion, Failures: item.failures, Crashes: item.earlyBreaks, DiscardedTexts: item.discardedTexts,
 	}
+	if item.run != nil && !s.isConfirmed(item.run) {
+		offer.SoftwareVersion = ""
+	}
 	offer.Content, _ = item.contentPlace()
 	at := slices.IndexFunc(s.offers, func(o OfferItems) bool { return o.To == e.gateway })
 	if at < 0 {
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -65,7 +65,7 @@
 	if !ok || e.Incarnation > known.Incarnation {
 		if ok {
 			if e.SoftwareVersion == "" || e.SoftwareVersion != known.SoftwareVersion {
-				s.dropTextsOnEngine(e.ID)
+				s.DropTextsOnEngine(e.ID)
 			}
 			s.cancelRuns(known, "the engine has restarted")
 			s.unassignAll(e.ID)
@@ -194,12 +194,12 @@
 	}
 }
 
-// dropTextsOnEngine drops the texts of the runs on an engine that has restarted with another software version. A run that was
+// DropTextsOnEngine drops the texts of the runs on an engine that has restarted with another software version. A run that was
 // sent before the restart became known may have reached either version.
-func (s *Scheduler) dropTextsOnEngine(id model.EndpointID) {
+func (s *Scheduler) DropTextsOnEngine(id model.EndpointID) {
 	for _, r := range s.runs.All() {
 		if r.engine == id {
-			s.dropUnfitText(r.item, "the engine has restarted with another software version")
+			s.dropUnfitText(r.item, "the engine may have restarted with another software version")
 		}
 	}
 }
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -93,7 +93,10 @@
 	engine model.EndpointID
 	// softwareVersion is the engine's when the run started.
 	softwareVersion model.SoftwareVersion
-	startedAt       time.Time
+	// confirmableAt is from when on a read of the registry shows that the run is on the process that the engine's entry describes;
+	// zero if that needn't be shown.
+	confirmableAt time.Time
+	startedAt     time.Time
 	// lastEventAt is the time of the latest event, or of the start before the first one.
 	lastEventAt time.Time
 	// awaitsFirstEvent is true until the first event.
@@ -132,6 +135,20 @@
 	return version >= r.item.submission.MinVersion
 }
 
+// HandleRunConnected records from when on a read of the registry shows which process a run is on.
+func (s *Scheduler) HandleRunConnected(id RunID, confirmableAt time.Time) {
+	if r, ok := s.runs.Get(id); ok {
+		r.confirmableAt = confirmableAt
+	}
+}
+
+// RestartText makes the item of a run start anew.
+func (s *Scheduler) RestartText(id RunID, reason string) {
+	if r, ok := s.runs.Get(id); ok {
+		s.dropUnfitText(r.item, reason)
+	}
+}
+
 // HandleRunEvent handles an event of a run. It returns false if the event is out of order or its version isn't allowed; the run
 // then has to be cancelled.
 func (s *Scheduler) HandleRunEvent(now time.Time, id RunID, number int, data string, version model.WeightVersion) bool {
@@ -188,6 +205,9 @@
 	if item.hasResult || item.resultQueued {
 		return
 	}
+	if kind != RunComplete {
+		s.dropUnconfirmedText(r)
+	}
 	item.notBefore = now.Add(s.settings.RetryDelay)
 	if kind == RunComplete && r.awaitsFirstEvent {
 		if len(item.events) > 0 && !item.hasEmptyEnd {
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -18,6 +18,8 @@
 	submissions *jujubetable.Table[SubmissionID, *submission]
 	engines     *jujubetable.Table[model.EndpointID, *engine]
 	runs        *jujubetable.Table[RunID, *run]
+	// registryReadAt is a time up to which all entries of engines have been observed.
+	registryReadAt time.Time
 	scorings    *jujubetable.Table[RunID, *scoring]
 	// scoringBudgets is how many more scoring calls may begin in the current tick, by service.
 	scoringBudgets map[model.ServiceName]int
@@ -232,6 +234,7 @@
 	r.cancelled = true
 	s.actions = append(s.actions, cancel)
 	s.removeRun(r)
+	s.dropUnconfirmedText(r)
 }
 
 func (s *Scheduler) removeRun(r *run) {
@@ -280,7 +283,7 @@
 		}
 		// A checkpoint has the whole text, so the next one is written only when the text is twice as long.
 		if s.settings.CheckpointAfter > 0 && len(item.events) > 2*item.loggedEvents &&
-			now.Sub(r.startedAt) > s.settings.CheckpointAfter && now.Sub(item.loggedAt) > s.settings.CheckpointAfter {
+			now.Sub(r.startedAt) > s.settings.CheckpointAfter && now.Sub(item.loggedAt) > s.settings.CheckpointAfter && s.isConfirmed(r) {
 			s.checkpoint(now, item)
 		}
 	}
@@ -338,7 +341,7 @@
 // Checkpoint writes checkpoints of all runs, so that another instance can resume them.
 func (s *Scheduler) Checkpoint(now time.Time) []Action {
 	for _, r := range s.runs.All() {
-		if len(r.item.events) > r.item.loggedEvents {
+		if len(r.item.events) > r.item.loggedEvents && s.isConfirmed(r) {
 			s.checkpoint(now, r.item)
 		}
 	}
--- a/core/services/jujubebatch/software.go
+++ b/core/services/jujubebatch/software.go
@@ -59,6 +59,20 @@
 	item.dropText()
 }
 
+// SetRegistryRead records that all entries of engines up to a time have been observed.
+func (s *Scheduler) SetRegistryRead(at time.Time) { s.registryReadAt = at }
+
+// isConfirmed reports whether a run is known to be on a process of its software version. The engine may have started again, and
+// registered with another version, before the run's connection was opened; when that has been read, the run ends.
+func (s *Scheduler) isConfirmed(r *run) bool { return !r.confirmableAt.After(s.registryReadAt) }
+
+// dropUnconfirmedText drops the text of an item whose run has ended, if it isn't known which software version generated its events.
+func (s *Scheduler) dropUnconfirmedText(r *run) {
+	if !r.awaitsFirstEvent && !s.isConfirmed(r) {
+		s.dropUnfitText(r.item, "its software version isn't confirmed")
+	}
+}
+
 // dropText makes the item start anew.
 func (it *item) dropText() {
 	it.events, it.versions, it.softwareVersion, it.loggedEvents = nil, nil, "", 0
--- a/core/services/jujubebatch/software_test.go
+++ b/core/services/jujubebatch/software_test.go
@@ -236,3 +236,48 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].After, 0)
 }
+
+// TestUnconfirmedTextStartsAnew guards against a text joined from two software versions: an engine starts again under its id with
+// another version, and its run breaks off before the new entry has been read, so that the text counts as one of the earlier version.
+func TestUnconfirmedTextStartsAnew(t *testing.T) {
+	for name, test := range map[string]struct {
+		// readAfter is how long after the run's connection was opened the registry was last read.
+		readAfter time.Duration
+		cancelled bool
+		after     int
+	}{
+		"read before":                 {-time.Second, false, 0},
+		"read before, then cancelled": {-time.Second, true, 0},
+		"read since":                  {time.Second, false, 5},
+		"read since, then cancelled":  {time.Second, true, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestScheduler(t, 0)
+			ts.putSoftware(0, 1, "v1")
+			ts.accept(newSubmission("s", 1, "a"))
+			starts := tick[jujubebatch.StartRun](ts)
+			assert.Equal(t, len(starts), 1)
+			run := starts[0].Run
+			ts.HandleRunConnected(run, ts.now)
+			assert.Assert(t, ts.HandleRunAccepted(ts.now, run, 1))
+			for number := 1; number <= 5; number++ {
+				assert.Assert(t, ts.HandleRunEvent(ts.now, run, number, "data", 1))
+			}
+			ts.SetRegistryRead(ts.now.Add(test.readAfter))
+			for _, action := range ts.Checkpoint(ts.now) {
+				entry, ok := action.(jujubebatch.AppendEntry)
+				assert.Assert(t, !ok || entry.Entry.Progress == nil || test.after > 0, "an unconfirmed text is recorded")
+			}
+			if test.cancelled {
+				ts.putSoftware(0, 2, "v1") // it has started again
+			} else {
+				ts.HandleRunEnd(ts.now, run, jujubebatch.RunBroken)
+			}
+			ts.now = ts.now.Add(100 * time.Millisecond)
+			ts.putSoftware(1, 1, "v1")
+			starts = tick[jujubebatch.StartRun](ts)
+			assert.Equal(t, len(starts), 1)
+			assert.Equal(t, starts[0].After, test.after)
+		})
+	}
+}
--- a/core/services/jujuberegistry/incarnation.go
+++ b/core/services/jujuberegistry/incarnation.go
@@ -72,11 +72,17 @@
 
 // IsConfirmed reports whether a connection is known to lead to the process of an incarnation. Entries belong to an id and an address,
 // which the next process may keep: the connection's own process is the latest one whose entry there was when it had registered.
-// readAt is a time up to which all entries have been observed. It isn't known while an entry may be that of a process with an earlier
-// clock.
+// readAt is a time up to which all entries have been observed.
 func (t *IncarnationTracker) IsConfirmed(id model.EndpointID, incarnation model.Incarnation, connectedAt, readAt time.Time) bool {
 	history, ok := t.histories.Get(id)
-	return ok && history.incarnation == incarnation && history.unconfirmedStartTime == 0 && !readAt.Before(ConfirmableAt(connectedAt))
+	return ok && history.incarnation == incarnation && t.IsCertain(id) && !readAt.Before(ConfirmableAt(connectedAt))
+}
+
+// IsCertain reports whether the last entry of an endpoint was that of its current process. Otherwise it is a late one, or that of a
+// new process whose clock was set back.
+func (t *IncarnationTracker) IsCertain(id model.EndpointID) bool {
+	history, ok := t.histories.Get(id)
+	return ok && history.unconfirmedStartTime == 0
 }
 
 // ObserveResponse records the start time in an endpoint's response, which can't be from an earlier process, and returns the
--- a/entry/services/jujubenode/endpoints.go
+++ b/entry/services/jujubenode/endpoints.go
@@ -14,7 +14,6 @@
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubefleet"
 	"jujubepier.example/core/services/jujuberegistry"
-	"jujubepier.example/core/services/jujuberouter"
 )
 
 // PutEndpoint applies an endpoint's registry entry; the incarnation in it is the endpoint's start time by its own clock.
@@ -23,6 +22,9 @@
 	n.endpoints.Put(s.ID)
 	incarnation, ok := n.incarnations.ObserveEntry(now, s.ID, s.Incarnation)
 	if !ok {
+		if !n.incarnations.IsCertain(s.ID) {
+			n.scheduler.DropTextsOnEngine(s.ID)
+		}
 		n.log.Write(jujubeevent.EndpointStale, func() logrus.Fields {
 			return logrus.Fields{"Endpoint": s.ID, "Born": s.Incarnation, "Source": "Entry"}
 		})
@@ -87,9 +89,9 @@
 	return nil
 }
 
-// confirmProcess reports whether a connection leads to the process that a routing decision was made for. It reads the registry if it
+// confirmProcess reports whether a connection leads to the process of an incarnation. It reads the registry if it
 // was last read before the connection was opened.
-func (n *Node) confirmProcess(ctx context.Context, decision jujuberouter.Decision, connectedAt time.Time) bool {
+func (n *Node) confirmProcess(ctx context.Context, id model.EndpointID, incarnation model.Incarnation, connectedAt time.Time) bool {
 	if n.endpointFollower == nil {
 		return true
 	}
@@ -97,7 +99,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		readAt := n.endpointFollower.caughtUpAt
-		return n.incarnations.IsConfirmed(decision.Endpoint, decision.Incarnation, connectedAt, readAt),
+		return n.incarnations.IsConfirmed(id, incarnation, connectedAt, readAt),
 			!readAt.Before(jujuberegistry.ConfirmableAt(connectedAt))
 	}
 	if confirmed, isCurrent := isConfirmed(); confirmed || isCurrent {
--- a/entry/services/jujubenode/engines_test.go
+++ b/entry/services/jujubenode/engines_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubebatch"
@@ -57,7 +58,7 @@
 	if hold != nil && holdAfter == 0 && !wait() {
 		return jujubebatch.RunBroken, ctx.Err()
 	}
-	if !sink.Accepted(1) {
+	if !sink.Accepted(1, time.Time{}) {
 		return jujubebatch.RunRefused, nil
 	}
 	for number := start.After + 1; number <= 3; number++ {
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -88,7 +88,8 @@
 
 // RunSink receives the events of a run; each method returns false if the run has to be cancelled.
 type RunSink interface {
-	Accepted(version model.WeightVersion) bool
+	// Accepted is called when the engine has accepted the run, on a connection that was opened at a time; zero if that is unknown.
+	Accepted(version model.WeightVersion, connectedAt time.Time) bool
 	Event(number int, data string, version model.WeightVersion) bool
 }
 
@@ -250,7 +251,11 @@
 		f.urgent, n.desiredFollower = true, f
 	}
 	if feed.HasEndpoints {
-		f.onCaughtUp, n.endpointFollower = n.endpoints.RecordRead, f
+		n.endpointFollower = f
+		f.onCaughtUp = func(readAt time.Time) {
+			n.endpoints.RecordRead(readAt)
+			n.scheduler.SetRegistryRead(readAt)
+		}
 	}
 }
 
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -9,6 +9,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujuberegistry"
 	"jujubepier.example/core/services/jujubethrottle"
 )
 
@@ -143,25 +144,36 @@
 	if verdict := n.acquirePermit(ctx, start.Engine, jujubethrottle.Interactive); verdict.Decision != jujubethrottle.Permitted {
 		return jujubebatch.RunThrottled, nil
 	}
-	return n.engineClient.Run(ctx, start, content, runSink{n, start.Run})
+	return n.engineClient.Run(ctx, start, content, runSink{ctx, n, start})
 }
 
 // runSink passes a run's events to the scheduler.
 type runSink struct {
-	node *Node
-	run  jujubebatch.RunID
+	ctx   context.Context
+	node  *Node
+	start jujubebatch.StartRun
 }
 
-// Accepted records the weight version with which the engine started.
-func (s runSink) Accepted(version model.WeightVersion) bool {
+// Accepted records the weight version with which the engine started. A run that continues a text goes on only if the engine's process
+// is known to be the one that was chosen.
+func (s runSink) Accepted(version model.WeightVersion, connectedAt time.Time) bool {
+	isConfirmed := s.start.After == 0 || connectedAt.IsZero() ||
+		s.node.confirmProcess(s.ctx, s.start.Engine, s.start.Incarnation, connectedAt)
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
-	return s.node.scheduler.HandleRunAccepted(time.Now(), s.run, version)
+	if !isConfirmed {
+		s.node.scheduler.RestartText(s.start.Run, "the software version of the engine's process isn't known")
+		return false
+	}
+	if !connectedAt.IsZero() {
+		s.node.scheduler.HandleRunConnected(s.start.Run, jujuberegistry.ConfirmableAt(connectedAt))
+	}
+	return s.node.scheduler.HandleRunAccepted(time.Now(), s.start.Run, version)
 }
 
 // Event records an event.
 func (s runSink) Event(number int, data string, version model.WeightVersion) bool {
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
-	return s.node.scheduler.HandleRunEvent(time.Now(), s.run, number, data, version)
+	return s.node.scheduler.HandleRunEvent(time.Now(), s.start.Run, number, data, version)
 }
--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -200,7 +200,7 @@
 	// An attempt that continues the stream and ends without an event may be that of a server which gave up. The caller continues
 	// the stream itself if it was complete.
 	isContinued := s.started
-	if !s.isNew && !s.node.confirmProcess(ctx, decision, response.ConnectedAt) {
+	if !s.isNew && !s.node.confirmProcess(ctx, decision.Endpoint, decision.Incarnation, response.ConnectedAt) {
 		return ErrCall{Ran: model.RanUnknown, Reason: "the software version of the endpoint's process isn't known"}
 	}
 	for {
@@ -244,7 +244,7 @@
 	ctx, cancel := context.WithTimeout(ctx, streamRecordTimeout)
 	defer cancel()
 	n := s.node
-	if !s.route.Resumable || decision.SoftwareVersion == "" || !n.confirmProcess(ctx, decision, connectedAt) {
+	if !s.route.Resumable || decision.SoftwareVersion == "" || !n.confirmProcess(ctx, decision.Endpoint, decision.Incarnation, connectedAt) {
 		return
 	}
 	s.software = decision.SoftwareVersion
