core: forget the software version of an engine that has started again

On the service's own interface a text could go on at an engine of another software version: its load report told that it had started again, and the version was still that of the instance list, which lags. A version now belongs to the incarnation that the list names. TestRestartedEngineHasNoSoftwareVersion: before, the text went on after the report and with the old list.

--- a/core/services/jujubecore/crash_test.go
+++ b/core/services/jujubecore/crash_test.go
@@ -220,3 +220,34 @@
 		}
 	}
 }
+
+// TestRestartedEngineHasNoSoftwareVersion guards against a text that an engine of another software version continues: the engine has
+// started again, as its load report says, and the instance list still has the version of its earlier process.
+func TestRestartedEngineHasNoSoftwareVersion(t *testing.T) {
+	s := newSoloCore(t)
+	list := model.InstanceList{Entries: []model.Member{{ID: "entry-0", Incarnation: 1, PeerAddress: "entry-0", State: model.MemberAlive}}}
+	list.Endpoints = []model.Endpoint{{ID: "e0", Kind: model.KindEngine, Address: "e0", Incarnation: 1, Model: "llm", SoftwareVersion: "1"}}
+	s.core.Apply(s.now, core.InstancesListed{List: list})
+	continueText := func(id model.RequestID) (endpoint model.EndpointID) {
+		for _, action := range s.core.Apply(s.now, core.RequestArrived{
+			ID: id, Kind: model.KindEngine, Model: "llm", Deadline: s.now.Add(time.Minute), SoftwareVersion: "1",
+			Fingerprint: model.NewFingerprint(string(id)),
+		}) {
+			if decided, ok := action.(core.RouteDecided); ok {
+				endpoint = decided.Decision.Endpoint
+			}
+		}
+		s.core.Apply(s.now, core.RequestEnded{ID: id, OK: true})
+		return endpoint
+	}
+	assert.Equal(t, continueText("before"), model.EndpointID("e0"))
+	s.core.Apply(s.now, core.LoadReported{Report: model.LoadReport{
+		Endpoint: "e0", Incarnation: 2, At: s.now, Slots: 8, TokensPerSecond: 50, Model: "llm", Version: 1, Target: 1,
+	}})
+	assert.Equal(t, continueText("after the report"), model.EndpointID(""))
+	s.core.Apply(s.now, core.InstancesListed{List: list})
+	assert.Equal(t, continueText("with the old list"), model.EndpointID(""))
+	list.Endpoints[0].Incarnation = 2
+	s.core.Apply(s.now, core.InstancesListed{List: list})
+	assert.Equal(t, continueText("with the new list"), model.EndpointID("e0"))
+}
--- a/core/services/jujubecore/endpoints.go
+++ b/core/services/jujubecore/endpoints.go
@@ -59,6 +59,9 @@
 	if known && info.Incarnation < endpoint.incarnation {
 		// The list lags behind the endpoint's own report, unless the list contains no incarnations.
 		info.Leaving = info.Leaving && info.Incarnation == 0
+		if info.Incarnation != 0 {
+			info.SoftwareVersion = "" // that of an earlier process
+		}
 		info.Incarnation = endpoint.incarnation
 	}
 	if info.Incarnation > endpoint.incarnation {
@@ -115,6 +118,7 @@
 		endpoint.incarnation = report.Incarnation
 		endpoint.info.Incarnation = report.Incarnation
 		endpoint.info.Leaving = false
+		endpoint.info.SoftwareVersion = "" // not known until the list has the new process
 		c.endpoints.Put(report.Endpoint, endpoint)
 		c.addToRouter(now, endpoint)
 	}
