--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -20,7 +20,7 @@
 	runs        *jujubetable.Table[RunID, *run]
 	// registryReadAt is a time up to which all entries of engines have been observed.
 	registryReadAt time.Time
-	scorings    *jujubetable.Table[RunID, *scoring]
+	scorings       *jujubetable.Table[RunID, *scoring]
 	// scoringBudgets is how many more scoring calls may begin in the current tick, by service.
 	scoringBudgets map[model.ServiceName]int
 	// latestItems maps each item without a result to its state in the latest submission, since groups may be submitted
