--- a/core/services/jujubequarantine/list.go
+++ b/core/services/jujubequarantine/list.go
@@ -34,6 +34,9 @@
 // List returns the quarantined fingerprints and then the suspects, each in order, as of the latest time passed to Check.
 func (q *Quarantine) List() []Entry {
 	var entries []Entry
+	for f := range q.suspects.All() {
+		q.derive(q.latestTime, f)
+	}
 	for f, v := range q.verdicts.All() {
 		if v.isInForce(q.latestTime) {
 			entries = append(entries, Entry{Fingerprint: f, State: Quarantined, Crashes: slices.Clone(v.crashes), Until: v.until})
--- a/entry/services/jujubenode/crashes_test.go
+++ b/entry/services/jujubenode/crashes_test.go
@@ -14,6 +14,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/services/jujubequarantine"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -116,6 +117,39 @@
 	assert.Equal(t, servers.count(), runs)
 }
 
+// TestLiftedQuarantine guards against a quarantine that an operator lifts and that an instance keeps, or restores from crashes that led
+// to it: one that runs, and one that starts afterwards.
+func TestLiftedQuarantine(t *testing.T) {
+	cluster := newTestCluster(t)
+	servers := &crashingServers{}
+	for range 9 {
+		cluster.plainAddresses = append(cluster.plainAddresses, servers.start(t))
+	}
+	a, _, _ := cluster.start("a")
+	b, _, _ := cluster.start("b")
+	waitFor(t, "both instances are alive", func() bool { return len(a.Addresses("dc")) == 2 })
+	for i := 0; !isQuarantined(sendContent(t, a, fmt.Sprint("r", i), "crash")); i++ {
+		assert.Assert(t, i < 6)
+	}
+	var entries []jujubequarantine.Entry
+	waitFor(t, "it is quarantined", func() bool {
+		var err error
+		entries, err = jujubenode.ListQuarantine(t.Context(), cluster.store)
+		return err == nil && len(entries) == 1 && entries[0].State == jujubequarantine.Quarantined
+	})
+	unknown, err := jujubenode.LiftQuarantine(t.Context(), cluster.store, entries[0].Fingerprint+1)
+	assert.Assert(t, err == nil && !unknown)
+	lifted, err := jujubenode.LiftQuarantine(t.Context(), cluster.store, entries[0].Fingerprint)
+	assert.Assert(t, err == nil && lifted)
+	time.Sleep(500 * time.Millisecond)
+	c, _, _ := cluster.start("c")
+	for i, node := range []*jujubenode.Node{a, b, c} {
+		runs := servers.count()
+		assert.Assert(t, !isQuarantined(sendContent(t, node, fmt.Sprint("lifted", i), "crash")))
+		assert.Assert(t, i > 0 || servers.count() > runs, "it doesn't run")
+	}
+}
+
 // TestRefusingLinksAreNoCrash guards against a sound request that is refused because the instance's own links broke off and refused
 // connections each time it ran: a host whose process has ended refuses them in the same way.
 func TestRefusingLinksAreNoCrash(t *testing.T) {
