quarantine: count processes that crash before their entries are read

Two crashes of one endpoint counted as one if the second process ended before its entry had been read, so a request that had ended three servers could go on. A run that starts after the crash of its process is known is on a further one; it is checked like the first, and counts by itself. What started after the last crash isn't blamed when the next entry is read.

TestCrashesBeforeTheNextEntry: three such crashes counted as one.

--- a/core/services/jujubequarantine/evidence.go
+++ b/core/services/jujubequarantine/evidence.go
@@ -11,14 +11,20 @@
 
 // Process is one process of an endpoint.
 type Process struct {
-	Endpoint        model.EndpointID
-	Incarnation     model.Incarnation
+	Endpoint    model.EndpointID
+	Incarnation model.Incarnation
+	// Restarts counts the processes of the endpoint that have ended since the incarnation was read, which is that of the first one.
+	Restarts        int
 	SoftwareVersion model.SoftwareVersion
 }
 
 // ID returns the name of the process.
 func (p Process) ID() model.ProcessID {
-	return model.ProcessID(string(p.Endpoint) + "~" + strconv.FormatInt(int64(p.Incarnation), 10))
+	id := string(p.Endpoint) + "~" + strconv.FormatInt(int64(p.Incarnation), 10)
+	if p.Restarts > 0 {
+		id += "+" + strconv.Itoa(p.Restarts)
+	}
+	return model.ProcessID(id)
 }
 
 // suspicion holds what is known for and against a fingerprint. Each process counts once on either side.
--- a/core/services/jujubequarantine/platform_test.go
+++ b/core/services/jujubequarantine/platform_test.go
@@ -205,6 +205,28 @@
 	assert.Equal(t, q.Check(now.Add(settled), crasher), quarantine.Quarantined)
 }
 
+// TestCrashesBeforeTheNextEntry guards against processes of one endpoint that end one after the other and count as one, because the
+// instance hasn't read the endpoint's next entry.
+func TestCrashesBeforeTheNextEntry(t *testing.T) {
+	q := quarantine.New(quarantine.PlatformSettings())
+	runs := quarantine.NewRunTracker(q)
+	now := start
+	for i := range 3 {
+		now = now.Add(time.Second)
+		id := model.RequestID(fmt.Sprint(i))
+		runs.Start(now, quarantine.Attempt{ID: id, Fingerprint: crasher, Process: processOf("e")})
+		_, isPending := runs.Break(now, id)
+		assert.Assert(t, isPending, "it has to be checked whether the process has ended")
+		runs.RecordCrash(now, "e", 1)
+	}
+	assert.Equal(t, q.Check(now.Add(settled), crasher), quarantine.Quarantined)
+	// What started after the last crash is on the process whose entry is read now.
+	runs.Start(now.Add(time.Second), quarantine.Attempt{ID: "next", Fingerprint: neighbour, Process: processOf("e")})
+	runs.Break(now.Add(time.Second), "next")
+	runs.RecordReplacement(now.Add(2*time.Second), "e", 1)
+	assert.Equal(t, q.Check(now.Add(2*time.Second), neighbour), quarantine.Clear)
+}
+
 // TestSuspectsApart checks that suspects learn which endpoints run other suspects, and that deleted records let a fingerprint run.
 func TestSuspectsApart(t *testing.T) {
 	q := quarantine.New(quarantine.PlatformSettings())
--- a/core/services/jujubequarantine/runs.go
+++ b/core/services/jujubequarantine/runs.go
@@ -20,6 +20,8 @@
 	ID          model.RequestID
 	Fingerprint model.Fingerprint
 	Process     Process
+	// startedAt is set by RunTracker.Start.
+	startedAt time.Time
 }
 
 // isOn reports whether the run is on an incarnation of an endpoint.
@@ -48,7 +50,9 @@
 
 type crashedProcess struct {
 	incarnation model.Incarnation
-	at          time.Time
+	// restarts counts the further processes that crashed before another incarnation was known.
+	restarts int
+	at       time.Time
 }
 
 // NewRunTracker returns a tracker that blames runs in a quarantine.
@@ -60,6 +64,7 @@
 
 // Start records that a run starts.
 func (t *RunTracker) Start(now time.Time, attempt Attempt) {
+	attempt.startedAt = now
 	t.running.Put(attempt.ID, attempt)
 	t.quarantine.AddRun(now, attempt.Fingerprint, attempt.Process.Endpoint)
 }
@@ -93,7 +98,7 @@
 	t.broken = slices.DeleteFunc(t.broken, func(run brokenRun) bool { return now.Sub(run.at) > brokenRetention })
 	t.broken = append(t.broken, brokenRun{attempt: attempt, at: now})
 	process := attempt.Process
-	if crashed, ok := t.crashed[process.Endpoint]; ok && crashed.incarnation == process.Incarnation {
+	if crashed, ok := t.crashed[process.Endpoint]; ok && crashed.incarnation == process.Incarnation && !attempt.startedAt.After(crashed.at) {
 		return t.RecordCrash(now, process.Endpoint, process.Incarnation), false
 	}
 	return nil, true
@@ -112,6 +117,9 @@
 // RecordReplacement blames the crash of an incarnation whose endpoint has started again: also on the runs that broke off before the
 // endpoint was found alive, if that was just before the next incarnation's entry was read.
 func (t *RunTracker) RecordReplacement(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Rumour {
+	if crashed, ok := t.crashed[endpoint]; ok && crashed.incarnation == incarnation {
+		return nil // what has run since then was on the next process
+	}
 	for i := range t.broken {
 		if run := &t.broken[i]; run.attempt.isOn(endpoint, incarnation) && now.Sub(run.aliveAt) <= entryDelay {
 			run.aliveAt = time.Time{}
@@ -123,7 +131,7 @@
 // RecordRemoval blames the crash of an incarnation whose registry entry has expired on the runs that broke off on it. Those in
 // flight aren't blamed: an endpoint may go on serving without an entry.
 func (t *RunTracker) RecordRemoval(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Rumour {
-	return t.blame(now, endpoint, incarnation, t.takeBroken(now, endpoint, incarnation))
+	return t.blame(now, Process{Endpoint: endpoint, Incarnation: incarnation}, t.takeBroken(now, endpoint, incarnation))
 }
 
 // takeBroken removes the runs on an incarnation that broke off, and returns those that did recently.
@@ -139,14 +147,14 @@
 	return attempts
 }
 
-// RecordCrash blames the crash of an incarnation on the runs that were in flight on it, and returns the updates about that.
+// RecordCrash blames the crash of an incarnation on the runs that were in flight on it, and returns the updates about that. Runs that
+// started after an earlier crash of the incarnation were on a further process, whose entry hasn't been read.
 func (t *RunTracker) RecordCrash(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Rumour {
 	for id, known := range t.crashed {
 		if now.Sub(known.at) > brokenRetention {
 			delete(t.crashed, id)
 		}
 	}
-	t.crashed[endpoint] = crashedProcess{incarnation, now}
 	inFlight := t.takeBroken(now, endpoint, incarnation)
 	for _, attempt := range t.running.All() {
 		// It stays in the table: it may be in flight on the next process already, and complete.
@@ -154,12 +162,33 @@
 			inFlight = append(inFlight, attempt)
 		}
 	}
-	return t.blame(now, endpoint, incarnation, inFlight)
+	crashed, isKnown := t.crashed[endpoint]
+	isKnown = isKnown && crashed.incarnation == incarnation
+	process := Process{Endpoint: endpoint, Incarnation: incarnation, Restarts: crashed.restarts}
+	if !isKnown {
+		process.Restarts = 0
+		t.crashed[endpoint] = crashedProcess{incarnation: incarnation, at: now}
+		return t.blame(now, process, inFlight)
+	}
+	var earlier, later []Attempt
+	for _, attempt := range inFlight {
+		if attempt.startedAt.After(crashed.at) {
+			later = append(later, attempt)
+		} else {
+			earlier = append(earlier, attempt)
+		}
+	}
+	updates := t.blame(now, process, earlier)
+	if len(later) > 0 {
+		process.Restarts++
+		t.crashed[endpoint] = crashedProcess{incarnation, process.Restarts, now}
+		updates = append(updates, t.blame(now, process, later)...)
+	}
+	return updates
 }
 
-// blame blames the crash of an incarnation on the runs that were in flight on it.
-func (t *RunTracker) blame(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation, inFlight []Attempt) []model.Rumour {
-	process := Process{Endpoint: endpoint, Incarnation: incarnation}
+// blame blames the crash of a process on the runs that were in flight on it.
+func (t *RunTracker) blame(now time.Time, process Process, inFlight []Attempt) []model.Rumour {
 	var fingerprints []model.Fingerprint
 	for _, attempt := range inFlight {
 		process.SoftwareVersion = max(process.SoftwareVersion, attempt.Process.SoftwareVersion)
