quarantine: let only crashes that count keep their place, for as long as entries may be missing

Found by rereading. In a full table suspicions whose crashes had expired kept their places before new ones with fewer crashes, so a new crashing request could be forgotten between its crashes. And the crash of a process was remembered for 10 s, after which a further process that ended before its entry had been read counted as the same one; entries may be missing for as long as the store is away.

TestFullTableKeepsCrashers and TestCrashesBeforeTheNextEntry, both extended, fail without.

--- a/core/services/jujubequarantine/evidence.go
+++ b/core/services/jujubequarantine/evidence.go
@@ -96,15 +96,25 @@
 	return latest
 }
 
-// compareForEviction orders suspicions: those with fewer crashes and then those that expire first are evicted first, so that many
-// requests that were in flight in one crash don't replace one that has caused several.
-func (s *suspicion) compareForEviction(other *suspicion) int {
-	if len(s.crashes) != len(other.crashes) {
-		return cmp.Compare(len(s.crashes), len(other.crashes))
+// compareForEviction orders suspicions: those with fewer crashes that count and then those that expire first are evicted first, so
+// that many requests that were in flight in one crash don't replace one that has caused several.
+func (s *suspicion) compareForEviction(now time.Time, other *suspicion) int {
+	if difference := cmp.Compare(s.countCrashes(now), other.countCrashes(now)); difference != 0 {
+		return difference
 	}
 	return s.expiry().Compare(other.expiry())
 }
 
+func (s *suspicion) countCrashes(now time.Time) int {
+	count := 0
+	for _, crash := range s.crashes {
+		if crash.isActive(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // activeCrashes returns the crashes that count against a fingerprint: those neither lifted nor expired.
 func (q *Quarantine) activeCrashes(now time.Time, f model.Fingerprint) []evidence {
 	if s, ok := q.suspects.Get(f); ok {
--- a/core/services/jujubequarantine/platform_test.go
+++ b/core/services/jujubequarantine/platform_test.go
@@ -203,6 +203,14 @@
 	now := start.Add(5 * time.Minute)
 	recordCrashes(q, now, 300, 1, crasher)
 	assert.Equal(t, q.Check(now.Add(settled), crasher), quarantine.Quarantined)
+	// Crashes that have expired keep no place.
+	for i := range 50 {
+		recordCrashes(q, now, 400+3*i, 3, model.Fingerprint(2000+i))
+	}
+	now = now.Add(2 * time.Hour)
+	recordCrashes(q, now, 600, 1, crasher+1)
+	recordCrashes(q, now, 601, 1, crasher+2)
+	assert.Equal(t, q.Check(now, crasher+1), quarantine.Suspect)
 }
 
 // TestCrashesBeforeTheNextEntry guards against processes of one endpoint that end one after the other and count as one, because the
@@ -212,7 +220,7 @@
 	runs := quarantine.NewRunTracker(q)
 	now := start
 	for i := range 3 {
-		now = now.Add(time.Second)
+		now = now.Add(time.Minute)
 		id := model.RequestID(fmt.Sprint(i))
 		runs.Start(now, quarantine.Attempt{ID: id, Fingerprint: crasher, Process: processOf("e")})
 		_, isPending := runs.Break(now, id)
--- a/core/services/jujubequarantine/runs.go
+++ b/core/services/jujubequarantine/runs.go
@@ -12,6 +12,9 @@
 // its power is only known to have crashed once its registry entry is replaced or expires, after some seconds.
 const brokenRetention = 10 * time.Second
 
+// crashedRetention is how long a crash is remembered whose endpoint's next entry isn't read, as the store is away.
+const crashedRetention = 10 * time.Minute
+
 // entryDelay is how long after the start of a process its registry entry may be read.
 const entryDelay = time.Second
 
@@ -151,7 +154,7 @@
 // started after an earlier crash of the incarnation were on a further process, whose entry hasn't been read.
 func (t *RunTracker) RecordCrash(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Rumour {
 	for id, known := range t.crashed {
-		if now.Sub(known.at) > brokenRetention {
+		if now.Sub(known.at) > crashedRetention {
 			delete(t.crashed, id)
 		}
 	}
--- a/core/services/jujubequarantine/update.go
+++ b/core/services/jujubequarantine/update.go
@@ -166,7 +166,7 @@
 	s, ok := q.suspects.Get(f)
 	if !ok {
 		s = &suspicion{}
-		insertBounded(q.suspects, f, s, q.settings.MaxSuspects, (*suspicion).compareForEviction)
+		insertBounded(q.suspects, f, s, q.settings.MaxSuspects, func(a, b *suspicion) int { return a.compareForEviction(now, b) })
 	}
 	e.learnedAt = now
 	all := list(s)
