--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -305,13 +305,6 @@
 	return err
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // notifyChange wakes the scheduler and the readers that wait for results; the lock is held.
 func (n *Node) notifyChange() {
 	select {
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -155,7 +155,7 @@
 }
 
 // Accepted records the weight version with which the engine started. A run that continues a text goes on only if the engine's process
-// is known to be the one that was chosen.
+// is known to be that of its entry.
 func (s runSink) Accepted(version model.WeightVersion, connectedAt time.Time) bool {
 	isConfirmed := s.start.After == 0 || connectedAt.IsZero() ||
 		s.node.confirmProcess(s.ctx, s.start.Engine, s.start.Incarnation, connectedAt)
@@ -177,3 +177,10 @@
 	defer s.node.mu.Unlock()
 	return s.node.scheduler.HandleRunEvent(time.Now(), s.start.Run, number, data, version)
 }
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
