--- a/entry/services/jujubenode/crashes.go
+++ b/entry/services/jujubenode/crashes.go
@@ -113,7 +113,7 @@
 }
 
 // endRun records how an attempt ended, and reports whether its endpoint has to be checked because it broke off. The lock is held.
-func (n *Node) endRun(ctx context.Context, now time.Time, id model.RequestID, response Response, err error) bool {
+func (n *Node) endRun(ctx context.Context, now time.Time, id model.RequestID, call Call, response Response, err error) bool {
 	runs := n.crashes.runs
 	var callErr ErrCall
 	var updates []model.Rumour
@@ -128,6 +128,8 @@
 		runs.Cancel(now, id)
 	default:
 		updates, isPending = runs.Break(now, id)
+		n.publishCrash(call.Endpoint, call.Incarnation, updates, "its process has ended before")
+		updates = nil
 	}
 	n.publishUpdates(updates)
 	// A request that this instance has given up is no reason for a check. If the process has ended silently, its registry entry shows it.
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -310,7 +310,7 @@
 		})
 	}
 	n.deliverDecisions(n.router.Finish(now, id, outcome))
-	return n.endRun(ctx, now, id, response, err)
+	return n.endRun(ctx, now, id, call, response, err)
 }
 
 func (n *Node) endpointAddress(id model.EndpointID) string {
