review: start processes again, and add stand-ins

The platform starts a process again that exits or is killed; run-case.sh now does so, and tells the stand-ins the process ids.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,16 +1,29 @@
 #!/usr/bin/env bash
 # Runs one case: run-case.sh FOLDER CASE. The stand-ins write the settings of the nodes; this script starts a process of the system for
-# each of them with the command of the deploy file, and ends all processes that it started.
+# each of them with the command of the deploy file, starts it again after a second if it ends, and ends all processes that it started.
 folder=$(cd "$1" && pwd)
 cd "$(dirname "$0")/.." || exit 2
 [ -x target/jujubepier ] && [ -x target/review-standin ] || { echo "build first: the deploy file's build, then review/build.sh" >&2; exit 2; }
 work=$(mktemp -d) || exit 2
-nodes=()
+supervisors=()
 standin=
+# supervise NAME runs the process of a node; NAME.pid has its process id.
+supervise() {
+  trap 'exit 0' TERM
+  while [ ! -e "$work/stop" ]; do
+    JUJUBEPIER_BOOT=$work/$1.yaml target/jujubepier serve >>"${LOGS:-$work}/$1.log" 2>&1 &
+    echo $! >"$work/$1.pid"
+    wait $!
+    sleep 1
+  done
+}
 finish() {
   exec 2>/dev/null
-  for pid in "${nodes[@]}" $standin; do kill -KILL "$pid" 2>/dev/null; done
-  wait 2>/dev/null
+  touch "$work/stop"
+  kill -TERM "${supervisors[@]}"
+  for file in "$work"/*.pid; do kill -KILL "$(cat "$file")"; done
+  kill -KILL $standin
+  wait
   rm -rf "$work"
 }
 trap finish EXIT
@@ -23,8 +36,8 @@
 done
 [ -e "$work/start" ] || exit 2
 for settings in "$work"/*.yaml; do
-  JUJUBEPIER_BOOT=$settings target/jujubepier serve >"${LOGS:-$work}/$(basename "$settings" .yaml).log" 2>&1 &
-  nodes+=($!)
+  supervise "$(basename "$settings" .yaml)" &
+  supervisors+=($!)
 done
 wait "$standin"
 code=$?
--- a/review/standin/paths.go
+++ b/review/standin/paths.go
@@ -117,3 +117,34 @@
 	s.record.line("verdict", "requests-run", fmt.Sprint(ran), "at-the-wrong-service", fmt.Sprint(wrong))
 	return wrong > 0, nil
 }
+
+// runSlashes sends requests to a service whose route has the prefix /, some of them with a path that begins with two slashes. Each has to
+// reach its server with the path that the client sent.
+func runSlashes(directory, recordPath string, trouble bool) (bool, error) {
+	s, err := newPathSite(directory, recordPath, []pathService{{"records", "/"}})
+	if err != nil {
+		return false, err
+	}
+	var targets []string
+	for k := range 10 {
+		targets = append(targets, fmt.Sprintf("/dojo/%d", k), fmt.Sprintf("/dojo//%d", k), fmt.Sprintf("/dojo/%d?of=%d", k, k))
+		if trouble {
+			targets = append(targets, fmt.Sprintf("//dojo/%d", k))
+		}
+	}
+	sent := s.sendTargets(targets)
+	changed, ran := 0, 0
+	for _, line := range s.record.lines {
+		if line[0] != "run" {
+			continue
+		}
+		ran++
+		// line is: run server S id ID method M target T ...
+		if id, target := line[4], line[8]; target != sent[id] {
+			changed++
+			s.record.line("changed", "id", id, "sent", sent[id], "ran", target)
+		}
+	}
+	s.record.line("verdict", "requests-run", fmt.Sprint(ran), "with-another-path", fmt.Sprint(changed))
+	return changed > 0, nil
+}
