--- a/review/standin/newroute.go
+++ b/review/standin/newroute.go
@@ -71,7 +71,7 @@
 	const (
 		refusedTime = 9 * time.Second // the longest time of the impairment in the site files
 		calmTime    = 7 * time.Second
-		periods     = 4
+		periods     = 5
 		trainers    = 3
 	)
 	// The store turns two of the seven machines away, less than the share of 0.33, by not answering them.
