--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	cases := map[string]func(directory, record string, trouble bool) (broken bool, err error){
-		"resent": runResent, "newroute": runNewRoute, "poison": runPoison, "single": runSingle, "encoded": runEncoded, "uploads": runUploads, "itempath": runItemPath, "slashes": runSlashes,
+		"resent": runResent, "newroute": runNewRoute, "poison": runPoison, "single": runSingle, "encoded": runEncoded, "uploads": runUploads, "split": runSplit, "itempath": runItemPath, "slashes": runSlashes,
 	}
 	time.AfterFunc(timeLimit, func() {
 		fmt.Fprintln(os.Stderr, "the case took too long")
