--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -14,6 +14,7 @@
     JUJUBEPIER_BOOT=$work/$1.yaml target/jujubepier serve >>"${LOGS:-$work}/$1.log" 2>&1 &
     echo $! >"$work/$1.pid"
     wait $!
+    rm -f "$work/$1.pid"
     sleep 1
   done
 }
@@ -21,7 +22,7 @@
   exec 2>/dev/null
   touch "$work/stop"
   kill -TERM "${supervisors[@]}"
-  for file in "$work"/*.pid; do kill -KILL "$(cat "$file")"; done
+  for file in "$work"/*.pid; do [ -e "$file" ] && kill -KILL "$(cat "$file")"; done
   kill -KILL $standin
   wait
   rm -rf "$work"
