batch, node: name the organisation of a request and of a submission

The parts for API keys, usage reports and fair shares need the organisation of a request at the endpoint's client, and that of a submission on all instances. Requests, calls, submissions and runs get a field for it, which nothing sets yet. A submission's record doesn't change while it is empty.

--- a/core/models/jujubemodel/id.go
+++ b/core/models/jujubemodel/id.go
@@ -13,6 +13,8 @@
 	DataCentre string
 	// CallerID names an app or trainer that sends requests.
 	CallerID string
+	// OrganisationName names a customer whose callers authenticate with API keys; empty for none.
+	OrganisationName string
 	// TrainerID names a trainer in the environment document.
 	TrainerID string
 	// ModelName names a model that engines serve.
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -31,6 +31,8 @@
 	Host  string
 	Path  string
 	Model model.ModelName
+	// Organisation is the one that submitted it; empty on a public route and in the records of earlier builds.
+	Organisation model.OrganisationName `json:",omitempty"`
 	// MinVersion is the oldest weight version that may generate an event of a result's text.
 	MinVersion model.WeightVersion
 	// GroupCount is how many complete groups the trainer waits for.
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -24,6 +24,8 @@
 	Item        ItemID
 	Host        string
 	Path        string
+	// Organisation is that of the submission.
+	Organisation model.OrganisationName
 	// Content is where the rest of the request is stored, and InlineContent is the rest itself if another instance delegated
 	// the item and sent it.
 	Content       Place
--- a/entry/services/jujubenode/attempt.go
+++ b/entry/services/jujubenode/attempt.go
@@ -47,7 +47,7 @@
 
 func (f *forwarding) newCall(decision jujuberouter.Decision) Call {
 	return Call{
-		ID: f.request.ID, Method: f.request.Method, URI: f.request.URI, Host: f.request.Host, Header: f.request.Header,
+		ID: f.request.ID, Method: f.request.Method, URI: f.request.URI, Host: f.request.Host, Organisation: f.request.Organisation, Header: f.request.Header,
 		Body: f.request.Body, Endpoint: decision.Endpoint, Incarnation: decision.Incarnation, Address: decision.Address,
 		Timeout: time.Until(f.request.Deadline),
 	}
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -29,13 +29,15 @@
 
 // Call is a plain request to one endpoint.
 type Call struct {
-	ID       model.RequestID
-	Method   string
-	URI      string
-	Host     string
-	Header   http.Header
-	Body     []byte
-	Endpoint model.EndpointID
+	ID     model.RequestID
+	Method string
+	URI    string
+	Host   string
+	// Organisation is the caller's; empty for none.
+	Organisation model.OrganisationName
+	Header       http.Header
+	Body         []byte
+	Endpoint     model.EndpointID
 	// Incarnation is the incarnation of the endpoint that this instance has on record.
 	Incarnation model.Incarnation
 	Address     string
@@ -85,13 +87,15 @@
 
 // PlainRequest is a caller's request on a route that isn't a rollout route.
 type PlainRequest struct {
-	ID       model.RequestID
-	Method   string
-	URI      string
-	Host     string
-	Header   http.Header
-	Body     []byte
-	Deadline time.Time
+	ID     model.RequestID
+	Method string
+	URI    string
+	Host   string
+	// Organisation is the caller's; empty on a public route and without organisations.
+	Organisation model.OrganisationName
+	Header       http.Header
+	Body         []byte
+	Deadline     time.Time
 }
 
 // attempt is the outcome of sending a request to one endpoint.
