path: keep a path for each partition of the store

Cause: while the store had lost a third of its partitions, each failed call to one of them made the instance reach all others through peers, which had the same view, and each success changed the path back: 5,659 changes of the path in 17 s of a trace, and results of submissions in sound partitions were listed late. Change: jujubepath.Paths holds a path for each partition; probes go round the partitions that aren't reached directly, one at a time. Ruled out: more partitions of submissions (the same share of them is lost). TestThroughPeers and TestBusyStore check the same on Paths, as probes and the rate limit moved there; TestLostPartLeavesOthersDirect is new.

--- a/core/services/jujubepath/path.go
+++ b/core/services/jujubepath/path.go
@@ -27,15 +27,11 @@
 	return Settings{ProbeInterval: 150 * time.Millisecond, PeerRetryDelay: 700 * time.Millisecond, BusyTolerance: 500 * time.Millisecond}
 }
 
-// Path is the route of an instance's calls to the store. It isn't safe for concurrent use.
+// Path is the route of an instance's calls to one part of the store. It isn't safe for concurrent use.
 type Path struct {
 	settings Settings
 	// indirect is true from a failed direct call until the next successful one.
 	indirect bool
-	// nextProbe is when the next direct probe is due.
-	nextProbe time.Time
-	// lastDirectSuccess is the time of the last successful direct call.
-	lastDirectSuccess time.Time
 	// peerPausedUntil holds the peers whose last call failed, and until when they aren't used.
 	peerPausedUntil map[model.InstanceID]time.Time
 	// currentPeer is the last chosen peer, initially this instance itself.
@@ -52,26 +48,12 @@
 func (p *Path) IsDirect() bool { return !p.indirect }
 
 // RecordDirect records the outcome of a direct call. It returns true when the path changes between direct and indirect.
-func (p *Path) RecordDirect(now time.Time, ok bool) bool {
+func (p *Path) RecordDirect(ok bool) bool {
 	changed := p.indirect == ok
 	p.indirect = !ok
-	if ok {
-		p.lastDirectSuccess = now
-	} else {
-		p.nextProbe = now.Add(p.settings.ProbeInterval)
-	}
 	return changed
 }
 
-// ShouldRetryDirect reports whether a direct call that was refused for too many calls should be retried directly. A call
-// through a peer would count against the same rate limit.
-func (p *Path) ShouldRetryDirect(now time.Time) bool {
-	return !p.indirect && now.Sub(p.lastDirectSuccess) < p.settings.BusyTolerance
-}
-
-// ProbeDue reports whether a direct probe of the store is due.
-func (p *Path) ProbeDue(now time.Time) bool { return p.indirect && !now.Before(p.nextProbe) }
-
 // ChoosePeer returns the peer to call; ok is false when all are paused. The same peer is used until a call through it fails.
 func (p *Path) ChoosePeer(now time.Time, live []model.InstanceID) (id model.InstanceID, ok bool) {
 	if slices.Contains(live, p.currentPeer) && !now.Before(p.peerPausedUntil[p.currentPeer]) {
--- a/core/services/jujubepath/path_test.go
+++ b/core/services/jujubepath/path_test.go
@@ -16,12 +16,14 @@
 // calls fail, or doesn't return to direct calls after the first successful probe.
 func TestThroughPeers(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	p := jujubepath.New("a", jujubepath.Settings{ProbeInterval: 500 * time.Millisecond, PeerRetryDelay: time.Second})
+	paths := jujubepath.NewPaths[string]("a", jujubepath.Settings{ProbeInterval: 500 * time.Millisecond, PeerRetryDelay: time.Second})
+	p := paths.Of("log")
 	live := []model.InstanceID{"b", "c"}
 	assert.Assert(t, p.IsDirect())
-	assert.Assert(t, p.RecordDirect(now, false))
-	assert.Assert(t, !p.RecordDirect(now, false))
-	assert.Assert(t, !p.IsDirect() && !p.ProbeDue(now))
+	assert.Assert(t, paths.RecordDirect(now, "log", false))
+	assert.Assert(t, !paths.RecordDirect(now, "log", false))
+	_, isDue := paths.ProbeDue(now)
+	assert.Assert(t, !p.IsDirect() && !isDue)
 	first, ok := p.ChoosePeer(now, live)
 	assert.Assert(t, ok)
 	p.RecordPeer(now, first, true)
@@ -35,11 +37,47 @@
 	assert.Assert(t, !ok, "all peers are paused while the store is unavailable to all")
 	_, ok = p.ChoosePeer(now.Add(time.Second), live)
 	assert.Assert(t, ok)
-	assert.Assert(t, p.ProbeDue(now.Add(500*time.Millisecond)))
-	assert.Assert(t, p.RecordDirect(now.Add(600*time.Millisecond), true))
+	part, isDue := paths.ProbeDue(now.Add(500 * time.Millisecond))
+	assert.Assert(t, isDue && part == "log")
+	assert.Assert(t, paths.RecordDirect(now.Add(600*time.Millisecond), "log", true))
 	assert.Assert(t, p.IsDirect())
 }
 
+// TestLostPartLeavesOthersDirect guards against calls to all parts of a store that change to peers and back while only some parts
+// are lost, and against probes that are as many as the lost parts or that never reach one of them.
+func TestLostPartLeavesOthersDirect(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	settings := jujubepath.DefaultSettings()
+	paths := jujubepath.NewPaths[string]("a", settings)
+	probes := map[string]int{}
+	for elapsed := time.Duration(0); elapsed < 6*time.Second; elapsed += 50 * time.Millisecond {
+		at := now.Add(elapsed)
+		paths.RecordDirect(at, "sound", true)
+		for _, lost := range []string{"x", "y", "z"} {
+			if paths.Of(lost).IsDirect() {
+				paths.RecordDirect(at, lost, false)
+			}
+		}
+		if part, ok := paths.ProbeDue(at); ok {
+			probes[part]++
+			paths.RecordDirect(at, part, false)
+		}
+		assert.DeepEqual(t, paths.IndirectParts(), []string{"x", "y", "z"})
+	}
+	total := probes["x"] + probes["y"] + probes["z"]
+	assert.Assert(t, total <= int(6*time.Second/settings.ProbeInterval)+1, "%v", probes)
+	assert.Assert(t, min(probes["x"], probes["y"], probes["z"]) >= total/4, "%v", probes)
+
+	// The store returns: the first success makes the probes of the others due at once.
+	at := now.Add(7 * time.Second)
+	for range 3 {
+		part, ok := paths.ProbeDue(at)
+		assert.Assert(t, ok)
+		paths.RecordDirect(at, part, true)
+	}
+	assert.Equal(t, len(paths.IndirectParts()), 0)
+}
+
 // TestHelpersAreSpread guards against one peer that gets the calls of many instances. The store rejects half of sixty instances
 // at the same time, which would all choose the first peer by name; no peer may be chosen by more than two.
 func TestHelpersAreSpread(t *testing.T) {
@@ -51,7 +89,7 @@
 	callers := map[model.InstanceID]int{}
 	for i := 0; i < len(all); i += 2 {
 		p := jujubepath.New(all[i], jujubepath.DefaultSettings())
-		p.RecordDirect(now, false)
+		p.RecordDirect(false)
 		id, ok := p.ChoosePeer(now, slices.Delete(slices.Clone(all), i, i+1))
 		assert.Assert(t, ok)
 		callers[id]++
@@ -66,11 +104,11 @@
 // reject this instance.
 func TestBusyStore(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	p := jujubepath.New("a", jujubepath.DefaultSettings())
-	assert.Assert(t, !p.ShouldRetryDirect(now), "no call has succeeded yet")
-	p.RecordDirect(now, true)
-	assert.Assert(t, p.ShouldRetryDirect(now.Add(400*time.Millisecond)))
-	assert.Assert(t, !p.ShouldRetryDirect(now.Add(600*time.Millisecond)))
-	p.RecordDirect(now.Add(600*time.Millisecond), false)
-	assert.Assert(t, !p.ShouldRetryDirect(now.Add(600*time.Millisecond)))
+	p := jujubepath.NewPaths[string]("a", jujubepath.DefaultSettings())
+	assert.Assert(t, !p.ShouldRetryDirect(now, "log"), "no call has succeeded yet")
+	p.RecordDirect(now, "log", true)
+	assert.Assert(t, p.ShouldRetryDirect(now.Add(400*time.Millisecond), "log"))
+	assert.Assert(t, !p.ShouldRetryDirect(now.Add(600*time.Millisecond), "log"))
+	p.RecordDirect(now.Add(600*time.Millisecond), "log", false)
+	assert.Assert(t, !p.ShouldRetryDirect(now.Add(600*time.Millisecond), "log"))
 }
--- a/entry/services/jujubenode/blob.go
+++ b/entry/services/jujubenode/blob.go
@@ -157,7 +157,7 @@
 	if len(missing) == 0 {
 		return found, nil
 	}
-	if p.node.store.isConfirmedDown(time.Now()) && p.fetchFromWriters(ctx, missing, found) {
+	if p.node.store.isConfirmedDown(time.Now(), topicTexts, p.number) && p.fetchFromWriters(ctx, missing, found) {
 		return found, nil
 	}
 	err := p.readBlobs(ctx, missing, found)
--- a/entry/services/jujubenode/load.go
+++ b/entry/services/jujubenode/load.go
@@ -28,7 +28,7 @@
 
 // publishLoad announces a load to the other instances.
 func (n *Node) publishLoad(ctx context.Context, load LoadRecord) error {
-	if n.store.isConfirmedDown(time.Now()) {
+	if n.store.isConfirmedDown(time.Now(), topicRollout, 0) {
 		n.broadcast(ctx, "Relay.Tell", load)
 		return ErrStore{Call: "load", Reason: "no instance can reach the store"}
 	}
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -47,26 +47,32 @@
 	// closeIdle closes the idle connections to the store.
 	closeIdle func()
 
-	mu   sync.Mutex
-	path *jujubepath.Path
+	mu    sync.Mutex
+	paths *jujubepath.Paths[storePart]
 	// catchUpTimeout adapts the time limit of large reads.
 	catchUpTimeout jujubepath.AdaptiveTimeout
-	// confirmedDownAt is when another instance last replied that it can't reach the store either; zero after any
-	// success.
-	confirmedDownAt time.Time
-	// restoredCh is closed and replaced when the store is directly reachable again.
+	// confirmedDownAt is when another instance last replied that it can't reach a partition either; a success deletes the entry.
+	confirmedDownAt map[storePart]time.Time
+	// restoredCh is closed and replaced when a partition is directly reachable again.
 	restoredCh chan struct{}
 }
 
+// storePart is a partition of the store's log. Each may be away while others are reachable.
+type storePart struct {
+	topic Topic
+	part  int
+}
+
 func newRelayedStore(self model.InstanceID, direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string, closeIdle func()) *relayedStore {
 	if closeIdle == nil {
 		closeIdle = func() {}
 	}
 	return &relayedStore{
 		closeIdle: closeIdle,
-		direct:    direct, pool: jujubepeer.NewPool(), log: log, peers: peers, path: jujubepath.New(self, jujubepath.DefaultSettings()),
-		catchUpTimeout: jujubepath.AdaptiveTimeout{Min: minCatchUpTimeout, Max: maxCatchUpTimeout},
-		restoredCh:     make(chan struct{}),
+		direct:    direct, pool: jujubepeer.NewPool(), log: log, peers: peers, paths: jujubepath.NewPaths[storePart](self, jujubepath.DefaultSettings()),
+		catchUpTimeout:  jujubepath.AdaptiveTimeout{Min: minCatchUpTimeout, Max: maxCatchUpTimeout},
+		confirmedDownAt: make(map[storePart]time.Time),
+		restoredCh:      make(chan struct{}),
 	}
 }
 
@@ -135,9 +141,8 @@
 func (s *relayedStore) call(ctx context.Context, method string, args RelayArgs, timeout time.Duration, repeatable bool,
 	direct func(context.Context) (RelayReply, error),
 ) (RelayReply, error) {
-	s.mu.Lock()
-	isDirect := s.path.IsDirect()
-	s.mu.Unlock()
+	part := storePart{args.Topic, args.Part}
+	isDirect := s.isDirect(args.Topic, args.Part)
 	var directErr error
 	if isDirect {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -146,10 +151,10 @@
 		if ctx.Err() != nil && err != nil {
 			return reply, err
 		}
-		if s.isRateLimited(err) {
+		if s.isRateLimited(part, err) {
 			return reply, err
 		}
-		s.recordDirectOutcome(err, method)
+		s.recordDirectOutcome(part, err, method)
 		var storeErr ErrStore
 		if !errors.As(err, &storeErr) || !repeatable && storeErr.Done {
 			return reply, err
@@ -167,31 +172,31 @@
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		reply, err = direct(callCtx)
-		s.recordDirectOutcome(err, method)
+		s.recordDirectOutcome(part, err, method)
 	}
 	return reply, err
 }
 
 // isRateLimited reports whether a direct call was refused because all instances together exceeded the store's rate
 // limit.
-func (s *relayedStore) isRateLimited(err error) bool {
+func (s *relayedStore) isRateLimited(part storePart, err error) bool {
 	var storeErr ErrStore
 	if !errors.As(err, &storeErr) || storeErr.Status != http.StatusTooManyRequests {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.path.ShouldRetryDirect(time.Now())
+	return s.paths.ShouldRetryDirect(time.Now(), part)
 }
 
-// recordDirectOutcome updates the path with the outcome of a direct call.
-func (s *relayedStore) recordDirectOutcome(err error, method string) {
+// recordDirectOutcome updates the path to a partition with the outcome of a direct call.
+func (s *relayedStore) recordDirectOutcome(part storePart, err error, method string) {
 	var storeErr ErrStore
 	ok := !errors.As(err, &storeErr)
 	s.mu.Lock()
-	pathChanged := s.path.RecordDirect(time.Now(), ok)
+	pathChanged := s.paths.RecordDirect(time.Now(), part, ok)
 	if ok {
-		s.confirmedDownAt = time.Time{}
+		delete(s.confirmedDownAt, part)
 	}
 	if ok && pathChanged {
 		close(s.restoredCh)
@@ -200,7 +205,9 @@
 	s.mu.Unlock()
 	if pathChanged {
 		s.log.Write(jujubeevent.StorePathChanged, func() logrus.Fields {
-			return logrus.Fields{"Direct": ok, "Call": method, "Error": errorText(err)}
+			return logrus.Fields{
+				"Topic": part.topic.Name, "Partition": part.part, "Direct": ok, "Call": method, "Error": errorText(err),
+			}
 		})
 	}
 }
@@ -213,8 +220,9 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
+	part := storePart{args.Topic, args.Part}
 	s.mu.Lock()
-	id, ok := s.path.ChoosePeer(time.Now(), ids)
+	id, ok := s.paths.Of(part).ChoosePeer(time.Now(), ids)
 	s.mu.Unlock()
 	if !ok {
 		return RelayReply{}, false, nil
@@ -233,12 +241,12 @@
 	var storeErr ErrStore
 	ok = !errors.As(err, &storeErr)
 	s.mu.Lock()
-	s.path.RecordPeer(time.Now(), id, ok)
+	s.paths.Of(part).RecordPeer(time.Now(), id, ok)
 	switch {
 	case ok:
-		s.confirmedDownAt = time.Time{}
+		delete(s.confirmedDownAt, part)
 	case hasReplied:
-		s.confirmedDownAt = time.Now()
+		s.confirmedDownAt[part] = time.Now()
 	}
 	s.mu.Unlock()
 	return reply, true, err
@@ -248,40 +256,42 @@
 // down, another instance is queried about once a second.
 const confirmedDownTTL = 2 * time.Second
 
-// isConfirmedDown reports whether another instance recently replied that it can't reach the store either.
-func (s *relayedStore) isConfirmedDown(now time.Time) bool {
+// isConfirmedDown reports whether another instance recently replied that it can't reach a partition either.
+func (s *relayedStore) isConfirmedDown(now time.Time, topic Topic, part int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.confirmedDownAt.IsZero() && now.Sub(s.confirmedDownAt) < confirmedDownTTL
+	confirmedAt, ok := s.confirmedDownAt[storePart{topic, part}]
+	return ok && now.Sub(confirmedAt) < confirmedDownTTL
 }
 
-// probe calls the store directly whenever a probe is due, while calls go through other instances.
+// probe calls the store directly whenever a probe is due, while calls to some partitions go through other instances.
 func (s *relayedStore) probe(ctx context.Context) error {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		due := s.path.ProbeDue(time.Now())
+		part, due := s.paths.ProbeDue(time.Now())
 		s.mu.Unlock()
-		if due {
-			callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-			_, err := s.direct.Read(callCtx, topicRollout, 0, 0, 0, probeBytes)
-			cancel()
-			if ctx.Err() == nil {
-				s.recordDirectOutcome(err, "probe")
-			}
+		if !due {
+			sleep(ctx, probePollInterval)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		_, err := s.direct.Read(callCtx, part.topic, part.part, 0, 0, probeBytes)
+		cancel()
+		if ctx.Err() == nil {
+			s.recordDirectOutcome(part, err, "probe")
 		}
-		sleep(ctx, probePollInterval)
 	}
 	return nil
 }
 
-// isDirect reports whether the store answered this instance's last direct call.
-func (s *relayedStore) isDirect() bool {
+// isDirect reports whether the store answered this instance's last direct call to a partition.
+func (s *relayedStore) isDirect(topic Topic, part int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.path.IsDirect()
+	return s.paths.Of(storePart{topic, part}).IsDirect()
 }
 
-// sleep waits for the delay, or until the store is directly reachable again.
+// sleep waits for the delay, or until a partition is directly reachable again.
 func (s *relayedStore) sleep(ctx context.Context, delay time.Duration) {
 	s.mu.Lock()
 	restoredCh := s.restoredCh
--- a/entry/services/jujubenode/storecalls.go
+++ b/entry/services/jujubenode/storecalls.go
@@ -82,7 +82,7 @@
 
 // Append appends records on behalf of another instance.
 func (r *Relay) Append(args RelayArgs, reply *RelayReply) error {
-	if !r.node.store.isDirect() {
+	if !r.node.store.isDirect(args.Topic, args.Part) {
 		reply.setError(errNoDirectPath("Relay.Append"))
 		return nil
 	}
@@ -96,7 +96,7 @@
 
 // Read returns records to another instance.
 func (r *Relay) Read(args RelayArgs, reply *RelayReply) error {
-	if !r.node.store.isDirect() {
+	if !r.node.store.isDirect(args.Topic, args.Part) {
 		reply.setError(errNoDirectPath("Relay.Read"))
 		return nil
 	}
@@ -110,7 +110,7 @@
 
 // Newest returns a page of the newest records to another instance.
 func (r *Relay) Newest(args RelayArgs, reply *RelayReply) error {
-	if !r.node.store.isDirect() {
+	if !r.node.store.isDirect(args.Topic, args.Part) {
 		reply.setError(errNoDirectPath("Relay.Newest"))
 		return nil
 	}
--- a/entry/services/jujubenode/urgent.go
+++ b/entry/services/jujubenode/urgent.go
@@ -84,7 +84,7 @@
 			try := tries[started]
 			started++
 			timer.Reset(try.next)
-			go func() { outcomes <- s.try(ctx, try, method) }()
+			go func() { outcomes <- s.try(ctx, try, method, storePart{args.Topic, args.Part}) }()
 		case last = <-outcomes:
 			ended++
 			var storeErr ErrStore
@@ -109,8 +109,9 @@
 	}
 	slices.Sort(ids)
 	s.mu.Lock()
-	isDirect := s.path.IsDirect()
-	peers := s.path.OrderPeers(time.Now(), ids, maxUrgentPeers)
+	path := s.paths.Of(storePart{args.Topic, args.Part})
+	isDirect := path.IsDirect()
+	peers := path.OrderPeers(time.Now(), ids, maxUrgentPeers)
 	s.mu.Unlock()
 	var tries []urgentTry
 	if isDirect || len(peers) == 0 {
@@ -135,7 +136,7 @@
 }
 
 // try makes one try and records its outcome for the choice of paths, unless another try has responded meanwhile.
-func (s *relayedStore) try(ctx context.Context, try urgentTry, method string) urgentOutcome {
+func (s *relayedStore) try(ctx context.Context, try urgentTry, method string, part storePart) urgentOutcome {
 	callCtx, cancel := context.WithTimeout(ctx, try.timeout)
 	defer cancel()
 	outcome := urgentOutcome{try: try, requestedAt: time.Now()}
@@ -144,14 +145,14 @@
 		return outcome
 	}
 	if try.peer == "" {
-		if !s.isRateLimited(outcome.err) {
-			s.recordDirectOutcome(outcome.err, method)
+		if !s.isRateLimited(part, outcome.err) {
+			s.recordDirectOutcome(part, outcome.err, method)
 		}
 		return outcome
 	}
 	var storeErr ErrStore
 	s.mu.Lock()
-	s.path.RecordPeer(time.Now(), try.peer, !errors.As(outcome.err, &storeErr))
+	s.paths.Of(part).RecordPeer(time.Now(), try.peer, !errors.As(outcome.err, &storeErr))
 	s.mu.Unlock()
 	return outcome
 }
