prompt, batch, router: choose engines by kept prompts and their cost

Items of a group share a prompt, but engines were chosen by load alone, and the router had a fixed bonus of 150 ms for a cached prefix, some hundred times what a kept prompt of 1,000 tokens saves. The new package jujubeprompt estimates which parts each server keeps and compares wait, slowdown and prefill in time. The batch scheduler uses it within an engine's class and bounds what is assigned to an engine by its memory; the router uses it in place of its prefix table, whose behaviour on the service's own interface stays the same except that the least recently used prefix is evicted first.

--- a/core/services/jujubebatch/assign.go
+++ b/core/services/jujubebatch/assign.go
@@ -19,11 +19,13 @@
 	serving := s.servingServices(submission)
 	// full holds the services without an engine for items that have no text.
 	full := map[model.ServiceName]bool{}
+	s.prompts.following = s.listRunTimes(now, submission)
+	defer func() { s.prompts.following = nil }()
 	for _, item := range submission.longestFirst {
-		if item.assignedEngine != "" || item.hasResult || item.resultQueued || item.unscored != nil ||
-			now.Before(item.notBefore) || !s.isResponsible(now, item) {
+		if !s.awaitsEngine(now, item) {
 			continue
 		}
+		s.prompts.following = s.prompts.following[min(1, len(s.prompts.following)):]
 		route, ok := s.desired.Match(submission.Host, item.Path)
 		if !ok || item.hasUsedAttempts(route) || s.isPastRetention(now, submission, route) {
 			continue // startItems queues its errored result
@@ -42,6 +44,12 @@
 	}
 }
 
+// awaitsEngine reports whether this instance has to assign an engine to an item now.
+func (s *Scheduler) awaitsEngine(now time.Time, item *item) bool {
+	return item.assignedEngine == "" && !item.hasResult && !item.resultQueued && item.unscored == nil &&
+		!now.Before(item.notBefore) && s.isResponsible(now, item)
+}
+
 // areAllFull reports whether no service that could run items has an engine with room.
 func areAllFull(serving, full map[model.ServiceName]bool) bool {
 	for service := range serving {
@@ -112,6 +120,7 @@
 	item.assignedEngine = e.ID
 	item.submission.unassigned--
 	e.assigned++
+	s.sendPrompt(item, e)
 }
 
 func (s *Scheduler) unassign(item *item) {
@@ -123,6 +132,7 @@
 	}
 	item.assignedEngine = ""
 	item.submission.unassigned++
+	s.endPrompt(item)
 }
 
 // unassignAll unassigns all items without a run from an engine that was removed or has restarted.
--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -175,6 +175,7 @@
 	if s.draining {
 		return false
 	}
+	s.prompts.now = now
 	submission, ok := s.submissions.Get(offer.Submission)
 	if !ok || !s.hasDesired(submission) {
 		return s.addPendingOffer(now, offer)
@@ -263,6 +264,7 @@
 		case !ok:
 		case isAccepted:
 			item.delegation.accepted, item.delegation.confirmedAt = true, now
+			item.confirmPrompt()
 			s.completeMove(item, offer.Engine)
 		default:
 			s.reclaim(item)
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -82,6 +82,7 @@
 	}
 	known.Engine = e
 	s.selectGateway(known)
+	s.trackEngine(known)
 }
 
 // EngineState returns the current description of an engine.
@@ -147,6 +148,7 @@
 func (s *Scheduler) RemoveEngine(id model.EndpointID) {
 	s.engines.Delete(id)
 	s.unassignAll(id)
+	s.prompts.tracker.Remove(id)
 }
 
 // Gateway returns the instance through which requests reach an endpoint; empty for none.
@@ -201,6 +203,7 @@
 		}
 		e.Versions[name] = version
 		delete(e.loadingUntil, name)
+		s.prompts.tracker.SetVersion(id, name, version)
 	}
 }
 
@@ -244,21 +247,26 @@
 	return s.selectBest(now, item, fleet, func(e *engine) bool { return s.isUsable(now, e, item, service) })
 }
 
-// selectBest returns the best engine with room among those that are allowed.
+// selectBest returns the best engine with room among those that are allowed: the one on which the item costs the least time, of those
+// that rank highest.
 func (s *Scheduler) selectBest(now time.Time, item *item, fleet fleetIntervals, isAllowed func(e *engine) bool) *engine {
-	var best *engine
 	var bestRank engineRank
+	best := s.prompts.candidates[:0]
 	for _, e := range s.engines.All() {
 		load := s.estimateLoad(now, e)
 		if load >= s.maxAssigned(e) || !isAllowed(e) {
 			continue
 		}
-		rank := s.rankEngine(e, item.submission.Model, load, fleet)
-		if best == nil || rank.compare(bestRank) < 0 {
-			best, bestRank = e, rank
+		rank := s.rankEngine(e, item, load, fleet)
+		switch order := rank.compare(bestRank); {
+		case len(best) == 0 || order < 0:
+			best, bestRank = append(best[:0], engineLoad{e, load}), rank
+		case order == 0:
+			best = append(best, engineLoad{e, load})
 		}
 	}
-	return best
+	s.prompts.candidates = best
+	return s.chooseEngine(now, item, best)
 }
 
 // engineClass is the first criterion by which engines are ranked for an item; lower is better.
@@ -271,6 +279,8 @@
 	// classQueued engines have only queue space.
 	classQueued
 	classSlow
+	// classNoMemory engines have no memory for the item beside those that they have.
+	classNoMemory
 )
 
 // engineRank ranks engines for an item; lower is better.
@@ -278,12 +288,13 @@
 	class engineClass
 	// competingModels counts the other models whose next step can run on the engine.
 	competingModels int
-	load            float64
 }
 
-func (s *Scheduler) rankEngine(e *engine, name model.ModelName, load int, fleet fleetIntervals) engineRank {
-	rank := engineRank{competingModels: s.countCompetingModels(e, name), load: float64(load) / float64(max(1, e.Slots))}
+func (s *Scheduler) rankEngine(e *engine, item *item, load int, fleet fleetIntervals) engineRank {
+	rank := engineRank{competingModels: s.countCompetingModels(e, item.submission.Model)}
 	switch {
+	case !s.hasMemory(e, item, load):
+		rank.class = classNoMemory
 	case s.isSlow(e, fleet):
 		rank.class = classSlow
 	case load >= e.Slots:
@@ -295,7 +306,7 @@
 }
 
 func (r engineRank) compare(other engineRank) int {
-	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.competingModels, other.competingModels), cmp.Compare(r.load, other.load))
+	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.competingModels, other.competingModels))
 }
 
 // countCompetingModels counts the other models for which the engine has a newer version than their latest step requires.
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // SubmissionID identifies a submission.
@@ -81,7 +82,9 @@
 	Content Content `json:"-"`
 	// ExpectedTokens is the caller's estimate of the generated length, often far off; 0 for none.
 	ExpectedTokens int `json:",omitempty"`
-	Group          GroupID
+	// Prompt lists the parts of the prompt; empty if the caller names none. The last one is the item's own.
+	Prompt jujubeprompt.Prompt `json:",omitempty"`
+	Group  GroupID
 	// Scoring is nil for an item whose text isn't scored.
 	Scoring *ScoringCall `json:",omitempty"`
 }
@@ -226,6 +229,10 @@
 	// OpenRetention is the time from the reading of a submission's record after which a submission that wasn't ended is
 	// deleted. The log keeps its records for at most 300 s.
 	OpenRetention time.Duration
+	// Placement decides among the engines that are equally suitable for an item whose prompt is known.
+	Placement jujubeprompt.Policy
+	// PromptRetention is how long after its last use by this instance an engine is assumed to keep a part of a prompt.
+	PromptRetention time.Duration
 }
 
 // DefaultSettings returns the settings for engines with an event interval of about 50 ms.
@@ -234,5 +241,6 @@
 		FirstEventTimeout: 1500 * time.Millisecond, StallTimeout: time.Second, SilenceTimeout: 700 * time.Millisecond,
 		LoadingBackoff: 250 * time.Millisecond, FailureBackoff: time.Second, MaxFailureBackoff: 4 * time.Second, RetryDelay: 30 * time.Millisecond, SlowFactor: 2,
 		CheckpointAfter: time.Second, EndedRetention: 130 * time.Second, OpenRetention: 280 * time.Second,
+		Placement: jujubeprompt.LeastCost{}, PromptRetention: 20 * time.Second,
 	}
 }
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -45,6 +45,9 @@
 	Assigned int
 	// EventInterval is the engine's recent event interval, for the log line of the run's start.
 	EventInterval time.Duration
+	// PromptTokens is the number of the prompt's tokens, as far as the caller names its parts, and KeptTokens how many of them the
+	// engine was assumed to keep.
+	PromptTokens, KeptTokens int
 }
 
 // CancelRun closes the connection of a run or scoring call.
@@ -136,6 +139,7 @@
 		return false
 	}
 	s.SetVersion(r.engine, r.item.submission.Model, version)
+	r.item.confirmPrompt()
 	return version >= r.item.submission.MinVersion
 }
 
@@ -184,6 +188,7 @@
 	}
 	e, ok := s.engines.Get(r.engine)
 	if ok {
+		s.observeEvent(now, r, e)
 		e.lastEventAt, e.stalls = now, 0
 		if !r.awaitsFirstEvent {
 			e.intervals.observe(now, now.Sub(r.lastEventAt))
@@ -241,6 +246,7 @@
 			s.dropUnfitText(item, "its route has come to require a single weight version")
 			return
 		}
+		s.prompts.estimator.ObserveRun(item.ExpectedTokens, len(item.events))
 		s.completeText(now, item)
 	case RunRejected:
 		s.queueResult(item, Errored)
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -49,6 +49,7 @@
 	// isBehindLog is true while records are known to be unread. No run starts in that time, because the next record may
 	// end its submission or be the item's result.
 	isBehindLog bool
+	prompts     prompts
 }
 
 // New returns a scheduler without submissions or engines.
@@ -63,11 +64,17 @@
 		latestMinVersions: make(map[model.ModelName]model.WeightVersion),
 		unreachableUntil:  make(map[model.InstanceID]time.Time),
 		streams:           make(map[model.RequestID]StreamOrigin),
+		prompts:           newPrompts(settings),
 	}
 }
 
 // SetDesired replaces the desired state.
-func (s *Scheduler) SetDesired(state *jujubedesired.State) { s.desired = state }
+func (s *Scheduler) SetDesired(state *jujubedesired.State) {
+	s.desired = state
+	for _, e := range s.engines.All() {
+		s.setCapacity(e)
+	}
+}
 
 // Drain prevents new runs; runs in flight continue.
 func (s *Scheduler) Drain() { s.draining = true }
@@ -83,6 +90,7 @@
 	s.expireSubmissions(now)
 	s.acceptPendingOffers(now)
 	fleet := s.measureFleet(now)
+	s.prompts.now, s.prompts.rates = now, s.prompts.estimator.Rates(fleet.goodBaseline)
 	s.scoringBudgets = nil
 	s.checkRuns(now, fleet)
 	if !s.draining && !s.isBehindLog {
@@ -165,7 +173,10 @@
 		Run: r.id, Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Submission: item.submission.ID, Item: item.ID,
 		Host: item.submission.Host, Path: item.Path, Organisation: item.submission.Organisation, InlineContent: item.Content, Progress: item.progress, After: len(item.events),
 		KnownVersion: e.Versions[item.submission.Model], InFlight: e.inFlight, Assigned: e.assigned, EventInterval: e.intervals.recent,
-		SoftwareVersion: e.SoftwareVersion,
+		SoftwareVersion: e.SoftwareVersion, PromptTokens: item.Prompt.Tokens(),
+	}
+	if item.promptUse != nil {
+		start.KeptTokens = item.promptUse.Kept
 	}
 	start.TextSoftware, _ = item.textSoftware()
 	start.Content, _ = item.contentPlace()
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -8,6 +8,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // submission is a Submission together with its items' state and its results.
@@ -62,7 +63,9 @@
 	run          *run
 	// assignedEngine is the engine that the item will run or runs on; empty for none.
 	assignedEngine model.EndpointID
-	notBefore      time.Time
+	// promptUse is what the item occupies on assignedEngine; nil if it has none.
+	promptUse *jujubeprompt.Use
+	notBefore time.Time
 	// unscored is the complete text while its score is missing. It comes from a run here, or from a record of the log,
 	// which has only a pointer to the text. A score belongs to the text that was held when the scoring call began, so
 	// unscored is never replaced.
--- a/core/services/jujubedesired/desired.go
+++ b/core/services/jujubedesired/desired.go
@@ -74,6 +74,9 @@
 	Models []model.ModelName
 	// Slots is how many requests an engine runs concurrently; zero for a plain service.
 	Slots int
+	// CacheTokens is the memory that an engine's running requests and the parts of prompts that it keeps share, in tokens; zero if it
+	// isn't known.
+	CacheTokens int
 }
 
 // Match returns the host's route with the longest matching path prefix. The path is that of the request's target, without decoding:
--- a/core/services/jujuberouter/cache.go
+++ b/core/services/jujuberouter/cache.go
@@ -4,69 +4,49 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
-// prefixCache tracks the prompt prefixes that an endpoint caches, from its cache events and from this instance's dispatches.
-type prefixCache struct {
-	// lastUse maps each cached prefix to its last use. Its keys are those in order.
-	lastUse map[uint64]time.Time
-	// order holds the prefixes in order of insertion, oldest first.
-	order []uint64
-	// lastSeq is the sequence number of the last applied event.
-	lastSeq int64
+// promptOf returns the parts of a request's prompt. A prefix without known tokens is a single part that takes Settings.PrefillSaved to
+// prefill.
+func (r *Router[P]) promptOf(request *Request) jujubeprompt.Prompt {
+	if len(request.Prompt) > 0 || request.Prefix == 0 {
+		return request.Prompt
+	}
+	return jujubeprompt.Prompt{{ID: jujubeprompt.PartID(request.Prefix), Tokens: r.prefixTokens()}}
 }
 
-func (p *prefixCache) has(prefix uint64) bool {
-	_, ok := p.lastUse[prefix]
-	return prefix != 0 && ok
-}
+func (r *Router[P]) prefixTokens() int { return int(r.settings.PrefillSaved / r.rates.PrefillTime) }
 
-// add records a use of a prefix. When the cache holds limit prefixes, the oldest entry is evicted.
-func (p *prefixCache) add(now time.Time, prefix uint64, limit int) {
-	if prefix == 0 {
-		return
-	}
-	if p.lastUse == nil {
-		p.lastUse = make(map[uint64]time.Time)
-	}
-	if _, ok := p.lastUse[prefix]; !ok {
-		if len(p.order) >= limit {
-			delete(p.lastUse, p.order[0])
-			p.order = append(p.order[:0], p.order[1:]...)
-		}
-		p.order = append(p.order, prefix)
+// keepPrompt records that an endpoint keeps a request's prompt from its dispatch on.
+func (r *Router[P]) keepPrompt(now time.Time, id model.EndpointID, request *Request) {
+	for _, part := range r.promptOf(request) {
+		r.prompts.Store(now, id, "", part)
 	}
-	p.lastUse[prefix] = now
 }
 
-// removeIf removes the prefixes for which remove returns true.
-func (p *prefixCache) removeIf(remove func(uint64) bool) {
-	kept := p.order[:0]
-	for _, prefix := range p.order {
-		if remove(prefix) {
-			delete(p.lastUse, prefix)
-		} else {
-			kept = append(kept, prefix)
-		}
-	}
-	p.order = kept
-}
+// DropPrompts records that an endpoint keeps no prompts any more, because it has loaded weights.
+func (r *Router[P]) DropPrompts(now time.Time, id model.EndpointID) { r.prompts.DropBefore(id, now) }
 
-// apply applies cache events. A gap in the sequence numbers may hide evictions of any older prefix, so only the recently used
-// prefixes are kept: an engine evicts the least recently used first.
-func (p *prefixCache) apply(now time.Time, events []model.CacheEvent, settings Settings) {
+// applyCacheEvents applies the cache events of an endpoint. A gap in the sequence numbers may hide evictions of any older prefix, so
+// only the recently used prefixes are kept: an engine evicts the least recently used first.
+func (r *Router[P]) applyCacheEvents(now time.Time, e *endpointState, events []model.CacheEvent) {
+	id := e.endpoint.ID
 	for _, event := range events {
-		if event.Seq <= p.lastSeq {
+		if event.Seq <= e.lastCacheEvent {
 			continue
 		}
-		if event.Seq > p.lastSeq+1 {
-			p.removeIf(func(prefix uint64) bool { return now.Sub(p.lastUse[prefix]) > settings.CacheGapRetention })
+		if event.Seq > e.lastCacheEvent+1 {
+			r.prompts.DropBefore(id, now.Add(-r.settings.CacheGapRetention))
 		}
-		p.lastSeq = event.Seq
-		if event.Stored {
-			p.add(now, event.Prefix, settings.MaxPrefixes)
-		} else if p.has(event.Prefix) {
-			p.removeIf(func(prefix uint64) bool { return prefix == event.Prefix })
+		e.lastCacheEvent = event.Seq
+		part := jujubeprompt.Part{ID: jujubeprompt.PartID(event.Prefix), Tokens: r.prefixTokens()}
+		switch {
+		case event.Prefix == 0:
+		case event.Stored:
+			r.prompts.Store(now, id, "", part)
+		default:
+			r.prompts.Evict(id, "", part.ID)
 		}
 	}
 }
--- a/core/services/jujuberouter/endpoint.go
+++ b/core/services/jujuberouter/endpoint.go
@@ -18,7 +18,8 @@
 	inFlight int
 	// unreported holds the dispatches in flight that the load report doesn't include yet, oldest first.
 	unreported []dispatchRecord
-	cache      prefixCache
+	// lastCacheEvent is the sequence number of the last applied cache event.
+	lastCacheEvent int64
 	// instanceLimit is this instance's part of the limit per endpoint, when limited; valid while the pool isn't stale.
 	instanceLimit int
 	limited       bool
@@ -66,7 +67,7 @@
 	e.endpoint.Incarnation = incarnation
 	e.endpoint.Leaving = false
 	e.load, e.hasLoad, e.reportedUntil, e.unreported = model.LoadReport{}, false, time.Time{}, nil
-	e.cache = prefixCache{}
+	e.lastCacheEvent = 0
 	e.failures, e.ejections, e.probe = 0, 0, ""
 	clear(e.throttledUntil[:])
 }
@@ -84,6 +85,7 @@
 	if endpoint.Incarnation > e.endpoint.Incarnation {
 		e.resetForIncarnation(endpoint.Incarnation)
 	}
+	r.prompts.SetIncarnation(endpoint.ID, e.endpoint.Incarnation)
 	endpoint.Incarnation = e.endpoint.Incarnation
 	endpoint.Leaving = endpoint.Leaving || e.endpoint.Leaving
 	e.endpoint, e.removed = endpoint, false
@@ -147,6 +149,7 @@
 	for id, e := range r.endpoints.All() {
 		if e.removed && e.inFlight == 0 && now.Sub(e.removedAt) > r.settings.RemovedRetention {
 			r.endpoints.Delete(id)
+			r.prompts.Remove(id)
 			e.pool.endpoints.Delete(id)
 		}
 	}
@@ -160,6 +163,7 @@
 	}
 	if report.Incarnation > e.endpoint.Incarnation {
 		e.resetForIncarnation(report.Incarnation)
+		r.prompts.SetIncarnation(report.Endpoint, report.Incarnation)
 		e.pool.stale = true
 	}
 	if e.hasLoad && !report.At.After(e.load.At) {
@@ -193,7 +197,7 @@
 // ReportCache applies the cache events of an endpoint.
 func (r *Router[P]) ReportCache(now time.Time, id model.EndpointID, events []model.CacheEvent) {
 	if e, ok := r.endpoints.Get(id); ok {
-		e.cache.apply(now, events, r.settings)
+		r.applyCacheEvents(now, e, events)
 	}
 }
 
--- a/core/services/jujuberouter/policy.go
+++ b/core/services/jujuberouter/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // Policy selects one of the endpoints that can accept a request. Choose gets at least one candidate and returns its index.
@@ -18,21 +19,23 @@
 	Endpoint model.EndpointID
 	// ExpectedWait is the estimated time until the endpoint has a free slot.
 	ExpectedWait time.Duration
-	// Saved is the prefill time saved by a cached prefix.
-	Saved   time.Duration
+	// Cost is the time that running the request on the endpoint costs: the expected wait, the slowdown by the requests there and the
+	// prefill of what the endpoint doesn't keep of the prompt.
+	Cost    jujubeprompt.Cost
 	Running int
 	Waiting int
 	// Occupied is the estimated number of requests on the endpoint now, including those of other instances.
 	Occupied int
 	InFlight int
-	Cached   bool
+	// Cached is true if the endpoint is assumed to keep a part of the prompt.
+	Cached bool
 
 	state *endpointState
 }
 
-// isBetter compares the expected wait less the saved prefill time, then the occupancy.
+// isBetter compares the cost, then the occupancy.
 func (c *Candidate) isBetter(other *Candidate) bool {
-	own, others := c.ExpectedWait-c.Saved, other.ExpectedWait-other.Saved
+	own, others := c.Cost.Total(), other.Cost.Total()
 	if own != others {
 		return own < others
 	}
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -9,6 +9,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/models/jujubetable"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // poolKey identifies a set of interchangeable endpoints: those of a model or of a service.
@@ -185,7 +186,7 @@
 	anyHealthy := slices.ContainsFunc(p.watched, func(e *endpointState) bool {
 		return !e.isEjected(now) && !e.isThrottled(now, request.Priority)
 	})
-	found := availability{zeroShare: true}
+	found, prompt := availability{zeroShare: true}, r.promptOf(request)
 	add := func(e *endpointState) {
 		if !e.isActive() || slices.Contains(request.Exclude, e.endpoint.ID) || !request.allowsSoftware(e.endpoint.SoftwareVersion) {
 			return
@@ -202,7 +203,7 @@
 		if !request.Held && (!e.hasCapacity() || e.load.Version < request.MinVersion || anyHealthy && e.isEjected(now)) {
 			return
 		}
-		r.candidates = append(r.candidates, r.estimate(p, e, request.Prefix))
+		r.candidates = append(r.candidates, r.estimate(now, p, e, request, prompt))
 	}
 	if len(request.Only) > 0 {
 		for i, id := range request.Only {
@@ -234,7 +235,7 @@
 
 // estimate returns an endpoint as a candidate with its expected wait. The occupancy is the reported load plus this instance's
 // dispatches since the report, multiplied by the number of instances that dispatch to the endpoint, as the others do the same.
-func (r *Router[P]) estimate(p *pool, e *endpointState, prefix uint64) Candidate {
+func (r *Router[P]) estimate(now time.Time, p *pool, e *endpointState, request *Request, prompt jujubeprompt.Prompt) Candidate {
 	c := Candidate{
 		Endpoint: e.endpoint.ID, Running: e.load.Running, Waiting: e.load.Waiting, InFlight: e.inFlight, state: e,
 		Occupied: e.load.Running + e.load.Waiting + len(e.unreported)*p.dispatchers,
@@ -242,8 +243,17 @@
 	if over := c.Occupied - e.load.Slots + 1; e.load.Slots > 0 && over > 0 {
 		c.ExpectedWait = time.Duration(float64(over) * p.meanService / float64(e.load.Slots) * float64(time.Second))
 	}
-	if e.cache.has(prefix) {
-		c.Cached, c.Saved = true, r.settings.PrefillSaved
+	if len(prompt) > 0 {
+		kept := r.prompts.Kept(now, c.Endpoint, "", prompt)
+		c.Cached = kept > 0
+		spec := jujubeprompt.Request{PromptTokens: prompt.Tokens()}
+		if len(request.Prompt) > 0 {
+			// The service's own interface doesn't tell a prefix's tokens, only that it takes long to prefill, so that the slowdown by
+			// other requests is left to the comparison of equals.
+			spec.RunTime = time.Duration(p.meanService * float64(time.Second))
+		}
+		c.Cost = r.rates.Cost(jujubeprompt.Candidate{Load: c.Occupied, Slots: e.load.Slots, Kept: kept}, spec)
 	}
+	c.Cost.Wait = c.ExpectedWait
 	return c
 }
--- a/core/services/jujuberouter/request.go
+++ b/core/services/jujuberouter/request.go
@@ -12,6 +12,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubedefault"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // CodeCancelled is the code of the final decision on a waiting request that its caller cancelled.
@@ -32,6 +33,8 @@
 	Deadline time.Time
 	// Prefix is the cache key of the prompt's prefix; zero for none.
 	Prefix uint64
+	// Prompt lists the parts of the prompt with their tokens; it takes precedence over Prefix.
+	Prompt jujubeprompt.Prompt `json:",omitempty"`
 	// Tokens is the maximum number of tokens to generate; zero when unknown.
 	Tokens int
 	// MinVersion excludes engines that reported an older version or none.
@@ -128,6 +131,8 @@
 	MaxPrefixes int
 	// CacheGapRetention is how recently a prefix must have been used to be kept after a gap in the cache events.
 	CacheGapRetention time.Duration
+	// PrefixRetention is how long after its last use a prefix counts as cached; zero for no limit, where cache events tell.
+	PrefixRetention time.Duration
 	// MaxReportLag bounds the age of a load report by its own timestamp; older timestamps are clamped, as clocks may differ.
 	MaxReportLag time.Duration
 	// EjectAfterFailures is the number of consecutive failures after which an endpoint is ejected. A refused connection ejects
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -7,6 +7,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/models/jujubetable"
 	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // minRetryAfter is the lower bound of retry-after times. It keeps refused callers from retrying within a round trip or two.
@@ -41,6 +42,9 @@
 	queued int
 	// retryTokens is the rest of the retry budget.
 	retryTokens float64
+	// prompts are the parts of prompts that the endpoints are assumed to keep.
+	prompts *jujubeprompt.Tracker[model.EndpointID]
+	rates   jujubeprompt.Rates
 	// nextCleanup is when the state of removed endpoints is deleted next.
 	nextCleanup time.Time
 
@@ -70,6 +74,8 @@
 		trainers:  jujubetable.New[model.TrainerID, *trainerState](),
 		callers:   make(map[model.CallerID]*callerState),
 		requests:  make(map[model.RequestID]*trackedRequest), retryTokens: settings.RetryBurst,
+		prompts: jujubeprompt.NewTracker[model.EndpointID](jujubeprompt.TrackerSettings{MaxParts: settings.MaxPrefixes, MaxAge: settings.PrefixRetention}),
+		rates:   jujubeprompt.DefaultRates(),
 	}
 }
 
@@ -210,7 +216,7 @@
 	}
 	e.inFlight++
 	e.unreported = append(e.unreported, dispatchRecord{id: req.request.ID, at: now})
-	e.cache.add(now, req.request.Prefix, r.settings.MaxPrefixes)
+	r.keepPrompt(now, e.endpoint.ID, &req.request)
 	if e.ejections > 0 && e.probe == "" {
 		e.probe = req.request.ID
 	}
--- a/entry/services/jujubenode/attempt.go
+++ b/entry/services/jujubenode/attempt.go
@@ -109,7 +109,7 @@
 	}
 	request := jujuberouter.Request{
 		ID: id, Kind: model.KindService, Service: f.service, SoftwareVersion: f.software, Priority: f.priority, Arrived: now, Deadline: f.request.Deadline,
-		Exclude: append(slices.Clip(exclude), f.excludeSuspects(now)...),
+		Exclude: append(slices.Clip(exclude), f.excludeSuspects(now)...), Prompt: f.request.Prompt,
 	}
 	decision := n.router.Route(now, request)
 	if decision.Code == jujubeerror.CodeNoEndpoint && len(request.Exclude) > len(exclude) {
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -14,6 +14,7 @@
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubedesired"
+	"jujubepier.example/core/services/jujubeprompt"
 	"jujubepier.example/core/services/jujuberouter"
 )
 
@@ -96,6 +97,8 @@
 	Header       http.Header
 	Body         []byte
 	Deadline     time.Time
+	// Prompt lists the parts of the prompt, if the caller names them.
+	Prompt jujubeprompt.Prompt
 }
 
 // attempt is the outcome of sending a request to one endpoint.
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -63,6 +63,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_runs_total{outcome=%q}", kind)).Inc()
 }
 
+// countPrompt counts the prompt tokens of a run, and those of them that the engine was assumed to keep.
+func (m *nodeMetrics) countPrompt(tokens, kept int) {
+	m.set.GetOrCreateCounter("jujube_node_prompt_tokens_total").Add(tokens)
+	m.set.GetOrCreateCounter("jujube_node_prompt_tokens_kept_total").Add(kept)
+}
+
 // countScoring counts scoring calls by outcome: a score, a failure reported by a server, or no response.
 func (m *nodeMetrics) countScoring(outcome jujubebatch.ScoringOutcome) {
 	kind := "Unanswered"
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -191,6 +191,8 @@
 	lease := jujubelease.Settings{TTL: leaseTTL, Margin: leaseMargin, AppendTimeout: appendTimeout, Conditional: true}
 	fleetSettings := jujubefleet.DefaultSettings()
 	fleetSettings.LeaseTime = options.Settings.LeaseTime
+	batchSettings := jujubebatch.DefaultSettings()
+	batchSettings.Placement = options.Settings.Placement
 	incarnation := model.Incarnation(options.Started.UnixMilli())
 	id := options.Identity.Instance
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
@@ -210,14 +212,14 @@
 		endServing:     endServing,
 		wakeCh:         make(chan struct{}, 1),
 		blobCache:      newBlobCache(),
-		scheduler:      jujubebatch.New(id, jujubebatch.DefaultSettings()),
+		scheduler:      jujubebatch.New(id, batchSettings),
 		fleet:          jujubefleet.New(id, fleetSettings),
 		lease:          jujubelease.New("rollout", id, incarnation, lease),
 		registry:       jujuberegistry.New(jujuberegistry.DefaultSettings()),
 		endpoints:      jujuberegistry.NewEndpointTracker(jujuberegistry.DefaultSettings()),
 		incarnations:   jujuberegistry.NewIncarnationTracker(),
 		router: jujuberouter.New(jujuberouter.LeastExpectedWait{},
-			jujuberouter.Settings{Instance: id, ServiceTime: initialServiceTime}, random),
+			jujuberouter.Settings{Instance: id, ServiceTime: initialServiceTime, PrefixRetention: batchSettings.PromptRetention}, random),
 		throttle:       jujubethrottle.New(),
 		crashes:        newCrashes(),
 		routeWaiters:   make(map[model.RequestID]chan jujuberouter.Decision),
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -81,6 +81,7 @@
 	if load.Ended {
 		n.scheduler.SetVersion(load.Engine, load.Model, load.Version)
 		n.fleet.SetVersion(load.Engine, load.Model, load.Version)
+		n.router.DropPrompts(now, load.Engine)
 		return
 	}
 	n.fleet.RecordHolder(now, load.Engine, load.Holder)
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -70,8 +70,10 @@
 			"Submission": start.Submission, "Item": start.Item, "Run": start.Run, "Endpoint": start.Engine, "After": start.After,
 			"KnownVersion": start.KnownVersion, "InFlight": start.InFlight, "Planned": start.Assigned, "Pace": start.EventInterval.String(),
 			"SoftwareVersion": start.SoftwareVersion, "TextSoftware": start.TextSoftware, "Checkpoint": start.Progress != nil,
+			"PromptTokens": start.PromptTokens, "KeptTokens": start.KeptTokens,
 		}
 	})
+	n.metrics.countPrompt(start.PromptTokens, start.KeptTokens)
 	decidedAt := time.Now()
 	n.tomb.Go(func() error {
 		defer cancel()
--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -1,6 +1,10 @@
 package jujubenode
 
-import "time"
+import (
+	"time"
+
+	"jujubepier.example/core/services/jujubeprompt"
+)
 
 // Settings are the periods and limits that depend on the platform.
 type Settings struct {
@@ -18,4 +22,6 @@
 	// MaxRecordBytes and MaxAppendBytes are the store's size limits.
 	MaxRecordBytes int `validate:"min=1024" usage:"maximum size of a record in the store's log, in bytes"`
 	MaxAppendBytes int `validate:"min=1024" usage:"maximum size of an append to the store's log, in bytes"`
+	// Placement decides among the engines that are equally suitable for an item; nil for the least cost in time.
+	Placement jujubeprompt.Policy
 }
