--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // Engine describes an endpoint: a model engine, or a plain server, which has no versions and is assigned no items.
@@ -51,6 +52,8 @@
 	// minSilenceLimit is a lower bound for the engine's silence limit: twice the limit at which a run was last cancelled
 	// before the engine had a baseline. It is zero once there is one.
 	minSilenceLimit time.Duration
+	// memory is the estimate of what the engine's process keeps of prompts.
+	memory *jujubeprompt.Memory
 }
 
 const (
@@ -70,7 +73,7 @@
 			s.cancelRuns(known, "the engine has restarted")
 			s.unassignAll(e.ID)
 		}
-		known = &engine{loadingUntil: map[model.ModelName]time.Time{}}
+		known = &engine{loadingUntil: map[model.ModelName]time.Time{}, memory: jujubeprompt.NewMemory(s.prompts.memory)}
 		s.engines.Put(e.ID, known)
 	} else if e.Incarnation < known.Incarnation {
 		return
@@ -148,7 +151,6 @@
 func (s *Scheduler) RemoveEngine(id model.EndpointID) {
 	s.engines.Delete(id)
 	s.unassignAll(id)
-	s.prompts.tracker.Remove(id)
 }
 
 // Gateway returns the instance through which requests reach an endpoint; empty for none.
@@ -203,7 +205,7 @@
 		}
 		e.Versions[name] = version
 		delete(e.loadingUntil, name)
-		s.prompts.tracker.SetVersion(id, name, version)
+		e.memory.SetVersion(name, version)
 	}
 }
 
@@ -248,7 +250,7 @@
 }
 
 // selectBest returns the best engine with room among those that are allowed: the one on which the item costs the least time, of those
-// that rank highest.
+// that rank highest, or the first of them if its prompt isn't known.
 func (s *Scheduler) selectBest(now time.Time, item *item, fleet fleetIntervals, isAllowed func(e *engine) bool) *engine {
 	var bestRank engineRank
 	best := s.prompts.candidates[:0]
@@ -288,10 +290,15 @@
 	class engineClass
 	// competingModels counts the other models whose next step can run on the engine.
 	competingModels int
+	// load is the load per slot; zero if the cost decides instead.
+	load float64
 }
 
 func (s *Scheduler) rankEngine(e *engine, item *item, load int, fleet fleetIntervals) engineRank {
 	rank := engineRank{competingModels: s.countCompetingModels(e, item.submission.Model)}
+	if !s.weighsPrompt(item) {
+		rank.load = float64(load) / float64(max(1, e.Slots))
+	}
 	switch {
 	case !s.hasMemory(e, item, load):
 		rank.class = classNoMemory
@@ -306,7 +313,7 @@
 }
 
 func (r engineRank) compare(other engineRank) int {
-	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.competingModels, other.competingModels))
+	return cmp.Or(cmp.Compare(r.class, other.class), cmp.Compare(r.competingModels, other.competingModels), cmp.Compare(r.load, other.load))
 }
 
 // countCompetingModels counts the other models for which the engine has a newer version than their latest step requires.
--- a/core/services/jujubebatch/prompt.go
+++ b/core/services/jujubebatch/prompt.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubeprompt"
 )
 
@@ -13,7 +12,7 @@
 
 // prompts holds what this instance assumes about the engines' memory, and the inputs of decisions that depend on it.
 type prompts struct {
-	tracker   *jujubeprompt.Tracker[model.EndpointID]
+	memory    jujubeprompt.MemorySettings
 	estimator jujubeprompt.Estimator
 	policy    jujubeprompt.Policy
 	// now is the time of the latest tick or offer.
@@ -38,22 +37,21 @@
 		policy = jujubeprompt.LeastCost{}
 	}
 	return prompts{
-		tracker: jujubeprompt.NewTracker[model.EndpointID](jujubeprompt.TrackerSettings{MaxParts: maxTrackedParts, MaxAge: settings.PromptRetention}),
-		policy:  policy, rates: jujubeprompt.DefaultRates(),
+		memory: jujubeprompt.MemorySettings{MaxParts: maxTrackedParts, MaxAge: settings.PromptRetention},
+		policy: policy, rates: jujubeprompt.DefaultRates(),
 	}
 }
 
-// trackEngine records an engine's incarnation, weight versions and memory.
+// trackEngine records an engine's weight versions and memory.
 func (s *Scheduler) trackEngine(e *engine) {
-	s.prompts.tracker.SetIncarnation(e.ID, e.Incarnation)
 	for name, version := range e.Versions {
-		s.prompts.tracker.SetVersion(e.ID, name, version)
+		e.memory.SetVersion(name, version)
 	}
 	s.setCapacity(e)
 }
 
 func (s *Scheduler) setCapacity(e *engine) {
-	s.prompts.tracker.SetCapacity(e.ID, s.desired.Services[e.Service].CacheTokens)
+	e.memory.SetCapacity(s.desired.Services[e.Service].CacheTokens)
 }
 
 // listRunTimes returns the expected run times of a submission's items that await an engine, in the order in which they are assigned;
@@ -77,27 +75,25 @@
 	return len(item.Prompt) > 0 && !isByLoad
 }
 
-// chooseEngine returns the engine on which an item costs the least time, of those that are equally suitable otherwise; nil if there is
-// none. An item whose prompt isn't known gets the one with the least load per slot.
+// chooseEngine returns the engine on which an item costs the least time, of those that rank equally; nil if there is none.
 func (s *Scheduler) chooseEngine(now time.Time, item *item, engines []engineLoad) *engine {
-	if len(engines) == 0 {
+	switch {
+	case len(engines) == 0:
 		return nil
-	}
-	policy, request := jujubeprompt.Policy(jujubeprompt.LoadShare{}), jujubeprompt.Request{}
-	if s.weighsPrompt(item) {
-		policy = s.prompts.policy
-		request = jujubeprompt.Request{
-			PromptTokens: item.Prompt.Tokens(), RunTime: s.prompts.rates.RunTime(item.ExpectedTokens), Following: s.prompts.following,
-		}
+	case len(engines) == 1 || !s.weighsPrompt(item):
+		return engines[0].engine
 	}
 	choices := s.prompts.choices[:0]
 	for _, e := range engines {
 		choices = append(choices, jujubeprompt.Candidate{
-			Load: e.load, Slots: e.Slots, Kept: s.prompts.tracker.Kept(now, e.ID, item.submission.Model, item.Prompt),
+			Load: e.load, Slots: e.Slots, Kept: e.memory.Kept(now, item.submission.Model, item.Prompt),
 		})
 	}
 	s.prompts.choices = choices
-	return engines[jujubeprompt.Choose(policy, s.prompts.rates, choices, request)].engine
+	request := jujubeprompt.Request{
+		PromptTokens: item.Prompt.Tokens(), RunTime: s.prompts.rates.RunTime(item.ExpectedTokens), Following: s.prompts.following,
+	}
+	return engines[jujubeprompt.Choose(s.prompts.policy, s.prompts.rates, choices, request)].engine
 }
 
 // requestTokens returns what an item occupies in an engine's memory.
@@ -108,21 +104,21 @@
 // hasMemory reports whether an engine with a number of items of all instances has memory for a further one.
 func (s *Scheduler) hasMemory(e *engine, item *item, load int) bool {
 	others := (load - e.assigned) * s.prompts.rates.RequestTokens
-	return s.prompts.tracker.HasRoom(e.ID, s.requestTokens(item), others)
+	return e.memory.HasRoom(s.requestTokens(item), others)
 }
 
 // sendPrompt records that an item is assigned to an engine.
 func (s *Scheduler) sendPrompt(item *item, e *engine) {
 	others := s.estimateLoad(s.prompts.now, e) - e.assigned
-	s.prompts.tracker.SetOthers(e.ID, others*s.prompts.rates.RequestTokens)
-	item.promptUse = s.prompts.tracker.Send(s.prompts.now, e.ID, item.submission.Model, item.Prompt, s.prompts.rates.ExpectTokens(item.ExpectedTokens))
+	e.memory.SetOthers(others * s.prompts.rates.RequestTokens)
+	item.promptUse = e.memory.Send(s.prompts.now, item.submission.Model, item.Prompt, s.prompts.rates.ExpectTokens(item.ExpectedTokens))
 	s.prompts.estimator.ObserveRequest(s.requestTokens(item))
 }
 
 // endPrompt records that an item isn't assigned to its engine any more.
 func (s *Scheduler) endPrompt(item *item) {
 	if item.promptUse != nil {
-		s.prompts.tracker.End(s.prompts.now, item.promptUse)
+		item.promptUse.End(s.prompts.now)
 		item.promptUse = nil
 	}
 }
--- a/core/services/jujubeprompt/policy_test.go
+++ b/core/services/jujubeprompt/policy_test.go
@@ -24,28 +24,28 @@
 	light := uneven
 	light.groups, light.busy = 4, 2
 	full := uneven
-	full.capacity = 24_000
+	full.capacity = 14_000
 	stale := uneven
-	stale.onMs = func(ms int, servers []*simServer, _ *jujubeprompt.Tracker[int]) {
+	stale.onMs = func(ms int, servers []*simServer) {
 		if ms%10 == 0 { // requests of another instance
 			servers[ms/10%len(servers)].use(jujubeprompt.Prompt{{ID: jujubeprompt.PartID(1e9 + ms), Tokens: 4000}})
 		}
 	}
 	restarted := uneven
-	restarted.onMs = func(ms int, servers []*simServer, tracker *jujubeprompt.Tracker[int]) {
+	restarted.onMs = func(ms int, servers []*simServer) {
 		switch ms {
 		case 3900:
-			servers[0].kept = nil
+			servers[0].parts = nil
 		case 4300: // the requests of the second wave have been sent by then
-			tracker.SetIncarnation(0, 2)
+			servers[0].estimate.Reset()
 		}
 	}
 	loaded := uneven
-	loaded.onMs = func(ms int, servers []*simServer, tracker *jujubeprompt.Tracker[int]) {
+	loaded.onMs = func(ms int, servers []*simServer) {
 		if ms == 3900 {
-			for i, server := range servers {
-				server.kept = nil
-				tracker.SetVersion(i, "m", 2)
+			for _, server := range servers {
+				server.parts = nil
+				server.estimate.SetVersion("m", 2)
 			}
 		}
 	}
--- a/core/services/jujubeprompt/prompt.go
+++ b/core/services/jujubeprompt/prompt.go
@@ -1,7 +1,8 @@
 // Package jujubeprompt estimates which parts of prompts each server keeps in its KV cache, and weighs the prefill that a kept part
 // saves against the wait and the slowdown at the server that keeps it.
 //
-// A Tracker estimates what servers keep, a Rates computes what running a request on a server costs, in time, and a Policy decides
+// A Memory estimates what a server keeps, Rates compute what running a request on a server costs, in time, and a Policy
+// decides
 // by these inputs. A wrong estimate costs one prefill of the prompt.
 package jujubeprompt
 
--- a/core/services/jujubeprompt/prompt_test.go
+++ b/core/services/jujubeprompt/prompt_test.go
@@ -65,15 +65,22 @@
 // TestKeptIsAPrefix guards against parts that count as kept although prefill can't skip them, because an earlier part is missing, and
 // against parts that are tracked for ever.
 func TestKeptIsAPrefix(t *testing.T) {
-	tracker := jujubeprompt.NewTracker[string](jujubeprompt.TrackerSettings{MaxAge: time.Second})
+	estimate := jujubeprompt.NewMemory(jujubeprompt.MemorySettings{MaxAge: time.Second})
 	prompt := jujubeprompt.Prompt{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 50}, {ID: 3, Tokens: 10}}
 	for _, part := range prompt {
-		tracker.Store(start, "s", "m", part)
+		estimate.Store(start, "m", part)
 	}
-	assert.Equal(t, tracker.Kept(start, "s", "m", prompt), 160)
-	assert.Equal(t, tracker.Kept(start, "s", "other", prompt), 0)
-	tracker.Evict("s", "m", 2)
-	assert.Equal(t, tracker.Kept(start, "s", "m", prompt), 100)
-	tracker.Store(start.Add(2*time.Second), "s", "m", jujubeprompt.Part{ID: 4, Tokens: 1})
-	assert.Equal(t, tracker.Count("s"), 1)
+	assert.Equal(t, estimate.Kept(start, "m", prompt), 160)
+	assert.Equal(t, estimate.Kept(start, "other", prompt), 0)
+	estimate.Evict("m", 2)
+	assert.Equal(t, estimate.Kept(start, "m", prompt), 100)
+	// A request that doesn't reach the server is no use of its prompt.
+	estimate.SetCapacity(260)
+	estimate.Store(start.Add(time.Millisecond), "m", prompt[1])
+	estimate.Send(start.Add(2*time.Millisecond), "m", prompt[:1], 0).End(start.Add(3 * time.Millisecond))
+	estimate.Store(start.Add(4*time.Millisecond), "m", jujubeprompt.Part{ID: 5, Tokens: 150})
+	assert.Equal(t, estimate.Kept(start, "m", prompt), 0)
+	assert.Equal(t, estimate.Kept(start, "m", prompt[1:2]), 50)
+	estimate.Store(start.Add(2*time.Second), "m", jujubeprompt.Part{ID: 4, Tokens: 1})
+	assert.Equal(t, estimate.Count(), 1)
 }
--- a/core/services/jujubeprompt/property_test.go
+++ b/core/services/jujubeprompt/property_test.go
@@ -74,132 +74,90 @@
 // placeAll places requests of groups one after another on servers with 8 slots, and returns the loads and the number of tokens that
 // were kept.
 func placeAll[P jujubeprompt.Policy](policy P, initial, groups []int, runTime time.Duration) (loads []int, kept int) {
-	tracker := jujubeprompt.NewTracker[int](jujubeprompt.TrackerSettings{})
 	loads = slices.Clone(initial)
+	estimates := make([]*jujubeprompt.Memory, len(loads))
+	for i := range estimates {
+		estimates[i] = jujubeprompt.NewMemory(jujubeprompt.MemorySettings{})
+	}
 	for i, group := range groups {
 		prompt := jujubeprompt.Prompt{{ID: jujubeprompt.PartID(group), Tokens: 1000}, {ID: jujubeprompt.PartID(100 + i), Tokens: 16}}
 		var candidates []jujubeprompt.Candidate
 		var ids []int
 		for id, load := range loads {
 			if load < 8 {
-				candidates = append(candidates, jujubeprompt.Candidate{Load: load, Slots: 8, Kept: tracker.Kept(start, id, "m", prompt)})
+				candidates = append(candidates, jujubeprompt.Candidate{Load: load, Slots: 8, Kept: estimates[id].Kept(start, "m", prompt)})
 				ids = append(ids, id)
 			}
 		}
 		request := jujubeprompt.Request{PromptTokens: prompt.Tokens(), RunTime: runTime, Following: slices.Repeat([]time.Duration{runTime}, len(groups)-i-1)}
 		id := ids[jujubeprompt.Choose(policy, jujubeprompt.DefaultRates(), candidates, request)]
-		kept += tracker.Send(start, id, "m", prompt, 1000).Kept
+		kept += estimates[id].Send(start, "m", prompt, 1000).Kept
 		loads[id]++
 	}
 	return loads, kept
 }
 
-// memory is a server's memory that evicts the least recently used parts, as far as the tracker has to predict it.
-type memory struct {
-	capacity, outputTokens int
-	parts                  []jujubeprompt.Part
-	pinned                 map[jujubeprompt.PartID]int
-}
-
-func (m *memory) use(prompt jujubeprompt.Prompt) {
-	for _, part := range prompt {
-		m.parts = slices.DeleteFunc(m.parts, func(p jujubeprompt.Part) bool { return p.ID == part.ID })
-		m.parts = append(m.parts, part)
-	}
-	m.evict()
-}
-
-func (m *memory) evict() {
-	for tokens := m.outputTokens + jujubeprompt.Prompt(m.parts).Tokens(); tokens > m.capacity; {
-		at := slices.IndexFunc(m.parts, func(p jujubeprompt.Part) bool { return m.pinned[p.ID] == 0 })
-		if at < 0 {
-			return
-		}
-		tokens -= m.parts[at].Tokens
-		m.parts = slices.Delete(m.parts, at, at+1)
-	}
-}
-
-func (m *memory) kept(prompt jujubeprompt.Prompt) (tokens int) {
-	for _, part := range prompt {
-		if !slices.Contains(m.parts, part) {
-			break
-		}
-		tokens += part.Tokens
-	}
-	return tokens
-}
-
-// TestTrackerAssumesNoMore checks that a tracker that knows all sends, loads of weights and restarts never assumes that a server keeps
+// TestNoMoreIsAssumedThanKept checks that an estimate that knows all sends, loads of weights and restarts never assumes that a server keeps
 // more than it does. An overestimate attracts requests without saving anything.
-func TestTrackerAssumesNoMore(t *testing.T) {
+func TestNoMoreIsAssumedThanKept(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		tracker := jujubeprompt.NewTracker[string](jujubeprompt.TrackerSettings{MaxParts: 64})
+		estimate := jujubeprompt.NewMemory(jujubeprompt.MemorySettings{MaxParts: 64})
 		type running struct {
 			use    *jujubeprompt.Use
 			prompt jujubeprompt.Prompt
 			output int
 		}
-		truth := &memory{capacity: 5000, pinned: map[jujubeprompt.PartID]int{}}
-		tracker.SetCapacity("s", truth.capacity)
+		truth := &trueMemory{capacity: 5000, pinned: map[jujubeprompt.PartID]int{}}
+		estimate.SetCapacity(truth.capacity)
 		var open []running
-		now, process := start, 1
+		now, version := start, model.WeightVersion(1)
 		drawPrompt := func(t *rapid.T) jujubeprompt.Prompt {
 			shared := jujubeprompt.PartID(rapid.IntRange(1, 6).Draw(t, "shared"))
 			return jujubeprompt.Prompt{{ID: shared, Tokens: 1000 + 100*int(shared)}, {ID: 100 + shared*10 + jujubeprompt.PartID(rapid.IntRange(0, 3).Draw(t, "own")), Tokens: 16}}
 		}
-		empty := func() { truth.parts = nil }
 		t.Repeat(map[string]func(*rapid.T){
 			"send": func(t *rapid.T) {
 				r := running{prompt: drawPrompt(t), output: rapid.IntRange(0, 2000).Draw(t, "output")}
-				for _, part := range r.prompt {
-					truth.pinned[part.ID]++
-				}
-				truth.outputTokens += r.output
-				truth.use(r.prompt)
-				r.use = tracker.Send(now, "s", "m", r.prompt, r.output)
+				truth.run(1, r.prompt, r.output)
+				r.use = estimate.Send(now, "m", r.prompt, r.output)
 				r.use.Confirm()
 				open = append(open, r)
 			},
-			"unsent": func(t *rapid.T) { tracker.End(now, tracker.Send(now, "s", "m", drawPrompt(t), 100)) },
+			"unsent": func(t *rapid.T) { estimate.Send(now, "m", drawPrompt(t), 100).End(now) },
 			"end": func(*rapid.T) {
 				if len(open) == 0 {
 					return
 				}
 				r := open[0]
 				open = open[1:]
-				for _, part := range r.prompt {
-					truth.pinned[part.ID]--
-				}
-				truth.outputTokens -= r.output
-				if kept := truth.kept(r.prompt); kept == r.prompt.Tokens() {
-					truth.use(r.prompt)
-				}
-				tracker.End(now, r.use)
+				truth.run(-1, r.prompt, r.output)
+				r.use.End(now)
 			},
 			"load": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "rarely") > 0 {
 					return
 				}
-				process++
-				empty()
-				tracker.SetVersion("s", "m", 1+model.WeightVersion(process))
+				truth.parts = nil
+				version++
+				estimate.SetVersion("m", version)
 			},
 			"restart": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "rarely") > 0 {
 					return
 				}
-				process++
-				empty()
+				truth.parts = nil
 				clear(truth.pinned)
+				estimate.Reset()
+				for _, r := range open {
+					r.use.End(now) // is noticed late
+				}
 				open, truth.outputTokens = nil, 0
-				tracker.SetIncarnation("s", model.Incarnation(process))
 			},
 			"": func(t *rapid.T) {
 				now = now.Add(time.Millisecond)
 				for shared := range jujubeprompt.PartID(6) {
 					prompt := jujubeprompt.Prompt{{ID: shared + 1, Tokens: 1100 + 100*int(shared)}}
-					if assumed, kept := tracker.Kept(now, "s", "m", prompt), truth.kept(prompt); assumed > kept {
+					if assumed, kept := estimate.Kept(now, "m", prompt), truth.kept(prompt); assumed > kept {
 						t.Fatalf("%d tokens of part %d assumed, %d kept", assumed, shared+1, kept)
 					}
 				}
--- a/core/services/jujubeprompt/recency.go
+++ b/core/services/jujubeprompt/recency.go
@@ -1,20 +1,11 @@
 package jujubeprompt
 
-import (
-	"time"
-
-	model "jujubepier.example/core/models/jujubemodel"
-)
-
-// partKey identifies a part in a server's memory. The parts of two models are different even if their tokens are the same.
-type partKey struct {
-	model model.ModelName
-	id    PartID
-}
+import "time"
 
 // keptPart is a part that a server is assumed to keep.
 type keptPart struct {
-	key    partKey
+	of     *modelParts
+	id     PartID
 	tokens int
 	// openUses counts the open requests with this part. A part with open uses isn't evicted.
 	openUses int
--- a/core/services/jujubeprompt/sim_test.go
+++ b/core/services/jujubeprompt/sim_test.go
@@ -22,62 +22,75 @@
 	prompt jujubeprompt.Prompt
 	output int
 	left   float64
-	server int
 	use    *jujubeprompt.Use
 }
 
-func (it *simItem) tokens() int { return it.prompt.Tokens() + it.output }
-
-// simServer is the truth about a server, of which the deciding instance has an estimate.
-type simServer struct {
-	slots, capacity int
-	running, queue  []*simItem
-	// kept holds the parts in the order of their last use, the oldest first.
-	kept []jujubeprompt.Part
-	// debt is the prefill, in ms, during which no request goes on.
-	debt      float64
-	prefilled int
+// trueMemory is a server's memory that evicts the least recently used parts, which the estimate has to predict.
+type trueMemory struct {
+	capacity, outputTokens int
+	// parts are in the order of their last use, the oldest first.
+	parts jujubeprompt.Prompt
+	// pinned counts the running requests with a part.
+	pinned map[jujubeprompt.PartID]int
 }
 
-func (s *simServer) load() int { return len(s.running) + len(s.queue) }
-
-// use marks a prompt's parts as used and returns how many tokens have to be prefilled.
-func (s *simServer) use(prompt jujubeprompt.Prompt) (missing int) {
-	missing = prompt.Tokens()
-	isPrefix := true
+// use makes a prompt's parts the latest ones.
+func (m *trueMemory) use(prompt jujubeprompt.Prompt) {
 	for _, part := range prompt {
-		at := slices.Index(s.kept, part)
-		if isPrefix = isPrefix && at >= 0; isPrefix {
-			missing -= part.Tokens
-		}
-		if at >= 0 {
-			s.kept = slices.Delete(s.kept, at, at+1)
-		}
-		s.kept = append(s.kept, part)
+		m.parts = slices.DeleteFunc(m.parts, func(p jujubeprompt.Part) bool { return p == part })
+		m.parts = append(m.parts, part)
 	}
-	for s.memory() > s.capacity && len(s.kept) > 0 {
-		s.kept = s.kept[1:]
+	for tokens := m.outputTokens + m.parts.Tokens(); tokens > m.capacity; {
+		at := slices.IndexFunc(m.parts, func(p jujubeprompt.Part) bool { return m.pinned[p.ID] == 0 })
+		if at < 0 {
+			return
+		}
+		tokens -= m.parts[at].Tokens
+		m.parts = slices.Delete(m.parts, at, at+1)
 	}
-	return missing
 }
 
-func (s *simServer) memory() int {
-	tokens := 0
-	for _, item := range s.running {
-		tokens += item.tokens()
+// run changes the memory by requests that begin (1) or end (-1) to run.
+func (m *trueMemory) run(change int, prompt jujubeprompt.Prompt, output int) {
+	m.outputTokens += change * output
+	for _, part := range prompt {
+		m.pinned[part.ID] += change
 	}
-	for _, part := range s.kept {
+	if change > 0 || m.kept(prompt) == prompt.Tokens() {
+		m.use(prompt)
+	}
+}
+
+func (m *trueMemory) kept(prompt jujubeprompt.Prompt) (tokens int) {
+	for _, part := range prompt {
+		if !slices.Contains(m.parts, part) {
+			break
+		}
 		tokens += part.Tokens
 	}
 	return tokens
 }
 
+// simServer is a server, of whose memory the deciding instance has an estimate.
+type simServer struct {
+	trueMemory
+	slots          int
+	estimate       *jujubeprompt.Memory
+	running, queue []*simItem
+	// debt is the prefill, in ms, during which no request goes on.
+	debt      float64
+	prefilled int
+}
+
+func (s *simServer) load() int { return len(s.running) + len(s.queue) }
+
 // advance runs the server for one ms and returns the requests that have ended.
 func (s *simServer) advance() (ended []*simItem) {
 	for len(s.queue) > 0 && len(s.running) < s.slots {
 		item := s.queue[0]
 		s.queue, s.running = s.queue[1:], append(s.running, item)
-		missing := s.use(item.prompt)
+		missing := item.prompt.Tokens() - s.kept(item.prompt)
+		s.run(1, item.prompt, item.output)
 		s.debt += float64(missing) * prefillTime
 		s.prefilled += missing
 	}
@@ -90,6 +103,7 @@
 	s.running = slices.DeleteFunc(s.running, func(item *simItem) bool {
 		item.left -= progress
 		if item.left <= 0 {
+			s.run(-1, item.prompt, item.output)
 			ended = append(ended, item)
 		}
 		return item.left <= 0
@@ -110,7 +124,7 @@
 	// isHinted is true if the lengths of the texts are known in advance.
 	isHinted bool
 	// onMs changes the servers and what is known of them; may be nil.
-	onMs func(ms int, servers []*simServer, tracker *jujubeprompt.Tracker[int])
+	onMs func(ms int, servers []*simServer)
 }
 
 // figures are what a policy achieved.
@@ -153,15 +167,15 @@
 }
 
 func simulateOnce[P jujubeprompt.Policy](policy P, s scenario, random *rand.Rand) figures {
-	tracker := jujubeprompt.NewTracker[int](jujubeprompt.TrackerSettings{MaxParts: 512, MaxAge: 20 * time.Second})
 	rates := jujubeprompt.DefaultRates()
 	servers := make([]*simServer, s.servers)
 	for i := range servers {
-		servers[i] = &simServer{slots: 8, capacity: s.capacity}
+		estimate := jujubeprompt.NewMemory(jujubeprompt.MemorySettings{MaxParts: 512, MaxAge: 20 * time.Second})
+		servers[i] = &simServer{slots: 8, estimate: estimate, trueMemory: trueMemory{capacity: s.capacity, pinned: map[jujubeprompt.PartID]int{}}}
 		if s.isUneven {
 			servers[i].slots += 2 * (i%3 - 1)
 		}
-		tracker.SetCapacity(i, s.capacity)
+		estimate.SetCapacity(s.capacity)
 		for range s.busy * (i % 2) {
 			servers[i].running = append(servers[i].running, &simItem{group: -1, output: 100 * 78, left: 100 * 78})
 		}
@@ -175,9 +189,9 @@
 			waiting = append(waiting, s.newItems(random, ms/period)...)
 		}
 		if s.onMs != nil {
-			s.onMs(ms, servers, tracker)
+			s.onMs(ms, servers)
 		}
-		for len(waiting) > 0 && place(now, policy, rates, tracker, servers, waiting, s.isHinted) {
+		for len(waiting) > 0 && place(now, policy, rates, servers, waiting, s.isHinted) {
 			waiting = waiting[1:]
 		}
 		for _, server := range servers {
@@ -186,7 +200,7 @@
 					continue
 				}
 				item.use.Confirm()
-				tracker.End(now, item.use)
+				item.use.End(now)
 				unfinished--
 				groupEnd[item.group] = time.Duration(ms)*time.Millisecond - time.Duration(item.group/s.groups)*s.wavePeriod
 			}
@@ -202,37 +216,32 @@
 	return result
 }
 
-// place sends the first waiting request to a server, if one has room.
-func place[P jujubeprompt.Policy](now time.Time, policy P, rates jujubeprompt.Rates, tracker *jujubeprompt.Tracker[int], servers []*simServer, waiting []*simItem, isHinted bool) bool {
+// place sends the first waiting request to a server, if one has room: one with a free slot, or else with queue space.
+func place[P jujubeprompt.Policy](now time.Time, policy P, rates jujubeprompt.Rates, servers []*simServer, waiting []*simItem, isHinted bool) bool {
 	item := waiting[0]
-	hint := func(item *simItem) int {
-		if isHinted {
-			return item.output
-		}
-		return 0
-	}
 	var candidates []jujubeprompt.Candidate
-	var ids []int
-	for _, needsSlot := range []bool{true, false} {
-		for i, server := range servers {
-			if load := server.load(); load < server.slots || !needsSlot && load < int(queueFactor*float64(server.slots)) {
-				candidates = append(candidates, jujubeprompt.Candidate{Load: load, Slots: server.slots, Kept: tracker.Kept(now, i, "m", item.prompt)})
-				ids = append(ids, i)
+	var chosen []*simServer
+	for _, room := range []float64{1, queueFactor} {
+		for _, server := range servers {
+			if load := server.load(); load < int(room*float64(server.slots)) {
+				candidates = append(candidates, jujubeprompt.Candidate{Load: load, Slots: server.slots, Kept: server.estimate.Kept(now, "m", item.prompt)})
+				chosen = append(chosen, server)
 			}
 		}
-		if len(ids) > 0 {
+		if len(chosen) > 0 {
 			break
 		}
 	}
-	if len(ids) == 0 {
+	if len(chosen) == 0 {
 		return false
 	}
-	request := jujubeprompt.Request{PromptTokens: item.prompt.Tokens(), RunTime: rates.RunTime(hint(item))}
-	for _, following := range waiting[1:] {
-		request.Following = append(request.Following, rates.RunTime(hint(following)))
+	var runTimes []time.Duration
+	for _, other := range waiting {
+		runTimes = append(runTimes, rates.RunTime(other.output*map[bool]int{true: 1}[isHinted]))
 	}
-	item.server = ids[jujubeprompt.Choose(policy, rates, candidates, request)]
-	item.use = tracker.Send(now, item.server, "m", item.prompt, rates.ExpectTokens(hint(item)))
-	servers[item.server].queue = append(servers[item.server].queue, item)
+	request := jujubeprompt.Request{PromptTokens: item.prompt.Tokens(), RunTime: runTimes[0], Following: runTimes[1:]}
+	server := chosen[jujubeprompt.Choose(policy, rates, candidates, request)]
+	item.use = server.estimate.Send(now, "m", item.prompt, item.output)
+	server.queue = append(server.queue, item)
 	return true
 }
--- a/core/services/jujuberouter/endpoint.go
+++ b/core/services/jujuberouter/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // endpointState is the router's state of one endpoint.
@@ -18,6 +19,8 @@
 	inFlight int
 	// unreported holds the dispatches in flight that the load report doesn't include yet, oldest first.
 	unreported []dispatchRecord
+	// prompts is the estimate of what the endpoint keeps of prompts.
+	prompts *jujubeprompt.Memory
 	// lastCacheEvent is the sequence number of the last applied cache event.
 	lastCacheEvent int64
 	// instanceLimit is this instance's part of the limit per endpoint, when limited; valid while the pool isn't stale.
@@ -68,6 +71,7 @@
 	e.endpoint.Leaving = false
 	e.load, e.hasLoad, e.reportedUntil, e.unreported = model.LoadReport{}, false, time.Time{}, nil
 	e.lastCacheEvent = 0
+	e.prompts.Reset()
 	e.failures, e.ejections, e.probe = 0, 0, ""
 	clear(e.throttledUntil[:])
 }
@@ -76,7 +80,10 @@
 func (r *Router[P]) PutEndpoint(_ time.Time, endpoint model.Endpoint) {
 	e, ok := r.endpoints.Get(endpoint.ID)
 	if !ok {
-		e = &endpointState{endpoint: endpoint, rendezvous: rendezvousHash(string(r.settings.Instance), string(endpoint.ID))}
+		e = &endpointState{
+			endpoint: endpoint, rendezvous: rendezvousHash(string(r.settings.Instance), string(endpoint.ID)),
+			prompts: jujubeprompt.NewMemory(jujubeprompt.MemorySettings{MaxParts: r.settings.MaxPrefixes, MaxAge: r.settings.PrefixRetention}),
+		}
 		r.endpoints.Put(endpoint.ID, e)
 	}
 	if endpoint.Incarnation != 0 && endpoint.Incarnation < e.endpoint.Incarnation {
@@ -85,7 +92,6 @@
 	if endpoint.Incarnation > e.endpoint.Incarnation {
 		e.resetForIncarnation(endpoint.Incarnation)
 	}
-	r.prompts.SetIncarnation(endpoint.ID, e.endpoint.Incarnation)
 	endpoint.Incarnation = e.endpoint.Incarnation
 	endpoint.Leaving = endpoint.Leaving || e.endpoint.Leaving
 	e.endpoint, e.removed = endpoint, false
@@ -149,7 +155,6 @@
 	for id, e := range r.endpoints.All() {
 		if e.removed && e.inFlight == 0 && now.Sub(e.removedAt) > r.settings.RemovedRetention {
 			r.endpoints.Delete(id)
-			r.prompts.Remove(id)
 			e.pool.endpoints.Delete(id)
 		}
 	}
@@ -163,7 +168,6 @@
 	}
 	if report.Incarnation > e.endpoint.Incarnation {
 		e.resetForIncarnation(report.Incarnation)
-		r.prompts.SetIncarnation(report.Endpoint, report.Incarnation)
 		e.pool.stale = true
 	}
 	if e.hasLoad && !report.At.After(e.load.At) {
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -244,7 +244,7 @@
 		c.ExpectedWait = time.Duration(float64(over) * p.meanService / float64(e.load.Slots) * float64(time.Second))
 	}
 	if len(prompt) > 0 {
-		kept := r.prompts.Kept(now, c.Endpoint, "", prompt)
+		kept := e.prompts.Kept(now, "", prompt)
 		c.Cached = kept > 0
 		spec := jujubeprompt.Request{PromptTokens: prompt.Tokens()}
 		if len(request.Prompt) > 0 {
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -42,9 +42,8 @@
 	queued int
 	// retryTokens is the rest of the retry budget.
 	retryTokens float64
-	// prompts are the parts of prompts that the endpoints are assumed to keep.
-	prompts *jujubeprompt.Tracker[model.EndpointID]
-	rates   jujubeprompt.Rates
+	// rates are the speeds by which the cost of a prompt is computed.
+	rates jujubeprompt.Rates
 	// nextCleanup is when the state of removed endpoints is deleted next.
 	nextCleanup time.Time
 
@@ -74,8 +73,7 @@
 		trainers:  jujubetable.New[model.TrainerID, *trainerState](),
 		callers:   make(map[model.CallerID]*callerState),
 		requests:  make(map[model.RequestID]*trackedRequest), retryTokens: settings.RetryBurst,
-		prompts: jujubeprompt.NewTracker[model.EndpointID](jujubeprompt.TrackerSettings{MaxParts: settings.MaxPrefixes, MaxAge: settings.PrefixRetention}),
-		rates:   jujubeprompt.DefaultRates(),
+		rates: jujubeprompt.DefaultRates(),
 	}
 }
 
@@ -216,7 +214,7 @@
 	}
 	e.inFlight++
 	e.unreported = append(e.unreported, dispatchRecord{id: req.request.ID, at: now})
-	r.keepPrompt(now, e.endpoint.ID, &req.request)
+	r.keepPrompt(now, e, &req.request)
 	if e.ejections > 0 && e.probe == "" {
 		e.probe = req.request.ID
 	}
--- a/core/services/jujuberouter/view.go
+++ b/core/services/jujuberouter/view.go
@@ -51,7 +51,7 @@
 		r.refresh(e.pool)
 		view := EndpointView{
 			Endpoint: e.endpoint, Load: e.load, InFlight: e.inFlight, Share: -1, Watched: e.watched,
-			Removed: e.removed, Ejected: e.isEjected(now), Prefixes: r.prompts.Count(e.endpoint.ID),
+			Removed: e.removed, Ejected: e.isEjected(now), Prefixes: e.prompts.Count(),
 		}
 		if e.limited {
 			view.Share = e.instanceLimit
