batch: move no run to an engine without memory for it

A run that moves off a slow engine could exceed the memory of the engine that it moved to, which the assignment of items avoids. Checked: go test ./core/services/jujubebatch.

--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -339,7 +339,8 @@
 	}
 	other := s.selectEngine(now, r.item, e.Service, false, fleet)
 	switch {
-	case other == nil || s.isSlow(other, fleet) || s.estimateLoad(now, other) >= other.Slots:
+	case other == nil || s.isSlow(other, fleet) || s.estimateLoad(now, other) >= other.Slots ||
+		!s.hasMemory(other, r.item, s.estimateLoad(now, other)):
 		return nil, ""
 	case isSlow:
 		return other, "the engine is slow"
