--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // Engine describes an endpoint: a model engine, or a plain server, which has no versions and is assigned no items.
@@ -51,6 +52,8 @@
 	// minSilenceLimit is a lower bound for the engine's silence limit: twice the limit at which a run was last cancelled
 	// before the engine had a baseline. It is zero once there is one.
 	minSilenceLimit time.Duration
+	// memory is the estimate of what the engine's process keeps of prompts.
+	memory *jujubeprompt.Memory
 }
 
 const (
@@ -70,7 +73,7 @@
 			s.cancelRuns(known, "the engine has restarted")
 			s.unassignAll(e.ID)
 		}
-		known = &engine{loadingUntil: map[model.ModelName]time.Time{}}
+		known = &engine{loadingUntil: map[model.ModelName]time.Time{}, memory: jujubeprompt.NewMemory(s.prompts.memory)}
 		s.engines.Put(e.ID, known)
 	} else if e.Incarnation < known.Incarnation {
 		return
@@ -82,6 +85,7 @@
 	}
 	known.Engine = e
 	s.selectGateway(known)
+	s.trackEngine(known)
 }
 
 // EngineState returns the current description of an engine.
@@ -201,6 +205,7 @@
 		}
 		e.Versions[name] = version
 		delete(e.loadingUntil, name)
+		e.memory.SetVersion(name, version)
 	}
 }
 
@@ -244,21 +249,26 @@
 	return s.selectBest(now, item, fleet, func(e *engine) bool { return s.isUsable(now, e, item, service) })
 }
 
-// selectBest returns the best engine with room among those that are allowed.
+// selectBest returns the best engine with room among those that are allowed: the one on which the item costs the least time, of those
+// that rank highest, or the first of them if its prompt isn't known.
 func (s *Scheduler) selectBest(now time.Time, item *item, fleet fleetIntervals, isAllowed func(e *engine) bool) *engine {
-	var best *engine
 	var bestRank engineRank
+	best := s.prompts.candidates[:0]
 	for _, e := range s.engines.All() {
 		load := s.estimateLoad(now, e)
 		if load >= s.maxAssigned(e) || !isAllowed(e) {
 			continue
 		}
-		rank := s.rankEngine(e, item.submission.Model, load, fleet)
-		if best == nil || rank.compare(bestRank) < 0 {
-			best, bestRank = e, rank
+		rank := s.rankEngine(e, item, load, fleet)
+		switch order := rank.compare(bestRank); {
+		case len(best) == 0 || order < 0:
+			best, bestRank = append(best[:0], engineLoad{e, load}), rank
+		case order == 0:
+			best = append(best, engineLoad{e, load})
 		}
 	}
-	return best
+	s.prompts.candidates = best
+	return s.chooseEngine(now, item, best)
 }
 
 // engineClass is the first criterion by which engines are ranked for an item; lower is better.
@@ -271,6 +281,8 @@
 	// classQueued engines have only queue space.
 	classQueued
 	classSlow
+	// classNoMemory engines have no memory for the item beside those that they have.
+	classNoMemory
 )
 
 // engineRank ranks engines for an item; lower is better.
@@ -278,12 +290,18 @@
 	class engineClass
 	// competingModels counts the other models whose next step can run on the engine.
 	competingModels int
-	load            float64
+	// load is the load per slot; zero if the cost decides instead.
+	load float64
 }
 
-func (s *Scheduler) rankEngine(e *engine, name model.ModelName, load int, fleet fleetIntervals) engineRank {
-	rank := engineRank{competingModels: s.countCompetingModels(e, name), load: float64(load) / float64(max(1, e.Slots))}
+func (s *Scheduler) rankEngine(e *engine, item *item, load int, fleet fleetIntervals) engineRank {
+	rank := engineRank{competingModels: s.countCompetingModels(e, item.submission.Model)}
+	if !s.weighsPrompt(item) {
+		rank.load = float64(load) / float64(max(1, e.Slots))
+	}
 	switch {
+	case !s.hasMemory(e, item, load):
+		rank.class = classNoMemory
 	case s.isSlow(e, fleet):
 		rank.class = classSlow
 	case load >= e.Slots:
--- a/core/services/jujuberouter/endpoint.go
+++ b/core/services/jujuberouter/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // endpointState is the router's state of one endpoint.
@@ -18,7 +19,10 @@
 	inFlight int
 	// unreported holds the dispatches in flight that the load report doesn't include yet, oldest first.
 	unreported []dispatchRecord
-	cache      prefixCache
+	// prompts is the estimate of what the endpoint keeps of prompts.
+	prompts *jujubeprompt.Memory
+	// lastCacheEvent is the sequence number of the last applied cache event.
+	lastCacheEvent int64
 	// instanceLimit is this instance's part of the limit per endpoint, when limited; valid while the pool isn't stale.
 	instanceLimit int
 	limited       bool
@@ -66,7 +70,8 @@
 	e.endpoint.Incarnation = incarnation
 	e.endpoint.Leaving = false
 	e.load, e.hasLoad, e.reportedUntil, e.unreported = model.LoadReport{}, false, time.Time{}, nil
-	e.cache = prefixCache{}
+	e.lastCacheEvent = 0
+	e.prompts.Reset()
 	e.failures, e.ejections, e.probe = 0, 0, ""
 	clear(e.throttledUntil[:])
 }
@@ -75,7 +80,10 @@
 func (r *Router[P]) PutEndpoint(_ time.Time, endpoint model.Endpoint) {
 	e, ok := r.endpoints.Get(endpoint.ID)
 	if !ok {
-		e = &endpointState{endpoint: endpoint, rendezvous: rendezvousHash(string(r.settings.Instance), string(endpoint.ID))}
+		e = &endpointState{
+			endpoint: endpoint, rendezvous: rendezvousHash(string(r.settings.Instance), string(endpoint.ID)),
+			prompts: jujubeprompt.NewMemory(jujubeprompt.MemorySettings{MaxParts: r.settings.MaxPrefixes, MaxAge: r.settings.PrefixRetention}),
+		}
 		r.endpoints.Put(endpoint.ID, e)
 	}
 	if endpoint.Incarnation != 0 && endpoint.Incarnation < e.endpoint.Incarnation {
@@ -193,7 +201,7 @@
 // ReportCache applies the cache events of an endpoint.
 func (r *Router[P]) ReportCache(now time.Time, id model.EndpointID, events []model.CacheEvent) {
 	if e, ok := r.endpoints.Get(id); ok {
-		e.cache.apply(now, events, r.settings)
+		r.applyCacheEvents(now, e, events)
 	}
 }
 
