--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -2,7 +2,7 @@
 
 import "github.com/sirupsen/logrus"
 
-// Numbers of log events. 1xxx routing, 2xxx steps, 21xx submissions, 3xxx idempotency keys, 4xxx weights, 5xxx configuration,
+// Numbers of log events. 1xxx routing, 11xx authentication, 2xxx steps, 21xx submissions, 3xxx idempotency keys, 4xxx weights, 5xxx configuration,
 // 51xx store, 6xxx membership, 7xxx endpoints and quarantine, 8xxx process lifecycle.
 const (
 	RouteDispatched Number = 1001
@@ -14,6 +14,11 @@
 	GenerationRestarted Number = 1006
 	RouteAbsent         Number = 1007
 
+	RequestAuthenticated Number = 1101
+	RequestDenied        Number = 1102
+	AuthenticationFailed Number = 1103
+	SubmissionForeign    Number = 1104
+
 	PartAccepted    Number = 2001
 	PartRefused     Number = 2002
 	GroupsDelivered Number = 2003
@@ -117,6 +122,10 @@
 		{RequestRetried, "RequestRetried", info, "A failed attempt is retried on another endpoint."},
 		{RouteAbsent, "RouteAbsent", info, "A request has no route in the desired state; Age is how long ago that is known to have been the newest. An old one is refused as not ready."},
 		{GenerationRestarted, "GenerationRestarted", info, "A generation starts anew on another engine, because no engine of the software version that began its text can continue it."},
+		{RequestAuthenticated, "RequestAuthenticated", debug, "A request carries a key of an organisation; Age is how long ago the read of the desired state was requested."},
+		{RequestDenied, "RequestDenied", info, "A request carries no known key and was answered with 401. Problem is what it lacks; the key isn't logged."},
+		{AuthenticationFailed, "AuthenticationFailed", warn, "A request was refused as not ready, because the desired state was read too long ago to tell whether its key is valid."},
+		{SubmissionForeign, "SubmissionForeign", info, "A request about a submission carries a key of another organisation and was answered as if the submission didn't exist."},
 		{PartAccepted, "PartAccepted", info, "A trainer's step part was accepted, or taken over from an earlier attempt."},
 		{PartRefused, "PartRefused", info, "A trainer's step part or pull was refused."},
 		{GroupsDelivered, "GroupsDelivered", info, "Complete groups were delivered to the trainer."},
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -24,8 +24,9 @@
 	Item        ItemID
 	Host        string
 	Path        string
-	// Organisation is that of the submission.
+	// Organisation is that of the submission. IsEnforced is true if the desired state has organisations.
 	Organisation model.OrganisationName
+	IsEnforced   bool
 	// Content is where the rest of the request is stored, and InlineContent is the rest itself if another instance delegated
 	// the item and sent it.
 	Content       Place
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -27,7 +27,7 @@
 	scoringBudgets map[model.ServiceName]int
 	// latestItems maps each item without a result to its state in the latest submission, since groups may be submitted
 	// again.
-	latestItems map[ItemID]*item
+	latestItems map[reuseKey]*item
 	// latestMinVersions holds the minimum version of each model's latest step. The next step will require a newer one.
 	latestMinVersions map[model.ModelName]model.WeightVersion
 	// byReadTime is in the order of the submissions' records, byEndTime in the order of their end records.
@@ -59,7 +59,7 @@
 		engines:           jujubetable.New[model.EndpointID, *engine](),
 		runs:              jujubetable.New[RunID, *run](),
 		scorings:          jujubetable.New[RunID, *scoring](),
-		latestItems:       make(map[ItemID]*item),
+		latestItems:       make(map[reuseKey]*item),
 		latestMinVersions: make(map[model.ModelName]model.WeightVersion),
 		unreachableUntil:  make(map[model.InstanceID]time.Time),
 		streams:           make(map[model.RequestID]StreamOrigin),
@@ -163,7 +163,7 @@
 	s.runs.Put(r.id, r)
 	start := StartRun{
 		Run: r.id, Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Submission: item.submission.ID, Item: item.ID,
-		Host: item.submission.Host, Path: item.Path, Organisation: item.submission.Organisation, InlineContent: item.Content, Progress: item.progress, After: len(item.events),
+		Host: item.submission.Host, Path: item.Path, Organisation: item.submission.Organisation, IsEnforced: s.desired.Organisations != nil, InlineContent: item.Content, Progress: item.progress, After: len(item.events),
 		KnownVersion: e.Versions[item.submission.Model], InFlight: e.inFlight, Assigned: e.assigned, EventInterval: e.intervals.recent,
 		SoftwareVersion: e.SoftwareVersion,
 	}
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -144,7 +144,7 @@
 // their versions.
 func (s *Scheduler) reuseTexts(submission *submission) {
 	for _, item := range submission.order {
-		if earlier := s.latestItems[item.ID]; earlier != nil &&
+		if earlier := s.latestItems[item.reuseKey()]; earlier != nil &&
 			earlier.submission.Model == submission.Model && earlier.submission != submission {
 			switch text := earlier.unscored; {
 			case text != nil && text.Text != "" && item.Scoring != nil:
@@ -158,7 +158,7 @@
 			// A checkpoint in the log isn't copied: it belongs to the partition of the earlier submission and can be read
 			// only there.
 		}
-		s.latestItems[item.ID] = item
+		s.latestItems[item.reuseKey()] = item
 	}
 }
 
@@ -196,8 +196,8 @@
 	}
 	s.unassign(item)
 	submission.unassigned--
-	if s.latestItems[item.ID] == item {
-		delete(s.latestItems, item.ID)
+	if s.latestItems[item.reuseKey()] == item {
+		delete(s.latestItems, item.reuseKey())
 	}
 	return true
 }
@@ -337,8 +337,8 @@
 		return
 	}
 	for _, item := range submission.order {
-		if s.latestItems[item.ID] == item {
-			delete(s.latestItems, item.ID)
+		if s.latestItems[item.reuseKey()] == item {
+			delete(s.latestItems, item.reuseKey())
 		}
 	}
 	s.submissions.Delete(id)
--- a/core/services/jujubedesired/desired.go
+++ b/core/services/jujubedesired/desired.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeorganisation"
 )
 
 // Kind is the kind of a route's requests; it determines which of them may be repeated.
@@ -35,6 +36,8 @@
 	Services map[model.ServiceName]Service
 	// MaxBodyBytes limits a caller's request body; zero means no limit.
 	MaxBodyBytes int64
+	// Organisations are those whose keys callers need; nil if they need none.
+	Organisations *jujubeorganisation.Directory
 }
 
 // Route describes where the requests of a host and path prefix are sent.
@@ -59,6 +62,10 @@
 	Retention time.Duration
 	// SingleVersion requires all events of a result to come from one weight version.
 	SingleVersion bool
+	// Public requests need no key and belong to no organisation.
+	Public bool
+	// Priority orders waiting requests whose organisation has no priority; 0 is the highest.
+	Priority int
 }
 
 // Target is a service that a route sends requests to.
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -53,7 +53,7 @@
 	p := &pool{key: key, endpoints: jujubetable.New[model.EndpointID, *endpointState](), stale: true}
 	p.meanHold, p.meanService = r.settings.ServiceTime.Seconds(), r.settings.ServiceTime.Seconds()
 	for i := range p.classes {
-		p.classes[i].queues = jujubetable.New[model.TrainerID, *trainerQueue]()
+		p.classes[i].queues = jujubetable.New[queueKey, *flowQueue]()
 	}
 	r.pools[key] = p
 	r.poolOrder = append(r.poolOrder, p)
--- a/core/services/jujuberouter/queue.go
+++ b/core/services/jujuberouter/queue.go
@@ -1,9 +1,9 @@
 package jujuberouter
 
 import (
-	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -20,19 +20,26 @@
 
 // priorityClass holds the waiting requests of one priority.
 type priorityClass struct {
-	// queues is keyed by trainer; requests without a configured trainer are in the queue with the empty id.
-	queues *jujubetable.Table[model.TrainerID, *trainerQueue]
+	// queues holds one queue for each flow; requests without a configured trainer and an organisation are in the one with the empty
+	// key.
+	queues *jujubetable.Table[queueKey, *flowQueue]
 	// length is the number of waiting requests in all queues.
 	length int
 	// skips counts the consecutive dispatches of higher classes while this one had an eligible request.
 	skips int
-	// virtualTime is the virtual time of the last queue that was dispatched from. Empty queues start from it.
-	virtualTime float64
+	// virtualTimes has, for each level, the virtual time of the last queue that was dispatched from in its turn. Empty queues start
+	// from it.
+	virtualTimes map[int]float64
+	turns        turns
 }
 
-// trainerQueue holds the waiting requests of one trainer, oldest first.
-type trainerQueue struct {
+// queueKey identifies a flow: the requests of a trainer or an organisation and of one level.
+type queueKey string
+
+// flowQueue holds the waiting requests of one flow, oldest first.
+type flowQueue struct {
 	trainer  *trainerState
+	level    int
 	requests []*trackedRequest
 	// virtualTime grows by 1/weight with each dispatch (weighted fair queueing). The queue with the lowest value is next.
 	virtualTime float64
@@ -53,32 +60,50 @@
 	return t == nil || !t.limited || t.inFlight < t.instanceLimit
 }
 
-// queueFor returns the queue of a trainer, and creates it when there is none. An empty queue is brought up to the class's virtual
-// time, so that a trainer gains no priority while it has no requests.
-func (c *priorityClass) queueFor(t *trainerState) *trainerQueue {
-	var id model.TrainerID
-	if t != nil {
-		id = t.id
+// newQueueKey returns the key of a request's flow.
+func newQueueKey(req *trackedRequest) queueKey {
+	var key queueKey
+	if req.trainer != nil {
+		key = queueKey(req.trainer.id)
+	}
+	if req.request.Organisation == "" && req.request.Level == 0 {
+		return key
 	}
-	q, ok := c.queues.Get(id)
+	return key + queueKey("\x00"+string(req.request.Organisation)+"\x00"+strconv.Itoa(req.request.Level))
+}
+
+// queueFor returns the queue of a request's flow, and creates it when there is none. An empty queue is brought up to the virtual time
+// of its level, so that a flow gains no priority while it has no requests.
+func (c *priorityClass) queueFor(req *trackedRequest) *flowQueue {
+	q, ok := c.queues.Get(req.key)
 	if !ok {
-		q = &trainerQueue{trainer: t}
-		c.queues.Put(id, q)
+		q = &flowQueue{trainer: req.trainer, level: req.request.Level}
+		c.queues.Put(req.key, q)
 	}
 	if len(q.requests) == 0 {
-		q.virtualTime = max(q.virtualTime, c.virtualTime)
+		q.virtualTime = max(q.virtualTime, c.virtualTimes[q.level])
 	}
 	return q
 }
 
 // recordDispatch advances the virtual time of a queue for a dispatch from it.
-func (c *priorityClass) recordDispatch(q *trainerQueue) {
-	c.virtualTime = q.virtualTime
-	weight := 1.0
+func (c *priorityClass) recordDispatch(q *flowQueue) {
+	if !c.turns.isAgeTurn {
+		if c.virtualTimes == nil {
+			c.virtualTimes = map[int]float64{}
+		}
+		c.virtualTimes[q.level] = q.virtualTime
+	}
+	c.turns.count++
+	q.virtualTime += 1 / q.weight()
+}
+
+// weight returns the weight of the flow's trainer, one for an organisation.
+func (q *flowQueue) weight() float64 {
 	if q.trainer != nil && q.trainer.weight > 0 {
-		weight = q.trainer.weight
+		return q.trainer.weight
 	}
-	q.virtualTime += 1 / weight
+	return 1
 }
 
 // hasEligible reports whether the class has a waiting request that its trainer's limit doesn't block.
@@ -97,8 +122,9 @@
 // enqueue appends a request to the queue of its priority and trainer.
 func (r *Router[P]) enqueue(p *pool, req *trackedRequest) {
 	c := &p.classes[req.request.Priority]
-	q := c.queueFor(req.trainer)
+	q := c.queueFor(req)
 	q.requests = append(q.requests, req)
+	c.turns.isShared = c.turns.isShared || req.request.Organisation != "" || req.request.Level != 0
 	c.length++
 	r.queued++
 	req.queue = q
@@ -134,7 +160,7 @@
 		switch own := int(req.request.Priority); {
 		case priority < own && c.hasEligible(), priority > own && c.skips >= maxSkips && c.hasEligible():
 			return true
-		case priority == own && c.length > 0 && len(c.queueFor(req.trainer).requests) > 0:
+		case priority == own && c.length > 0 && (len(c.queueFor(req).requests) > 0 || c.hasEligibleBefore(req.request.Level)):
 			return true
 		}
 	}
@@ -183,8 +209,8 @@
 	return Decision{}, false
 }
 
-// dispatchFromClass dispatches or refuses one waiting request of a class, from the queue with the lowest virtual time that has an
-// eligible one.
+// dispatchFromClass dispatches or refuses one waiting request of a class, from the first queue in the order of compareQueues that has
+// an eligible one.
 func (r *Router[P]) dispatchFromClass(now time.Time, c *priorityClass, scanLimit int) (Decision, bool) {
 	if c.length == 0 {
 		return Decision{}, false
@@ -195,7 +221,9 @@
 			r.readyQueues = append(r.readyQueues, q)
 		}
 	}
-	slices.SortStableFunc(r.readyQueues, func(a, b *trainerQueue) int { return cmp.Compare(a.virtualTime, b.virtualTime) })
+	c.turns.isAgeTurn = c.turns.isDue()
+	defer func() { c.turns.isAgeTurn = false }()
+	slices.SortStableFunc(r.readyQueues, c.compareQueues)
 	// blockedVersion is the lowest version that no endpoint has capacity for, nor for any later one.
 	blockedVersion := model.WeightVersion(math.MaxInt64)
 	for _, q := range r.readyQueues {
@@ -215,26 +243,27 @@
 	return Decision{}, false
 }
 
-// estimateQueueWait estimates the wait of a request with the given number of requests of its trainer ahead of it.
+// estimateQueueWait estimates the wait of a request with the given number of requests of its flow ahead of it.
 func (r *Router[P]) estimateQueueWait(p *pool, req *trackedRequest, ahead int) time.Duration {
 	higher, totalWeight, ownWeight := 0, 0.0, 1.0
 	for priority := model.PriorityInteractive; priority < req.request.Priority; priority++ {
 		higher += p.classes[priority].length
 	}
-	for _, q := range p.classes[req.request.Priority].queues.All() {
-		weight := 1.0
-		if q.trainer != nil && q.trainer.weight > 0 {
-			weight = q.trainer.weight
-		}
-		if q.trainer == req.trainer {
-			ownWeight = weight
-			totalWeight += weight
-		} else if len(q.requests) > 0 {
-			totalWeight += weight
+	class := &p.classes[req.request.Priority]
+	lower, own := 0, 0
+	for key, q := range class.queues.All() {
+		switch {
+		case key == req.key:
+			ownWeight, own = q.weight(), len(q.requests)
+			totalWeight += ownWeight
+		case q.level < req.request.Level:
+			lower += len(q.requests)
+		case len(q.requests) > 0 && q.level == req.request.Level:
+			totalWeight += q.weight()
 		}
 	}
 	rate := p.dequeueRate()
-	seconds := (float64(higher) + float64(ahead)*max(1, totalWeight/ownWeight)) / rate
+	seconds := (float64(higher) + class.turns.estimateAhead(ahead, own, lower, class.length, max(1, totalWeight/ownWeight))) / rate
 	if t := req.trainer; t != nil && t.limited {
 		seconds = max(seconds, float64(ahead)*p.meanHold/float64(max(t.instanceLimit, 1)))
 	}
--- a/core/services/jujuberouter/request.go
+++ b/core/services/jujuberouter/request.go
@@ -1,8 +1,9 @@
 // Package jujuberouter chooses an endpoint for each request, queues requests and applies limits.
 //
 // Each model or service has a queue with three priority classes: interactive before trainer before background. A lower class
-// that was skipped maxSkips times in a row while it had an eligible request goes next, so no class starves. Within a class,
-// trainers share by weight. Under overload the order stays oldest first, and requests that can't meet their deadline at the
+// that was skipped maxSkips times in a row while it had an eligible request goes next, so no class starves. Within a class, lower
+// levels go first, and trainers and organisations of one level share by weight; every fourth dispatch goes to the oldest request of
+// all. Under overload the order stays oldest first, and requests that can't meet their deadline at the
 // current dequeue rate are refused at once. Newest first would also clear the queue of requests that can't meet their deadline, but
 // it starves the oldest samples of a step, and the whole step waits for those.
 package jujuberouter
@@ -20,12 +21,16 @@
 // Request asks for an endpoint.
 type Request struct {
 	// ID is unique among the requests that wait or are in flight.
-	ID       model.RequestID
-	Kind     model.EndpointKind
-	Model    model.ModelName
-	Service  model.ServiceName
-	Caller   model.CallerID
-	Trainer  model.TrainerID
+	ID      model.RequestID
+	Kind    model.EndpointKind
+	Model   model.ModelName
+	Service model.ServiceName
+	Caller  model.CallerID
+	Trainer model.TrainerID
+	// Organisation is the caller's; empty for none. Waiting requests of different organisations are served in turn.
+	Organisation model.OrganisationName `json:",omitempty"`
+	// Level orders waiting requests of one priority; those of a lower level are served first.
+	Level    int `json:",omitempty"`
 	Priority model.Priority
 	Arrived  time.Time
 	// Deadline defaults to Settings.MaxWait from now when zero.
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -44,8 +44,8 @@
 	// nextCleanup is when the state of removed endpoints is deleted next.
 	nextCleanup time.Time
 
-	candidates  []Candidate     // buffer that collectCandidates reuses
-	readyQueues []*trainerQueue // buffer that dispatchFromClass reuses
+	candidates  []Candidate  // buffer that collectCandidates reuses
+	readyQueues []*flowQueue // buffer that dispatchFromClass reuses
 }
 
 // trackedRequest is a request that waits (queue is set) or is in flight (endpoint is set).
@@ -54,7 +54,8 @@
 	pool         *pool
 	trainer      *trainerState
 	caller       *callerState
-	queue        *trainerQueue
+	queue        *flowQueue
+	key          queueKey
 	endpoint     *endpointState
 	dispatched   time.Time
 	expectedWait time.Duration
@@ -123,6 +124,7 @@
 		return r.refuse(req, jujubeerror.CodeNoEndpoint, "no endpoint is known", defaultRetryAfter)
 	}
 	req.trainer, _ = r.trainers.Get(request.Trainer)
+	req.key = newQueueKey(req)
 	if t := req.trainer; t != nil && t.limited && t.instanceLimit == 0 && !request.Held {
 		return r.refuseZeroShare(req, "other instances hold the trainer's limit")
 	}
@@ -147,7 +149,7 @@
 	r.refresh(p)
 	ahead := 0
 	if c := &p.classes[req.request.Priority]; c.length > 0 {
-		ahead = len(c.queueFor(req.trainer).requests)
+		ahead = len(c.queueFor(req).requests)
 	}
 	wait := r.estimateQueueWait(p, req, ahead+1)
 	if late := now.Add(wait + p.requiredServiceTime(now, &req.request)).Sub(req.request.Deadline); late > 0 {
@@ -219,7 +221,7 @@
 		req.trainer.inFlight++
 	}
 	class := &p.classes[req.request.Priority]
-	class.recordDispatch(class.queueFor(req.trainer))
+	class.recordDispatch(class.queueFor(req))
 	p.updateClassSkips(req.request.Priority)
 	return decision
 }
--- a/entry/services/jujubenode/attempt.go
+++ b/entry/services/jujubenode/attempt.go
@@ -47,7 +47,8 @@
 
 func (f *forwarding) newCall(decision jujuberouter.Decision) Call {
 	return Call{
-		ID: f.request.ID, Method: f.request.Method, URI: f.request.URI, Host: f.request.Host, Organisation: f.request.Organisation, Header: f.request.Header,
+		ID: f.request.ID, Method: f.request.Method, URI: f.request.URI, Host: f.request.Host,
+		Organisation: f.request.Organisation, IsEnforced: f.request.IsEnforced || f.node.hasOrganisations(), Header: f.request.Header,
 		Body: f.request.Body, Endpoint: decision.Endpoint, Incarnation: decision.Incarnation, Address: decision.Address,
 		Timeout: time.Until(f.request.Deadline),
 	}
@@ -108,7 +109,7 @@
 		}
 	}
 	request := jujuberouter.Request{
-		ID: id, Kind: model.KindService, Service: f.service, SoftwareVersion: f.software, Priority: f.priority, Arrived: now, Deadline: f.request.Deadline,
+		ID: id, Kind: model.KindService, Service: f.service, SoftwareVersion: f.software, Priority: f.priority, Organisation: f.request.Organisation, Level: f.request.Level, Arrived: now, Deadline: f.request.Deadline,
 		Exclude: append(slices.Clip(exclude), f.excludeSuspects(now)...),
 	}
 	decision := n.router.Route(now, request)
--- /dev/null
+++ b/entry/services/jujubenode/authenticate.go
@@ -0,0 +1,198 @@
+package jujubenode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubedesired"
+	"jujubepier.example/core/services/jujubeorganisation"
+)
+
+// Credentials are what a request carries to authenticate itself.
+type Credentials struct {
+	// Authorization holds all values of the header of that name.
+	Authorization []string
+	// Route is the request's, and Host and Path those by which it was matched; all are empty for calls about a submission.
+	Route      *jujubedesired.Route
+	Host, Path string
+}
+
+// Access is what the credentials of a request allow. The zero value is that of a desired state without organisations.
+type Access struct {
+	// Enforced is true if the desired state has organisations.
+	Enforced bool
+	// Organisation is that of the key; empty for a request on a public route and without organisations.
+	Organisation model.OrganisationName
+	// Level orders waiting requests: the organisation's priority or, failing that, the route's; 0 is the highest.
+	Level int
+}
+
+// allowsSubmission reports whether a request may read, end or repeat a submission of an organisation; empty for none.
+func (a Access) allowsSubmission(organisation model.OrganisationName) bool {
+	return !a.Enforced || organisation == "" || organisation == a.Organisation
+}
+
+// ErrUnauthenticated is returned for a request without a known key.
+type ErrUnauthenticated struct {
+	Problem jujubeorganisation.Problem
+}
+
+// Error returns the problem. It doesn't contain what the request carried.
+func (e ErrUnauthenticated) Error() string { return "authenticate: " + string(e.Problem) }
+
+// Authenticate returns what a request may do. The result remains valid for the request, whatever changes afterwards. It returns
+// ErrUnauthenticated for a key that isn't known, and a refusal if the desired state was read too long ago to tell. While the desired
+// state has no organisations, every request may do everything.
+func (n *Node) Authenticate(ctx context.Context, credentials Credentials) (Access, error) {
+	var timer *time.Timer
+	for mayWait := true; ; {
+		n.mu.Lock()
+		if n.desired == nil || n.desiredFollower == nil {
+			n.mu.Unlock()
+			return Access{}, refusal(jujubeerror.CodeNotReady, "the desired state hasn't been read yet")
+		}
+		desired, changedCh := n.desired, n.desiredFollower.readCh
+		view := jujubeorganisation.View{Directory: desired.Organisations, Read: n.desiredFollower.viewTime}
+		now := n.bootClock()
+		n.mu.Unlock()
+		isPublic, level := credentials.matchRoute(desired)
+		if view.Directory == nil || isPublic {
+			return Access{Enforced: view.Directory != nil, Level: level}, nil
+		}
+		verdict := view.Decide(now, credentials.Authorization, n.settings.RevokeTime, mayWait)
+		if verdict.Decision != jujubeorganisation.Wait {
+			return n.access(verdict, desired, level)
+		}
+		if timer == nil {
+			timer = time.NewTimer(maxDesiredWait)
+			defer timer.Stop()
+		}
+		select {
+		case <-changedCh:
+		case <-timer.C:
+			mayWait = false
+		case <-ctx.Done():
+			mayWait = false
+		}
+	}
+}
+
+// matchRoute reports whether the request's route is public, and returns its priority. The route was matched earlier, so it must be
+// public still.
+func (c *Credentials) matchRoute(desired *jujubedesired.State) (isPublic bool, level int) {
+	if c.Route == nil {
+		return false, 0
+	}
+	if current, ok := desired.Match(c.Host, c.Path); ok {
+		return c.Route.Public && current.Public, current.Priority
+	}
+	return c.Route.Public, c.Route.Priority
+}
+
+// access logs and counts a verdict, and returns what it allows.
+func (n *Node) access(verdict jujubeorganisation.Verdict, desired *jujubedesired.State, level int) (Access, error) {
+	n.metrics.countAuthentication(verdict)
+	event := jujubeevent.RequestAuthenticated
+	switch verdict.Decision {
+	case jujubeorganisation.Deny:
+		event = jujubeevent.RequestDenied
+	case jujubeorganisation.Refuse:
+		event = jujubeevent.AuthenticationFailed
+	}
+	n.log.Write(event, func() logrus.Fields {
+		return logrus.Fields{
+			"Organisation": verdict.Organisation.Name, "Problem": verdict.Problem, "Revision": desired.Version, "Age": verdict.Age.String(),
+			"RevokeTime": n.settings.RevokeTime.String(),
+		}
+	})
+	switch verdict.Decision {
+	case jujubeorganisation.Accept:
+		if verdict.Organisation.HasPriority {
+			level = verdict.Organisation.Priority
+		}
+		return Access{Enforced: true, Organisation: verdict.Organisation.Name, Level: level}, nil
+	case jujubeorganisation.Deny:
+		return Access{}, ErrUnauthenticated{Problem: verdict.Problem}
+	}
+	return Access{}, refusal(jujubeerror.CodeNotReady, "the desired state hasn't been read lately")
+}
+
+// AuthenticateSubmission returns what a request about a submission may do: one with a key may use the submissions of its organisation and
+// those without one, and a request without a known key only those that were accepted on a public route. It returns ErrUnknownSubmission
+// for a submission that doesn't exist or is another organisation's.
+func (n *Node) AuthenticateSubmission(ctx context.Context, id jujubebatch.SubmissionID, authorization []string) error {
+	access, err := n.Authenticate(ctx, Credentials{Authorization: authorization})
+	isDenied := errors.As(err, new(ErrUnauthenticated))
+	switch {
+	case err == nil && !access.Enforced:
+		return nil
+	case err != nil && !(isDenied && n.hasPublicRollout()):
+		return err
+	}
+	if knownErr := n.ensureKnown(ctx, id); knownErr != nil {
+		if err != nil && errors.As(knownErr, new(ErrUnknownSubmission)) {
+			return err
+		}
+		return knownErr
+	}
+	n.mu.Lock()
+	origin, _ := n.scheduler.Origin(id)
+	route, hasRoute := n.desired.Match(origin.Host, origin.Path)
+	n.mu.Unlock()
+	switch {
+	case err != nil && (origin.Organisation != "" || !hasRoute || !route.Public):
+		return err
+	case err == nil && !access.allowsSubmission(origin.Organisation):
+		n.logForeign(id, access)
+		return ErrUnknownSubmission{ID: id}
+	}
+	return nil
+}
+
+// hasPublicRollout reports whether there may be submissions that need no key.
+func (n *Node) hasPublicRollout() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i := range n.desired.Routes {
+		if n.desired.Routes[i].Public && n.desired.Routes[i].Kind == jujubedesired.Rollout {
+			return true
+		}
+	}
+	return false
+}
+
+// hasOrganisations reports whether the desired state has organisations.
+func (n *Node) hasOrganisations() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.desired != nil && n.desired.Organisations != nil
+}
+
+// checkItems returns ErrUnauthenticated if a submission without an organisation has items on routes that need a key.
+func (n *Node) checkItems(access Access, submission *jujubebatch.Submission) error {
+	if !access.Enforced || access.Organisation != "" {
+		return nil
+	}
+	n.mu.Lock()
+	desired := n.desired
+	n.mu.Unlock()
+	for i := range submission.Items {
+		if route, ok := desired.Match(submission.Host, submission.Items[i].Path); ok && !route.Public {
+			return ErrUnauthenticated{Problem: jujubeorganisation.KeyMissing}
+		}
+	}
+	return nil
+}
+
+func (n *Node) logForeign(id jujubebatch.SubmissionID, access Access) {
+	n.log.Write(jujubeevent.SubmissionForeign, func() logrus.Fields {
+		return logrus.Fields{"Submission": id, "Organisation": access.Organisation}
+	})
+}
--- a/entry/services/jujubenode/crashes.go
+++ b/entry/services/jujubenode/crashes.go
@@ -58,8 +58,12 @@
 	}
 }
 
-// fingerprint identifies the content of a request, whoever sends it.
+// fingerprint identifies the content of a request, whoever of an organisation sends it. Servers may run it differently for another
+// organisation, so its crashes don't count against that.
 func (r *PlainRequest) fingerprint() model.Fingerprint {
+	if r.Organisation != "" {
+		return model.NewBodyFingerprint(r.Body, "call", r.Host, r.Method, r.URI, string(r.Organisation))
+	}
 	return model.NewBodyFingerprint(r.Body, "call", r.Host, r.Method, r.URI)
 }
 
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
 )
 
@@ -42,6 +43,9 @@
 	// onCaughtUp is called after each read up to the end of the partition; the node's lock is held.
 	onCaughtUp func(now time.Time)
 
+	// redact is called before records are passed to other instances; may be nil.
+	redact func(record Record) Record
+
 	// urgent is true for a topic whose changes must arrive in time although the path to the store is at fault.
 	urgent bool
 
@@ -59,6 +63,8 @@
 	// caughtUpAt is a time up to which all records of the partition are known to have been read: that at which the read was
 	// requested, since a response may take any time to arrive. It is zero before the first time.
 	caughtUpAt time.Time
+	// viewTime is that time on the boot clock; it is used where a suspension of the machine counts.
+	viewTime jujubeclock.ReadTime
 	// hasUnread is true while the partition's end, as of the latest read, hasn't been reached.
 	hasUnread bool
 	// readCh is closed and replaced after each read up to the end of the partition.
@@ -134,21 +140,17 @@
 }
 
 // read returns the records from an offset on, and a time at which their end is known to have been that of the partition.
-func (f *follower) read(ctx context.Context, from int64, wait time.Duration) (batch LogBatch, readAt time.Time, err error) {
-	requestedAt := time.Now()
+func (f *follower) read(ctx context.Context, from int64, wait time.Duration) (batch LogBatch, readAt readTime, err error) {
 	if f.isUrgent() {
-		batch, requestedAt, err = f.node.store.ReadUrgently(ctx, f.topic, f.part, from, wait, maxReadBytes)
-	} else {
-		batch, err = f.node.store.Read(ctx, f.topic, f.part, from, wait, maxReadBytes)
-	}
-	if len(batch.Records) == 0 && time.Since(requestedAt) >= wait {
-		requestedAt = requestedAt.Add(wait) // the store has waited for records, and there were none
+		return f.node.store.ReadUrgently(ctx, f.topic, f.part, from, wait, maxReadBytes)
 	}
-	return batch, requestedAt, err
+	readAt = newReadTime(f.node.bootClock)
+	batch, err = f.node.store.Read(ctx, f.topic, f.part, from, wait, maxReadBytes)
+	return batch, readAt.credit(batch.Records, wait), err
 }
 
 // applyBatch applies records. readAt is a time at which batch.End was the end of the partition.
-func (f *follower) applyBatch(from int64, batch LogBatch, readAt time.Time) {
+func (f *follower) applyBatch(from int64, batch LogBatch, readAt readTime) {
 	f.node.mu.Lock()
 	defer f.node.mu.Unlock()
 	now := time.Now()
@@ -173,10 +175,11 @@
 }
 
 // recordCaughtUp records that all records up to a time have been read. The lock is held.
-func (f *follower) recordCaughtUp(readAt time.Time) {
-	if readAt.After(f.caughtUpAt) {
-		f.caughtUpAt = readAt
+func (f *follower) recordCaughtUp(readAt readTime) {
+	if readAt.at.After(f.caughtUpAt) {
+		f.caughtUpAt = readAt.at
 	}
+	f.viewTime = f.viewTime.Latest(readAt.ReadTime)
 	if f.onCaughtUp != nil {
 		f.onCaughtUp(f.caughtUpAt)
 	}
@@ -191,7 +194,7 @@
 	// during the snapshot are read too.
 	end int64
 	// requestedAt is when the first page was requested. Changes since then may be missing.
-	requestedAt time.Time
+	requestedAt readTime
 }
 
 // maxSnapshotRecords bounds a snapshot. It is many times the number of entries of the largest site.
@@ -240,11 +243,11 @@
 }
 
 // readPage returns a page of the newest records and when it was requested.
-func (f *follower) readPage(ctx context.Context, after string) (page LogPage, requestedAt time.Time, err error) {
+func (f *follower) readPage(ctx context.Context, after string) (page LogPage, requestedAt readTime, err error) {
 	if f.isUrgent() {
 		return f.node.store.NewestUrgently(ctx, f.topic, after)
 	}
-	requestedAt = time.Now()
+	requestedAt = newReadTime(f.node.bootClock)
 	page, err = f.node.store.Newest(ctx, f.topic, after)
 	return page, requestedAt, err
 }
@@ -273,8 +276,8 @@
 }
 
 // wasReadRecently reports whether the partition was read up to its end recently; the node's lock is held.
-func (f *follower) wasReadRecently(now time.Time) bool {
-	return !f.caughtUpAt.IsZero() && now.Sub(f.caughtUpAt) < maxReadAge+readWait
+func (f *follower) wasReadRecently() bool {
+	return !f.caughtUpAt.IsZero() && f.node.bootClock().Sub(f.viewTime.ReadAt) < maxReadAge+readWait
 }
 
 func (f *follower) recordFailure(err error) {
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -33,8 +33,10 @@
 	Method string
 	URI    string
 	Host   string
-	// Organisation is the caller's; empty for none.
+	// Organisation is the caller's; empty for none. IsEnforced is true if the desired state has organisations, so that what the
+	// caller says about its organisation isn't passed on.
 	Organisation model.OrganisationName
+	IsEnforced   bool
 	Header       http.Header
 	Body         []byte
 	Endpoint     model.EndpointID
@@ -91,11 +93,14 @@
 	Method string
 	URI    string
 	Host   string
-	// Organisation is the caller's; empty on a public route and without organisations.
+	// Organisation is the caller's; empty on a public route and without organisations. IsEnforced is true if there are any.
 	Organisation model.OrganisationName
-	Header       http.Header
-	Body         []byte
-	Deadline     time.Time
+	IsEnforced   bool
+	// Level orders waiting requests; lower ones are served first.
+	Level    int
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time
 }
 
 // attempt is the outcome of sending a request to one endpoint.
--- a/entry/services/jujubenode/logrelay.go
+++ b/entry/services/jujubenode/logrelay.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujuberegistry"
 )
@@ -54,12 +55,14 @@
 	}
 	n.mu.Unlock()
 	if address != "" {
-		requestedAt := time.Now()
+		askedAt := newReadTime(n.bootClock)
 		if reply, ok := f.readFromRelay(ctx, address, from); ok {
+			readAt := readTime{at: askedAt.at, ReadTime: jujubeclock.Relayed(askedAt.RequestedAt, reply.Ages)}
 			if len(reply.Records) == 0 {
-				requestedAt = requestedAt.Add(min(f.nextWait(), time.Since(requestedAt))) // the relay has waited for records
+				readAt.at = readAt.at.Add(min(f.nextWait(), time.Since(readAt.at))) // the relay has waited for records
 			}
-			f.applyBatch(from, LogBatch{Records: reply.Records, End: reply.End}, requestedAt.Add(-reply.Age))
+			readAt.at = readAt.at.Add(-reply.Age)
+			f.applyBatch(from, LogBatch{Records: reply.Records, End: reply.End}, readAt)
 			return nil
 		}
 	}
@@ -75,7 +78,11 @@
 	args := SharedArgs{Topic: f.topic, Part: f.part, From: from, Wait: f.nextWait()}
 	err := f.node.store.pool.Call(callCtx, address, "Relay.Shared", args, &reply)
 	if err == nil {
-		return reply, reply.Known
+		if !reply.HasAges {
+			// A relay of an earlier build measures the age with a clock that stops while its machine is suspended.
+			reply.Ages = jujubeclock.ReadAges{RequestAge: reply.Age, ReadAge: reply.Age}
+		}
+		return reply, reply.Known && (reply.HasAges || !f.urgent)
 	}
 	f.node.mu.Lock()
 	f.node.relay.avoidUntil = time.Now().Add(relayRetryDelay)
@@ -105,6 +112,9 @@
 	// the partition.
 	End int64
 	Age time.Duration
+	// Ages are those of the relay's view when the request arrived there, by its boot clock. Earlier builds don't set them, nor HasAges.
+	HasAges bool
+	Ages    jujubeclock.ReadAges
 }
 
 // Shared returns recently read records to an instance that uses this one as its relay.
@@ -113,14 +123,16 @@
 	if f == nil {
 		return nil
 	}
+	arrived := r.node.bootClock()
 	timer := time.NewTimer(args.Wait)
 	defer timer.Stop()
 	for mayWait := true; ; {
 		r.node.mu.Lock()
 		now := time.Now()
 		records, known := f.recentFrom(args.From)
-		reply.Known = known && f.failingSince.IsZero() && f.wasReadRecently(now)
+		reply.Known = known && f.failingSince.IsZero() && f.wasReadRecently()
 		reply.Records, reply.End, reply.Age = records, f.next, now.Sub(f.caughtUpAt)
+		reply.HasAges, reply.Ages = true, f.viewTime.Ages(arrived)
 		changedCh := r.node.stateChangedCh
 		r.node.mu.Unlock()
 		if !reply.Known || len(records) > 0 || !mayWait {
@@ -151,6 +163,9 @@
 		f.dropRecent()
 		return
 	}
+	if f.redact != nil {
+		record = f.redact(record)
+	}
 	f.recent = append(f.recent, record)
 	f.recentBytes += len(record.Key) + len(record.Value)
 	first := 0
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubeorganisation"
 	"jujubepier.example/core/services/jujubequarantine"
 )
 
@@ -31,6 +32,14 @@
 		defer n.mu.Unlock()
 		return float64(n.scheduler.ScoringsInFlight())
 	})
+	set.NewGauge("jujube_node_desired_age_seconds", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.desiredFollower == nil {
+			return 0
+		}
+		return n.desiredAge().Seconds()
+	})
 	set.NewGauge("jujube_node_limited_endpoints", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -75,6 +84,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_scorings_total{outcome=%q}", kind)).Inc()
 }
 
+// countAuthentication counts requests by the decision on their keys, and those with a problem by that.
+func (m *nodeMetrics) countAuthentication(verdict jujubeorganisation.Verdict) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_authentications_total{decision=%q,problem=%q}", verdict.Decision, verdict.Problem)).Inc()
+}
+
 func (m *nodeMetrics) countForward(outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_forwards_total{outcome=%q}", outcome)).Inc()
 }
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -15,6 +15,7 @@
 	"gopkg.in/tomb.v2"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubedesired"
@@ -44,8 +45,6 @@
 	numPartitions = 2
 	// tickInterval is the time between two checks of time limits; other events wake the scheduler immediately.
 	tickInterval = 50 * time.Millisecond
-	// maxPause is the time between two ticks from which on the process counts as having been paused.
-	maxPause = time.Second
 	// wakeCoalesceDelay coalesces events that arrive together, such as the items of one response.
 	wakeCoalesceDelay = 4 * time.Millisecond
 	// initialServiceTime is the router's estimate of a plain request's duration until the first response.
@@ -61,21 +60,6 @@
 	PeerAddress   string
 }
 
-// Feed is a keyed topic of the platform that operators or endpoints write to.
-type Feed struct {
-	Topic Topic
-	// Apply applies one record; a record without a value removes its key.
-	Apply func(now time.Time, record Record)
-	// Reset applies a complete snapshot. It is called once before any Apply, and again if records expired before they
-	// were read.
-	Reset func(now time.Time, records []Record)
-	// HasEndpoints is true for the topic that holds the endpoints' registry entries.
-	HasEndpoints bool
-	// HasDesired is true for the topic that holds the desired state. It is read urgently, and requests are answered from it only
-	// while its age is known.
-	HasDesired bool
-}
-
 // EngineClient sends calls to model engines.
 type EngineClient interface {
 	// Run streams an item's events into the sink until the stream or the context ends.
@@ -109,6 +93,8 @@
 	// CloseIdleConnections closes the idle connections to endpoints; may be nil.
 	CloseIdleConnections func()
 	Started              time.Time
+	// BootClock returns the time since the machine was booted, including suspensions; nil for jujubeclock.Now.
+	BootClock func() jujubeclock.Instant
 	// StopServing stops accepting requests and waits for those in progress until the context ends. A leaving node calls
 	// it before it stops, because the requests still need the node.
 	StopServing func(ctx context.Context)
@@ -119,6 +105,9 @@
 	identity Identity
 	settings Settings
 	started  time.Time
+	// bootClock runs on while the machine is suspended; the monotonic clock of time.Now doesn't.
+	bootClock func() jujubeclock.Instant
+	startedAt jujubeclock.Instant
 	// directStore is the plain store; store falls back to calls through another instance when it can't be reached.
 	directStore    Store
 	store          *relayedStore
@@ -170,9 +159,7 @@
 	// leaveDeadline is when a leaving instance exits; zero before it leaves.
 	leaveDeadline time.Time
 	stopServing   func(ctx context.Context)
-	// lastTick is the time of the last tick, and resumedAt that of the last one after a pause of the process. Until the log has
-	// been read again since then, nothing starts: submissions may have ended meanwhile.
-	lastTick, resumedAt time.Time
+	pauses        pauseDetector
 
 	followers         []*follower
 	partitions        []*partition
@@ -199,6 +186,7 @@
 		identity:       options.Identity,
 		settings:       options.Settings,
 		started:        time.Now(),
+		bootClock:      options.BootClock,
 		incarnation:    incarnation,
 		directStore:    options.Store,
 		engineClient:   options.EngineClient,
@@ -229,7 +217,12 @@
 		node: n, dial: options.DialEndpoint, closeIdle: options.CloseIdleConnections,
 		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()),
 	}
+	if n.bootClock == nil {
+		n.bootClock = jujubeclock.Now
+	}
+	n.startedAt = n.bootClock()
 	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections)
+	n.store.bootClock = n.bootClock
 	n.metrics = newNodeMetrics(n)
 	n.loads = newBatchWriter(loadQueueSize, loadBatchDelay, n.appendLoads)
 	n.streams = newBatchWriter(streamQueueSize, streamBatchDelay, n.appendStreams)
@@ -245,29 +238,6 @@
 	return n
 }
 
-// Follow adds a topic of the platform. It must be called before Run.
-func (n *Node) Follow(feed Feed) {
-	f := n.addFollower(feed.Topic, 0, func(now time.Time, _ int64, record Record) { feed.Apply(now, record) })
-	f.reset = feed.Reset
-	if feed.HasDesired {
-		f.urgent, n.desiredFollower = true, f
-		f.onCaughtUp = n.scheduler.SetDesiredRead
-	}
-	if feed.HasEndpoints {
-		n.endpointFollower = f
-		f.onCaughtUp = func(readAt time.Time) {
-			n.endpoints.RecordRead(readAt)
-			n.scheduler.SetRegistryRead(readAt)
-		}
-	}
-}
-
-func (n *Node) addFollower(topic Topic, part int, apply func(time.Time, int64, Record)) *follower {
-	f := &follower{node: n, topic: topic, part: part, apply: apply, readCh: make(chan struct{})}
-	n.followers = append(n.followers, f)
-	return f
-}
-
 // Run runs the node, and serves other instances on the listener, until the context ends and the instance has left, or
 // until a part of it fails.
 func (n *Node) Run(ctx context.Context, peers net.Listener) error {
@@ -343,13 +313,10 @@
 		n.dropEndpoint(now, id)
 	}
 	n.deliverDecisions(n.router.Tick(now))
-	if now.Sub(n.lastTick) > maxPause {
-		n.resumedAt = now
-	}
-	n.lastTick = now
+	n.pauses.recordTick(now, n.bootClock())
 	unread := false
 	for _, p := range n.partitions {
-		unread = unread || p.follower.hasUnread || !p.follower.caughtUpAt.After(n.resumedAt)
+		unread = unread || p.follower.hasUnread || !p.follower.caughtUpAt.After(n.pauses.resumedAt)
 	}
 	n.scheduler.SetLagging(unread)
 	n.executeActions(n.scheduler.Tick(now))
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubepath"
 	"jujubepier.example/entry/modules/jujubepeer"
@@ -42,6 +43,8 @@
 	direct Store
 	pool   *jujubepeer.Pool
 	log    *jujubeevent.Log
+	// bootClock is the node's.
+	bootClock func() jujubeclock.Instant
 	// peers returns the addresses of the other live instances.
 	peers func() map[model.InstanceID]string
 	// closeIdle closes the idle connections to the store.
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -98,7 +98,7 @@
 	wasHolder := n.lease.State(now).Holder == n.identity.Instance
 	mayClaim := n.rank() < leaseCandidates && now.Sub(n.rolloutFollower.recoveredAt) > claimDelayAfterOutage
 	candidate := n.state == jujuberegistry.Ready && !n.isCutOff() &&
-		(!n.leadingSince.IsZero() || n.rolloutFollower.wasReadRecently(now) && (wasHolder || mayClaim))
+		(!n.leadingSince.IsZero() || n.rolloutFollower.wasReadRecently() && (wasHolder || mayClaim))
 	if n.rolloutFollower.failingSince.IsZero() {
 		n.lease.SetLogUnavailable(now, false)
 	} else {
--- a/entry/services/jujubenode/route.go
+++ b/entry/services/jujubenode/route.go
@@ -40,7 +40,7 @@
 			return nil, refusal(jujubeerror.CodeNotReady, "the desired state or the quarantine hasn't been read yet")
 		}
 		route, ok := n.desired.Match(host, path)
-		revision, age := n.desired.Version, n.desiredAge(time.Now())
+		revision, age := n.desired.Version, n.desiredAge()
 		changedCh := n.desiredFollower.readCh
 		n.mu.Unlock()
 		switch {
@@ -66,9 +66,9 @@
 }
 
 // desiredAge returns the age of this instance's view of the desired state; the lock is held.
-func (n *Node) desiredAge(now time.Time) time.Duration {
+func (n *Node) desiredAge() time.Duration {
 	if n.desiredFollower.caughtUpAt.IsZero() {
-		return now.Sub(n.started)
+		return n.bootClock().Sub(n.startedAt)
 	}
-	return now.Sub(n.desiredFollower.caughtUpAt)
+	return n.bootClock().Sub(n.desiredFollower.viewTime.ReadAt)
 }
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -80,13 +80,6 @@
 	})
 }
 
-// wasPausedSince reports whether the process was paused after a time.
-func (n *Node) wasPausedSince(at time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.resumedAt.After(at) || time.Since(n.lastTick) > maxPause
-}
-
 // cancelRun cancels a run of this instance; the lock is held.
 func (n *Node) cancelRun(a jujubebatch.CancelRun) {
 	if run, ok := n.activeRuns[a.Run]; ok {
--- a/entry/services/jujubenode/score.go
+++ b/entry/services/jujubenode/score.go
@@ -67,7 +67,7 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	f := newForwarding(n, route, PlainRequest{
-		ID: start.Call.ID, Method: http.MethodPost, URI: start.Call.Path, Host: start.Call.Host,
+		ID: start.Call.ID, IsEnforced: n.hasOrganisations(), Method: http.MethodPost, URI: start.Call.Path, Host: start.Call.Host,
 		Body: content.ScoringBody, Deadline: deadline,
 	})
 	f.retryable, f.priority = true, model.PriorityTrainer
--- a/entry/services/jujubenode/storecalls.go
+++ b/entry/services/jujubenode/storecalls.go
@@ -103,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
 	defer cancel()
 	batch, err := r.store.Read(ctx, args.Topic, args.Part, args.Position, args.Wait, args.MaxBytes)
-	reply.Records, reply.Offset = batch.Records, batch.End
+	reply.Records, reply.Offset = r.node.redacted(args.Topic, batch.Records), batch.End
 	reply.setError(err)
 	return nil
 }
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
 	defer cancel()
 	page, err := r.store.Newest(ctx, args.Topic, args.After)
-	reply.Records, reply.Offset, reply.More = page.Records, page.End, page.More
+	reply.Records, reply.Offset, reply.More = r.node.redacted(args.Topic, page.Records), page.End, page.More
 	reply.setError(err)
 	return nil
 }
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -39,20 +39,27 @@
 	n.mu.Lock()
 	ready, state := n.ready, n.state
 	known, _ := n.scheduler.SubmissionStatus(submission.ID)
+	origin, _ := n.scheduler.Origin(submission.ID)
 	logUnavailable := !n.partitionOf(submission.ID).follower.failingSince.IsZero()
-	desiredVersion := int64(0)
+	desiredVersion, access := int64(0), Access{Organisation: submission.Organisation}
 	if n.desired != nil {
-		desiredVersion = n.desired.Version
+		desiredVersion, access.Enforced = n.desired.Version, n.desired.Organisations != nil
 	}
 	n.mu.Unlock()
 	var err error
 	switch {
+	case known && !access.allowsSubmission(origin.Organisation):
+		n.logForeign(submission.ID, access)
+		return ErrUnknownSubmission{ID: submission.ID}
 	case known:
 	case !ready || state == jujuberegistry.Leaving && n.isDrainEnding():
 		err = refusal(jujubeerror.CodeStoreFailed, "the instance is starting or leaving")
 	case logUnavailable:
 		err = refusal(jujubeerror.CodeStoreFailed, "the log doesn't answer")
 	default:
+		if err = n.checkItems(access, submission); err != nil {
+			break
+		}
 		submission.Accepted, submission.DesiredVersion = time.Now().UnixMilli(), desiredVersion
 		err = n.appendEntry(ctx, submission.ID, jujubebatch.Entry{Submission: submission})
 	}
@@ -103,7 +110,7 @@
 	for {
 		n.mu.Lock()
 		page, ok := n.scheduler.ReadResults(id, first, maxPageBytes)
-		wasReadRecently := n.partitionOf(id).follower.wasReadRecently(time.Now())
+		wasReadRecently := n.partitionOf(id).follower.wasReadRecently()
 		changedCh := n.stateChangedCh
 		n.mu.Unlock()
 		switch {
--- a/entry/services/jujubenode/urgent.go
+++ b/entry/services/jujubenode/urgent.go
@@ -29,8 +29,8 @@
 	// peer is empty for a direct try.
 	peer model.InstanceID
 	call func(ctx context.Context) (RelayReply, error)
-	// timeout bounds the try; the next one starts after next, or when this one fails.
-	timeout, next time.Duration
+	// timeout bounds the try; the next one starts after next, or when this one fails. wait is how long it waits for records.
+	timeout, next, wait time.Duration
 }
 
 // urgentOutcome is the outcome of a try.
@@ -38,12 +38,12 @@
 	try         urgentTry
 	reply       RelayReply
 	err         error
-	requestedAt time.Time
+	requestedAt readTime
 }
 
 // ReadUrgently returns records like Read, over the path that responds first: the direct one, a new connection, and other
-// instances, started one after the other without waiting for the earlier ones to fail. requestedAt is when the try that responded began.
-func (s *relayedStore) ReadUrgently(ctx context.Context, topic Topic, part int, from int64, wait time.Duration, maxBytes int) (batch LogBatch, requestedAt time.Time, err error) {
+// instances, started one after the other without waiting for the earlier ones to fail. requestedAt is that of the try that responded.
+func (s *relayedStore) ReadUrgently(ctx context.Context, topic Topic, part int, from int64, wait time.Duration, maxBytes int) (batch LogBatch, requestedAt readTime, err error) {
 	read := func(wait time.Duration) func(context.Context) (RelayReply, error) {
 		return func(ctx context.Context) (RelayReply, error) {
 			batch, err := s.direct.Read(ctx, topic, part, from, wait, maxBytes)
@@ -56,7 +56,7 @@
 }
 
 // NewestUrgently returns a page of the newest records like Newest, over the path that responds first.
-func (s *relayedStore) NewestUrgently(ctx context.Context, topic Topic, after string) (page LogPage, requestedAt time.Time, err error) {
+func (s *relayedStore) NewestUrgently(ctx context.Context, topic Topic, after string) (page LogPage, requestedAt readTime, err error) {
 	read := func(ctx context.Context) (RelayReply, error) {
 		page, err := s.direct.Newest(ctx, topic, after)
 		return RelayReply{Records: page.Records, Offset: page.End, More: page.More}, err
@@ -115,7 +115,7 @@
 	var tries []urgentTry
 	if isDirect || len(peers) == 0 {
 		tries = append(tries,
-			urgentTry{call: first, timeout: wait + directTimeout, next: wait + urgentDelay},
+			urgentTry{call: first, timeout: wait + directTimeout, next: wait + urgentDelay, wait: wait},
 			urgentTry{timeout: urgentTryTimeout, next: urgentStagger, call: func(ctx context.Context) (RelayReply, error) {
 				s.closeIdle() // the open connections may hang
 				return again(ctx)
@@ -138,8 +138,9 @@
 func (s *relayedStore) try(ctx context.Context, try urgentTry, method string) urgentOutcome {
 	callCtx, cancel := context.WithTimeout(ctx, try.timeout)
 	defer cancel()
-	outcome := urgentOutcome{try: try, requestedAt: time.Now()}
+	outcome := urgentOutcome{try: try, requestedAt: newReadTime(s.bootClock)}
 	outcome.reply, outcome.err = try.call(callCtx)
+	outcome.requestedAt = outcome.requestedAt.credit(outcome.reply.Records, try.wait)
 	if outcome.err != nil && ctx.Err() != nil {
 		return outcome
 	}
