node: test views and work after a suspension of the machine

Guards against views that look recent after a suspension, at the instance itself and at its relay, against runs that start before the log is read again, and against keys in records that pass through other instances. While a request waits for a younger view, the desired state is read at once: the reader's own next read can take longer than requests may wait.

--- a/entry/services/jujubenode/authenticate.go
+++ b/entry/services/jujubenode/authenticate.go
@@ -70,6 +70,7 @@
 		if verdict.Decision != jujubeorganisation.Wait {
 			return n.access(verdict, desired, level)
 		}
+		n.refreshDesired()
 		if timer == nil {
 			timer = time.NewTimer(maxDesiredWait)
 			defer timer.Stop()
@@ -84,6 +85,25 @@
 	}
 }
 
+// minRefreshInterval bounds the reads of the desired state because of requests that can't be decided on. One takes 4 ms, or 250 ms when
+// the store is slow.
+const minRefreshInterval = 250 * time.Millisecond
+
+// refreshDesired begins to read the desired state at once. The reader's own next read may be asked for only after its interval, and waits
+// for records; after a suspension of the machine that would take longer than requests may wait.
+func (n *Node) refreshDesired() {
+	n.mu.Lock()
+	f, now := n.desiredFollower, n.bootClock()
+	isDue := now.Sub(n.desiredRefreshedAt) >= minRefreshInterval
+	if isDue {
+		n.desiredRefreshedAt = now
+	}
+	n.mu.Unlock()
+	if isDue {
+		n.tomb.Go(func() error { f.refresh(n.tomb.Context(nil)); return nil })
+	}
+}
+
 // matchRoute reports whether the request's route is public, and returns its priority. The route was matched earlier, so it must be
 // public still.
 func (c *Credentials) matchRoute(desired *jujubedesired.State) (isPublic bool, level int) {
--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -1,11 +1,14 @@
 package jujubenode_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,8 +16,10 @@
 	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubedesired"
+	"jujubepier.example/core/services/jujubeorganisation"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -42,6 +47,12 @@
 	software model.SoftwareVersion
 	// clockLag is how far the clocks of instances that start are behind.
 	clockLag time.Duration
+	// bootClock is that of instances that start, nil for the machine's; organisations are those of the desired state, nil for none.
+	bootClock     func() jujubeclock.Instant
+	organisations *jujubeorganisation.Directory
+	// receivedMu guards received, the values of the records with the key "secret" by the instances that have read them.
+	receivedMu      sync.Mutex
+	receivedSecrets map[model.InstanceID]string
 	// addresses are the peer addresses of the instances.
 	addresses map[model.InstanceID]string
 	// leaveFuncs shut down the instances gracefully.
@@ -62,7 +73,7 @@
 	store := newFakeStore()
 	_, err := store.Append(t.Context(), topicDesired, 0, []jujubenode.Record{{Key: "desired", Value: []byte("1")}}, jujubenode.NoCondition)
 	assert.NilError(t, err)
-	return &testCluster{t: t, software: "v1", directReaders: jujubenode.DefaultDirectReaders, store: store, engines: &fakeEngines{runs: map[jujubebatch.ItemID]int{}}, leaveFuncs: map[model.InstanceID]func(){}, addresses: map[model.InstanceID]string{}}
+	return &testCluster{t: t, software: "v1", directReaders: jujubenode.DefaultDirectReaders, store: store, engines: &fakeEngines{runs: map[jujubebatch.ItemID]int{}}, leaveFuncs: map[model.InstanceID]func(){}, receivedSecrets: map[model.InstanceID]string{}, addresses: map[model.InstanceID]string{}}
 }
 
 var route = &jujubedesired.Route{
@@ -119,11 +130,17 @@
 		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: listener.Addr().String()},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
-			DirectReaders: c.directReaders,
+			DirectReaders: c.directReaders, RevokeTime: testRevokeTime,
 		},
-		Store: store, EngineClient: c.engines, EndpointCaller: callers, DialEndpoint: links.dial, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag),
+		Store: store, EngineClient: c.engines, EndpointCaller: callers, DialEndpoint: links.dial, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
 	}, logger)
 	apply := func(now time.Time, record jujubenode.Record) {
+		if record.Key == "secret" {
+			c.receivedMu.Lock()
+			defer c.receivedMu.Unlock()
+			c.receivedSecrets[id] += string(record.Value) + "\n"
+			return
+		}
 		if record.Key == "weights" {
 			node.SetTargetVersion(now, "m", 2)
 			return
@@ -136,7 +153,7 @@
 			added.PathPrefix, addedRollout.PathPrefix = "/added/", "/new/"
 			routes = append(routes, added, addedRollout)
 		}
-		node.SetDesired(now, &jujubedesired.State{Version: version, Routes: routes})
+		node.SetDesired(now, &jujubedesired.State{Version: version, Routes: routes, Organisations: c.organisations})
 		plainAddresses := c.plainAddresses
 		if len(plainAddresses) == 0 {
 			plainAddresses = []string{"127.0.0.1:1", "127.0.0.1:1"}
@@ -157,7 +174,7 @@
 			})
 		}
 	}
-	node.Follow(jujubenode.Feed{Topic: topicDesired, HasDesired: true, Apply: apply, Reset: func(now time.Time, records []jujubenode.Record) {
+	node.Follow(jujubenode.Feed{Topic: topicDesired, HasDesired: true, Apply: apply, Redact: redactSecret, Reset: func(now time.Time, records []jujubenode.Record) {
 		for _, record := range records {
 			apply(now, record)
 		}
@@ -183,6 +200,19 @@
 	return node, store, stop
 }
 
+// redactSecret redacts the records with the key "secret".
+func redactSecret(record jujubenode.Record) jujubenode.Record {
+	record.Value = bytes.ReplaceAll(record.Value, []byte("secret"), []byte("redacted"))
+	return record
+}
+
+// received reports whether an instance has read a record with the key "secret" whose value contains a text.
+func (c *testCluster) received(id model.InstanceID, text string) bool {
+	c.receivedMu.Lock()
+	defer c.receivedMu.Unlock()
+	return strings.Contains(c.receivedSecrets[id], text)
+}
+
 // waitFor polls a condition; its limit is far above what any machine needs.
 func waitFor(t *testing.T, description string, condition func() bool) {
 	t.Helper()
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -111,6 +111,19 @@
 	return f.readOnce(ctx, 0)
 }
 
+// refresh reads up to the current end of the partition beside run. A failure changes nothing: run reads again, too, and it alone reads
+// snapshots.
+func (f *follower) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	f.node.mu.Lock()
+	from := f.next
+	f.node.mu.Unlock()
+	if batch, readAt, err := f.read(ctx, from, 0); err == nil {
+		f.applyBatch(from, batch, readAt)
+	}
+}
+
 func (f *follower) readOnce(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -167,6 +167,8 @@
 	rolloutFollower   *follower
 	// desiredFollower reads the desired state.
 	desiredFollower *follower
+	// desiredRefreshedAt is when it was last read because of a request.
+	desiredRefreshedAt jujubeclock.Instant
 	// endpointFollower reads the topic of the endpoints' registry entries; nil without one.
 	endpointFollower *follower
 	// quarantineFollower has to have read its topic before a request is sent to an endpoint.
