router, node: hold requests and share between organisations

Servers serve waiting requests in order of arrival, and the router never held any on the platform. With organisations, requests wait in the router while a server reports waiting ones, by level (the organisation's priority or the route's) and in turn. Credits keep each organisation's share above a quarter of the share over all. A second copy doesn't wait. Without organisations nothing is held or counted.

Checked: go test ./core/services/jujuberouter; the tests fail without credits, levels, queues of organisations and holding.

--- a/core/services/jujuberouter/endpoint.go
+++ b/core/services/jujuberouter/endpoint.go
@@ -23,6 +23,8 @@
 	instanceLimit int
 	limited       bool
 	watched       bool
+	// loadAt is when the load report was applied, on this instance's clock.
+	loadAt time.Time
 	// rendezvous is the rendezvous hash that orders the endpoints for this instance.
 	rendezvous uint64
 
@@ -168,7 +170,7 @@
 	if report.Slots != e.load.Slots {
 		e.pool.stale = true // the pool's capacity is computed from the slots
 	}
-	e.load, e.hasLoad = report, true
+	e.load, e.hasLoad, e.loadAt = report, true, now
 	if report.TokensPerSecond > 0 {
 		e.pool.tokensPerSecond = report.TokensPerSecond
 	}
--- a/core/services/jujuberouter/queue.go
+++ b/core/services/jujuberouter/queue.go
@@ -41,6 +41,8 @@
 	trainer  *trainerState
 	level    int
 	requests []*trackedRequest
+	// credit grows with each request and falls with each dispatch.
+	credit float64
 	// virtualTime grows by 1/weight with each dispatch (weighted fair queueing). The queue with the lowest value is next.
 	virtualTime float64
 }
@@ -88,13 +90,12 @@
 
 // recordDispatch advances the virtual time of a queue for a dispatch from it.
 func (c *priorityClass) recordDispatch(q *flowQueue) {
-	if !c.turns.isAgeTurn {
+	if wasDue := c.payDispatch(q); !wasDue {
 		if c.virtualTimes == nil {
 			c.virtualTimes = map[int]float64{}
 		}
 		c.virtualTimes[q.level] = q.virtualTime
 	}
-	c.turns.count++
 	q.virtualTime += 1 / q.weight()
 }
 
@@ -124,7 +125,6 @@
 	c := &p.classes[req.request.Priority]
 	q := c.queueFor(req)
 	q.requests = append(q.requests, req)
-	c.turns.isShared = c.turns.isShared || req.request.Organisation != "" || req.request.Level != 0
 	c.length++
 	r.queued++
 	req.queue = q
@@ -160,7 +160,7 @@
 		switch own := int(req.request.Priority); {
 		case priority < own && c.hasEligible(), priority > own && c.skips >= maxSkips && c.hasEligible():
 			return true
-		case priority == own && c.length > 0 && (len(c.queueFor(req).requests) > 0 || c.hasEligibleBefore(req.request.Level)):
+		case priority == own && c.length > 0 && (len(c.queueFor(req).requests) > 0 || c.hasEligibleBefore(c.queueFor(req))):
 			return true
 		}
 	}
@@ -221,9 +221,7 @@
 			r.readyQueues = append(r.readyQueues, q)
 		}
 	}
-	c.turns.isAgeTurn = c.turns.isDue()
-	defer func() { c.turns.isAgeTurn = false }()
-	slices.SortStableFunc(r.readyQueues, c.compareQueues)
+	slices.SortStableFunc(r.readyQueues, compareQueues)
 	// blockedVersion is the lowest version that no endpoint has capacity for, nor for any later one.
 	blockedVersion := model.WeightVersion(math.MaxInt64)
 	for _, q := range r.readyQueues {
@@ -250,20 +248,22 @@
 		higher += p.classes[priority].length
 	}
 	class := &p.classes[req.request.Priority]
-	lower, own := 0, 0
+	own, _ := class.queues.Get(req.key)
+	isDue := own != nil && own.isDue()
 	for key, q := range class.queues.All() {
 		switch {
 		case key == req.key:
-			ownWeight, own = q.weight(), len(q.requests)
+			ownWeight = q.weight()
 			totalWeight += ownWeight
-		case q.level < req.request.Level:
-			lower += len(q.requests)
-		case len(q.requests) > 0 && q.level == req.request.Level:
+		case len(q.requests) == 0 || isDue && !q.isDue():
+		case q.level < req.request.Level && !isDue:
+			higher += len(q.requests)
+		case q.level == req.request.Level || isDue:
 			totalWeight += q.weight()
 		}
 	}
 	rate := p.dequeueRate()
-	seconds := (float64(higher) + class.turns.estimateAhead(ahead, own, lower, class.length, max(1, totalWeight/ownWeight))) / rate
+	seconds := (float64(higher) + float64(ahead)*max(1, totalWeight/ownWeight)) / rate
 	if t := req.trainer; t != nil && t.limited {
 		seconds = max(seconds, float64(ahead)*p.meanHold/float64(max(t.instanceLimit, 1)))
 	}
--- a/core/services/jujuberouter/request.go
+++ b/core/services/jujuberouter/request.go
@@ -2,8 +2,8 @@
 //
 // Each model or service has a queue with three priority classes: interactive before trainer before background. A lower class
 // that was skipped maxSkips times in a row while it had an eligible request goes next, so no class starves. Within a class, lower
-// levels go first, and trainers and organisations of one level share by weight; every fourth dispatch goes to the oldest request of
-// all. Under overload the order stays oldest first, and requests that can't meet their deadline at the
+// levels go first, and trainers and organisations of one level share by weight; an organisation of which much less is served than of
+// all goes before. Under overload the order stays oldest first, and requests that can't meet their deadline at the
 // current dequeue rate are refused at once. Newest first would also clear the queue of requests that can't meet their deadline, but
 // it starves the oldest samples of a step, and the whole step waits for those.
 package jujuberouter
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -27,6 +27,8 @@
 	// instance sees them; 0 <= rank, 1 <= liveCount. The rank decides which instances get the remainder of a limit (see
 	// Share).
 	liveCount, rank int
+	// holdMembers is the number of instances among which requests are held, 0 if they aren't.
+	holdMembers int
 
 	endpoints *jujubetable.Table[model.EndpointID, *endpointState]
 	// pools holds the endpoints and queues of each model or plain service.
@@ -132,6 +134,7 @@
 		return decision
 	}
 	r.requests[request.ID] = req
+	req.pool.classes[req.request.Priority].recordArrival(req)
 	if req.caller != nil {
 		req.caller.active++
 	}
--- a/core/services/jujuberouter/turns.go
+++ b/core/services/jujuberouter/turns.go
@@ -1,58 +1,69 @@
 package jujuberouter
 
-import (
-	"cmp"
-	"time"
-)
+import "cmp"
 
-// ageInterval is the interval of dispatches in order of age. Under overload, dispatches in turn alone would give an organisation with
-// most of the requests the same as each of many small ones, and those of a higher level nothing while lower ones wait; with every
-// fourth dispatch in order of age, each flow gets at least a quarter of its share of the requests.
-const ageInterval = 4
+const (
+	// minRelativeShare is the part of the share of all requests that is served which each flow gets at least, whatever its level and
+	// however many other flows wait. A quarter is promised; requests that are refused in the queue take the rest.
+	minRelativeShare = 0.35
+	// dueCredit is the credit from which on a flow is due, and maxCredit what it may save, or owe, at most.
+	dueCredit, maxCredit = 0.5, 2
+	// shareMemory is the weight of the earlier requests in the share of all; it averages over some 200 requests.
+	shareMemory = 0.995
+)
 
-// turns decides which dispatches of a class are in order of age.
+// turns is what a class needs to keep the share of each of its flows. Levels alone would starve a higher one while lower ones wait, and
+// turns alone would give an organisation with most of the requests the same as each of many small ones. So each flow gets a credit with
+// each of its requests, of a part of the share that is served over all flows, and pays with one for each dispatch; a flow with enough of
+// it goes first.
 type turns struct {
-	// isShared is true once a request with an organisation or a level has waited; until then all dispatches are in turn.
+	// isShared is true once there was a request with an organisation or a level; until then nothing is counted.
 	isShared bool
-	// isAgeTurn is true while a waiting request is chosen by its age.
-	isAgeTurn bool
-	// count counts the dispatches of the class.
-	count int
+	// arrived and served count requests, recent ones more than earlier ones.
+	arrived, served float64
 }
 
-// isDue reports whether the next dispatch is in order of age.
-func (t *turns) isDue() bool { return t.isShared && t.count%ageInterval == ageInterval-1 }
+// recordArrival counts a request, whether it will be dispatched or not.
+func (c *priorityClass) recordArrival(req *trackedRequest) {
+	c.turns.isShared = c.turns.isShared || req.request.Organisation != "" || req.request.Level != 0
+	if !c.turns.isShared {
+		return
+	}
+	c.turns.arrived, c.turns.served = c.turns.arrived*shareMemory+1, c.turns.served*shareMemory
+	q := c.queueFor(req)
+	q.credit = min(maxCredit, q.credit+minRelativeShare*min(1, (c.turns.served+1)/c.turns.arrived))
+}
 
-// estimateAhead estimates how many requests of a class are dispatched before one with ahead requests of its flow before it, itself
-// included, if own ones of its flow wait. lower counts those of lower levels, all those of the class; flows is the number of flows of
-// its level by weight.
-func (t *turns) estimateAhead(ahead, own, lower, all int, flows float64) float64 {
-	if !t.isShared {
-		return float64(ahead) * flows
+// payDispatch counts a dispatch from a queue. It returns false if the dispatch was in turn.
+func (c *priorityClass) payDispatch(q *flowQueue) (wasDue bool) {
+	if !c.turns.isShared {
+		return false
 	}
-	byAge := float64(own+1) / float64(all+1) / ageInterval
-	inTurn := (1 - 1.0/ageInterval) / flows
-	return min(float64(lower)/(1-1.0/ageInterval)+float64(ahead)/(inTurn+byAge), float64(ahead)/byAge)
+	wasDue = q.isDue()
+	c.turns.served++
+	q.credit = max(-maxCredit, q.credit-1)
+	return wasDue
 }
 
-// compareQueues orders the queues of a class for a dispatch: by level and virtual time, or by the age of their oldest requests.
-func (c *priorityClass) compareQueues(a, b *flowQueue) int {
-	if c.turns.isAgeTurn {
-		return a.oldest().Compare(b.oldest())
+// isDue reports whether the flow goes before those that aren't due.
+func (q *flowQueue) isDue() bool { return q.credit >= dueCredit }
+
+// compareQueues orders the queues of a class for a dispatch: those that are due by their credit, the others by level and virtual time.
+func compareQueues(a, b *flowQueue) int {
+	if a.isDue() || b.isDue() {
+		return cmp.Compare(b.credit, a.credit)
 	}
 	return cmp.Or(cmp.Compare(a.level, b.level), cmp.Compare(a.virtualTime, b.virtualTime))
 }
 
-// oldest returns when the first request of a queue arrived.
-func (q *flowQueue) oldest() time.Time { return q.requests[0].request.Arrived }
-
-// hasEligibleBefore reports whether a request of a lower level waits that its trainer's limit doesn't block.
-func (c *priorityClass) hasEligibleBefore(level int) bool {
-	if level == 0 {
+// hasEligibleBefore reports whether a request of another flow waits that goes before those of a flow, and that its trainer's limit
+// doesn't block.
+func (c *priorityClass) hasEligibleBefore(own *flowQueue) bool {
+	if !c.turns.isShared || own.isDue() {
 		return false
 	}
 	for _, q := range c.queues.All() {
-		if q.level < level && len(q.requests) > 0 && q.trainer.hasCapacity() {
+		if len(q.requests) > 0 && (q.isDue() || q.level < own.level) && q.trainer.hasCapacity() {
 			return true
 		}
 	}
--- a/entry/services/jujubenode/attempt.go
+++ b/entry/services/jujubenode/attempt.go
@@ -118,6 +118,12 @@
 		decision = n.router.Route(now, request)
 	}
 	var waiter chan jujuberouter.Decision
+	if decision.Kind == jujuberouter.Wait && kind == hedged {
+		// The outcome of the first attempt mustn't wait for the second one.
+		n.deliverDecisions(n.router.Cancel(now, id))
+		n.mu.Unlock()
+		return decision, refusal(jujubeerror.CodeNoEndpoint, "no endpoint is free for a second copy")
+	}
 	if decision.Kind == jujuberouter.Wait {
 		waiter = make(chan jujuberouter.Decision, 1)
 		n.routeWaiters[id] = waiter
--- a/entry/services/jujubenode/authenticate.go
+++ b/entry/services/jujubenode/authenticate.go
@@ -62,9 +62,12 @@
 		view := jujubeorganisation.View{Directory: desired.Organisations, Read: n.desiredFollower.viewTime}
 		now := n.bootClock()
 		n.mu.Unlock()
+		if view.Directory == nil {
+			return credentials.unrestricted(), nil
+		}
 		isPublic, level := credentials.matchRoute(desired)
-		if view.Directory == nil || isPublic {
-			return Access{Enforced: view.Directory != nil, Level: level}, nil
+		if isPublic {
+			return Access{Enforced: true, Level: level}, nil
 		}
 		verdict := view.Decide(now, credentials.Authorization, n.settings.RevokeTime, mayWait)
 		if verdict.Decision != jujubeorganisation.Wait {
@@ -104,6 +107,14 @@
 	}
 }
 
+// unrestricted returns the access of a request while there are no organisations.
+func (c *Credentials) unrestricted() Access {
+	if c.Route == nil {
+		return Access{}
+	}
+	return Access{Level: c.Route.Priority}
+}
+
 // matchRoute reports whether the request's route is public, and returns its priority. The route was matched earlier, so it must be
 // public still.
 func (c *Credentials) matchRoute(desired *jujubedesired.State) (isPublic bool, level int) {
@@ -195,6 +206,16 @@
 	return n.desired != nil && n.desired.Organisations != nil
 }
 
+// setHolding makes plain requests wait in the router while servers have waiting ones, if there are organisations: only there they wait by
+// the priority of their organisations, and in turn. The lock is held.
+func (n *Node) setHolding() {
+	members := 0
+	if n.desired != nil && n.desired.Organisations != nil {
+		members = max(1, len(n.liveInstances))
+	}
+	n.router.SetHolding(members)
+}
+
 // checkItems returns ErrUnauthenticated if a submission without an organisation has items on routes that need a key.
 func (n *Node) checkItems(access Access, submission *jujubebatch.Submission) error {
 	if !access.Enforced || access.Organisation != "" {
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -314,6 +314,7 @@
 	for _, id := range n.endpoints.ExpireRemovals(now) {
 		n.dropEndpoint(now, id)
 	}
+	n.setHolding()
 	n.deliverDecisions(n.router.Tick(now))
 	n.pauses.recordTick(now, n.bootClock())
 	unread := false
