node: copy the desired state while its newest record is unusable

An instance that started while the newest version had malformed tenants found no desired state and wasn't ready, although the version before is in force. It now asks the other instances; one that has read as far as itself knows the version in force, and passes it on with digests of the keys only. Bounds of revocation below 1 s no longer keep the process from starting.

--- a/entry/services/jujubenode/desired.go
+++ b/entry/services/jujubenode/desired.go
@@ -10,10 +10,10 @@
 	"jujubepier.example/core/services/jujubedesired"
 )
 
-// SetDesired applies a newer desired state. It is called from a feed, with the node's lock held.
-func (n *Node) SetDesired(_ time.Time, state *jujubedesired.State) {
+// SetDesired applies a newer desired state, and reports whether it is one. It is called from a feed, with the node's lock held.
+func (n *Node) SetDesired(_ time.Time, state *jujubedesired.State) (isNewer bool) {
 	if n.desired != nil && state.Version <= n.desired.Version {
-		return
+		return false
 	}
 	n.desired = state
 	n.scheduler.SetDesired(state)
@@ -29,6 +29,7 @@
 	n.log.Write(jujubeevent.ConfigApplied, func() logrus.Fields {
 		return logrus.Fields{"Revision": state.Version, "Routes": len(state.Routes), "Services": len(state.Services)}
 	})
+	return true
 }
 
 // SetTargetVersion records a model's newest weight version. It is called from a feed, with the node's lock held.
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -167,6 +167,8 @@
 	rolloutFollower   *follower
 	// desiredFollower reads the desired state.
 	desiredFollower *follower
+	// desiredRecord is the record of the desired state in force.
+	desiredRecord Record
 	// desiredRefreshedAt is when it was last read because of a request.
 	desiredRefreshedAt jujubeclock.Instant
 	// endpointFollower reads the topic of the endpoints' registry entries; nil without one.
@@ -258,6 +260,7 @@
 	}
 	n.tomb.Go(func() error { return n.servePeers(background, peers) })
 	n.tomb.Go(func() error { return n.store.probe(background) })
+	n.tomb.Go(func() error { return n.copyDesired(background) })
 	n.tomb.Go(func() error { return n.endpointPath.probe(background) })
 	n.tomb.Go(func() error { return n.schedule(background) })
 	n.tomb.Go(func() error { return n.sendHeartbeats(background) })
--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -11,7 +11,7 @@
 	// AddressValidity is how long callers may cache an address response.
 	AddressValidity time.Duration `validate:"min=500ms,max=1m" usage:"how long callers may cache an address response"`
 	// RevokeTime is the time after which no instance accepts a revoked API key; zero for no bound.
-	RevokeTime time.Duration `validate:"omitempty,min=1s,max=1h" usage:"time after which no instance accepts a revoked API key; 0 for no bound"`
+	RevokeTime time.Duration `validate:"omitempty,min=1ms,max=24h" usage:"time after which no instance accepts a revoked API key; 0 for no bound"`
 	// ReadsPerSecond and WritesPerSecond are the store's rate limits for all instances together.
 	ReadsPerSecond  int `validate:"min=1" usage:"read limit of the store for all instances together, per second"`
 	WritesPerSecond int `validate:"min=1" usage:"write limit of the store for all instances together, per second"`
