router, node: hold requests for at most 150 ms; log the organisation

A request was held for up to 0.3 s when the requests in flight at the only server take long, as no response brought a new report; most plain requests should be answered within 150 ms. Checked: go test -run 'TestHolding|TestLevels' ./core/services/jujuberouter

--- a/core/services/jujuberouter/hold.go
+++ b/core/services/jujuberouter/hold.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// maxHoldAge is the age from which on a load report doesn't hold requests back.
-const maxHoldAge = 300 * time.Millisecond
+// maxHoldAge is the age from which on a load report doesn't hold requests back: that within which most plain requests should be answered.
+const maxHoldAge = 150 * time.Millisecond
 
 // SetHolding makes requests wait here instead of at an endpoint that reports waiting requests, where the order of arrival counts only.
 // members is the number of instances that share the endpoints, 0 if requests aren't held.
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -361,6 +361,7 @@
 			"Request": f.request.ID, "Route": f.route.Name, "Endpoint": decision.Endpoint, "Try": f.attempts,
 			"SoftwareVersion": decision.SoftwareVersion, "Considered": decision.Considered, "ExpectedWait": decision.ExpectedWait.String(), "InFlight": decision.InFlight,
 			"Running": decision.Running, "Waiting": decision.Waiting, "Reason": decision.Reason,
+			"Organisation": f.request.Organisation, "Level": f.request.Level,
 		}
 	})
 }
