batch, node: count no read from before a suspension as recent

An item could be given up by limits that changed while the machine was suspended, because the age of the desired state was taken from a clock that stops meanwhile.

--- a/core/services/jujubebatch/giveup.go
+++ b/core/services/jujubebatch/giveup.go
@@ -20,6 +20,10 @@
 	}
 }
 
+// SetResumed records when the process went on after a pause. Reads from before don't count as recent: while the machine is suspended, the
+// clock of time.Time stops.
+func (s *Scheduler) SetResumed(at time.Time) { s.resumedAt = at }
+
 // hasDesired reports whether the desired state is at least as new as the one under which a submission was accepted. An older one
 // may lack the submission's route or have an earlier form of it.
 func (s *Scheduler) hasDesired(submission *submission) bool {
@@ -41,7 +45,8 @@
 
 // isDesiredCurrent reports whether the limits of a submission's routes are those in force.
 func (s *Scheduler) isDesiredCurrent(now time.Time, submission *submission) bool {
-	return s.hasDesired(submission) && !s.desiredReadAt.Before(submission.readAt) && now.Sub(s.desiredReadAt) <= maxDesiredAge
+	return s.hasDesired(submission) && !s.desiredReadAt.Before(submission.readAt) && !s.desiredReadAt.Before(s.resumedAt) &&
+		now.Sub(s.desiredReadAt) <= maxDesiredAge
 }
 
 // isPastRetention reports whether the items of a submission may be abandoned.
--- a/core/services/jujubebatch/giveup_test.go
+++ b/core/services/jujubebatch/giveup_test.go
@@ -149,6 +149,21 @@
 		ts.now = ts.now.Add(3 * time.Second)
 		assert.Equal(t, len(tick[jujubebatch.StartRun](ts)), 1)
 	})
+	t.Run("after a suspension", func(t *testing.T) {
+		ts := newTestScheduler(t, 3)
+		ts.accept(acceptedUnder(1, newSubmission("s", 1, "a")))
+		for range 3 {
+			run := tick[jujubebatch.StartRun](ts)[0]
+			ts.isDesiredUnread = true
+			ts.now = ts.now.Add(10 * time.Millisecond)
+			ts.SetResumed(ts.now) // the clock hasn't moved on meanwhile
+			ts.HandleRunEnd(ts.now, run.Run, jujubebatch.RunFailed)
+			ts.now = ts.now.Add(100 * time.Millisecond)
+		}
+		assert.Equal(t, len(ts.Tick(ts.now)), 0, "given up by limits from before the suspension")
+		ts.isDesiredUnread = false
+		ts.assertErrored()
+	})
 	for name, raised := range map[string]int{"attempts": 4, "attempts that stay": 3} {
 		t.Run(name, func(t *testing.T) {
 			ts := newTestScheduler(t, 3)
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -22,7 +22,9 @@
 	registryReadAt time.Time
 	// desiredReadAt is a time up to which all changes of the desired state have been read.
 	desiredReadAt time.Time
-	scorings      *jujubetable.Table[RunID, *scoring]
+	// resumedAt is when the process last went on after a pause.
+	resumedAt time.Time
+	scorings  *jujubetable.Table[RunID, *scoring]
 	// scoringBudgets is how many more scoring calls may begin in the current tick, by service.
 	scoringBudgets map[model.ServiceName]int
 	// latestItems maps each item without a result to its state in the latest submission, since groups may be submitted
--- a/entry/services/jujubenode/authenticate.go
+++ b/entry/services/jujubenode/authenticate.go
@@ -159,6 +159,9 @@
 // those without one, and a request without a known key only those that were accepted on a public route. It returns ErrUnknownSubmission
 // for a submission that doesn't exist or is another organisation's.
 func (n *Node) AuthenticateSubmission(ctx context.Context, id jujubebatch.SubmissionID, authorization []string) error {
+	if n.isPublicSubmission(id) {
+		return nil
+	}
 	access, err := n.Authenticate(ctx, Credentials{Authorization: authorization})
 	isDenied := errors.As(err, new(ErrUnauthenticated))
 	switch {
@@ -173,20 +176,34 @@
 		}
 		return knownErr
 	}
+	if err != nil && n.isPublicSubmission(id) {
+		return nil // its record has been read only now
+	}
+	if err != nil {
+		return err
+	}
 	n.mu.Lock()
 	origin, _ := n.scheduler.Origin(id)
-	route, hasRoute := n.desired.Match(origin.Host, origin.Path)
 	n.mu.Unlock()
-	switch {
-	case err != nil && (origin.Organisation != "" || !hasRoute || !route.Public):
-		return err
-	case err == nil && !access.allowsSubmission(origin.Organisation):
+	if !access.allowsSubmission(origin.Organisation) {
 		n.logForeign(id, access)
 		return ErrUnknownSubmission{ID: id}
 	}
 	return nil
 }
 
+// isPublicSubmission reports whether a submission is known, has no organisation, and came over a route that is public still.
+func (n *Node) isPublicSubmission(id jujubebatch.SubmissionID) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	origin, ok := n.scheduler.Origin(id)
+	if !ok || origin.Organisation != "" || n.desired == nil || n.desired.Organisations == nil {
+		return false
+	}
+	route, ok := n.desired.Match(origin.Host, origin.Path)
+	return ok && route.Public
+}
+
 // hasPublicRollout reports whether there may be submissions that need no key.
 func (n *Node) hasPublicRollout() bool {
 	n.mu.Lock()
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -320,6 +320,7 @@
 	n.setHolding()
 	n.deliverDecisions(n.router.Tick(now))
 	n.pauses.recordTick(now, n.bootClock())
+	n.scheduler.SetResumed(n.pauses.resumedAt)
 	unread := false
 	for _, p := range n.partitions {
 		unread = unread || p.follower.hasUnread || !p.follower.caughtUpAt.After(n.pauses.resumedAt)
