--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -54,7 +54,7 @@
 	p := &pool{key: key, endpoints: jujubetable.New[model.EndpointID, *endpointState](), stale: true}
 	p.meanHold, p.meanService = r.settings.ServiceTime.Seconds(), r.settings.ServiceTime.Seconds()
 	for i := range p.classes {
-		p.classes[i].queues = jujubetable.New[model.TrainerID, *trainerQueue]()
+		p.classes[i].queues = jujubetable.New[queueKey, *flowQueue]()
 	}
 	r.pools[key] = p
 	r.poolOrder = append(r.poolOrder, p)
@@ -200,7 +200,7 @@
 			}
 			return
 		}
-		if !request.Held && (!e.hasCapacity() || e.load.Version < request.MinVersion || anyHealthy && e.isEjected(now)) {
+		if !request.Held && (!e.hasCapacity() || r.isHeld(now, e) || e.load.Version < request.MinVersion || anyHealthy && e.isEjected(now)) {
 			return
 		}
 		r.candidates = append(r.candidates, r.estimate(now, p, e, request, prompt))
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -28,6 +28,8 @@
 	// instance sees them; 0 <= rank, 1 <= liveCount. The rank decides which instances get the remainder of a limit (see
 	// Share).
 	liveCount, rank int
+	// holdMembers is the number of instances among which requests are held, 0 if they aren't.
+	holdMembers int
 
 	endpoints *jujubetable.Table[model.EndpointID, *endpointState]
 	// pools holds the endpoints and queues of each model or plain service.
@@ -47,8 +49,8 @@
 	// nextCleanup is when the state of removed endpoints is deleted next.
 	nextCleanup time.Time
 
-	candidates  []Candidate     // buffer that collectCandidates reuses
-	readyQueues []*trainerQueue // buffer that dispatchFromClass reuses
+	candidates  []Candidate  // buffer that collectCandidates reuses
+	readyQueues []*flowQueue // buffer that dispatchFromClass reuses
 }
 
 // trackedRequest is a request that waits (queue is set) or is in flight (endpoint is set).
@@ -57,7 +59,8 @@
 	pool         *pool
 	trainer      *trainerState
 	caller       *callerState
-	queue        *trainerQueue
+	queue        *flowQueue
+	key          queueKey
 	endpoint     *endpointState
 	dispatched   time.Time
 	expectedWait time.Duration
@@ -127,6 +130,7 @@
 		return r.refuse(req, jujubeerror.CodeNoEndpoint, "no endpoint is known", defaultRetryAfter)
 	}
 	req.trainer, _ = r.trainers.Get(request.Trainer)
+	req.key = newQueueKey(req)
 	if t := req.trainer; t != nil && t.limited && t.instanceLimit == 0 && !request.Held {
 		return r.refuseZeroShare(req, "other instances hold the trainer's limit")
 	}
@@ -134,6 +138,7 @@
 		return decision
 	}
 	r.requests[request.ID] = req
+	req.pool.classes[req.request.Priority].recordArrival(req)
 	if req.caller != nil {
 		req.caller.active++
 	}
@@ -151,7 +156,7 @@
 	r.refresh(p)
 	ahead := 0
 	if c := &p.classes[req.request.Priority]; c.length > 0 {
-		ahead = len(c.queueFor(req.trainer).requests)
+		ahead = len(c.queueFor(req).requests)
 	}
 	wait := r.estimateQueueWait(p, req, ahead+1)
 	if late := now.Add(wait + p.requiredServiceTime(now, &req.request)).Sub(req.request.Deadline); late > 0 {
@@ -223,7 +228,7 @@
 		req.trainer.inFlight++
 	}
 	class := &p.classes[req.request.Priority]
-	class.recordDispatch(class.queueFor(req.trainer))
+	class.recordDispatch(class.queueFor(req))
 	p.updateClassSkips(req.request.Priority)
 	return decision
 }
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -34,8 +34,10 @@
 	Method string
 	URI    string
 	Host   string
-	// Organisation is the caller's; empty for none.
+	// Organisation is the caller's; empty for none. IsEnforced is true if the desired state has organisations, so that what the
+	// caller says about its organisation isn't passed on.
 	Organisation model.OrganisationName
+	IsEnforced   bool
 	Header       http.Header
 	Body         []byte
 	Endpoint     model.EndpointID
@@ -92,11 +94,14 @@
 	Method string
 	URI    string
 	Host   string
-	// Organisation is the caller's; empty on a public route and without organisations.
+	// Organisation is the caller's; empty on a public route and without organisations. IsEnforced is true if there are any.
 	Organisation model.OrganisationName
-	Header       http.Header
-	Body         []byte
-	Deadline     time.Time
+	IsEnforced   bool
+	// Level orders waiting requests; lower ones are served first.
+	Level    int
+	Header   http.Header
+	Body     []byte
+	Deadline time.Time
 	// Prompt lists the parts of the prompt, if the caller names them.
 	Prompt jujubeprompt.Prompt
 }
@@ -359,6 +364,7 @@
 			"Request": f.request.ID, "Route": f.route.Name, "Endpoint": decision.Endpoint, "Try": f.attempts,
 			"SoftwareVersion": decision.SoftwareVersion, "Considered": decision.Considered, "ExpectedWait": decision.ExpectedWait.String(), "InFlight": decision.InFlight,
 			"Running": decision.Running, "Waiting": decision.Waiting, "Reason": decision.Reason,
+			"Organisation": f.request.Organisation, "Level": f.request.Level,
 		}
 	})
 }
