node: report usage to the platform's API by one holder at a time

Adds the duties of docs/design/demand.md: the gate that decides whether this instance may make a duty call (jujubeduty), counts, windows and reports (jujubeusage), the client of the platform's API, settings, events and metrics. Without an address of the API, heartbeats and records are as before.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -3,7 +3,7 @@
 import "github.com/sirupsen/logrus"
 
 // Numbers of log events. 1xxx routing, 2xxx steps, 21xx submissions, 3xxx idempotency keys, 4xxx weights, 5xxx configuration,
-// 51xx store, 6xxx membership, 7xxx endpoints and quarantine, 8xxx process lifecycle.
+// 51xx store, 6xxx membership, 7xxx endpoints and quarantine, 8xxx process lifecycle, 9xxx duties towards the platform.
 const (
 	RouteDispatched Number = 1001
 	RouteWaiting    Number = 1002
@@ -100,6 +100,13 @@
 	RequestAfterExit Number = 8006
 	ServerFailed     Number = 8007
 	InstanceReplaced Number = 8008
+
+	DutyChanged    Number = 9001
+	DutyCalled     Number = 9002
+	UsageFixed     Number = 9003
+	UsageExpired   Number = 9004
+	ClockCorrected Number = 9005
+	DutyYielded    Number = 9006
 )
 
 // Catalogue returns every event. A test in ctl/services/jujubedocs checks that docs/events.md matches it.
@@ -193,6 +200,12 @@
 		{LogLevelChanged, "LogLevelChanged", info, "An operator changed the log level."},
 		{RequestAfterExit, "RequestAfterExit", info, "A request that arrived after the start of the shutdown was refused, with the addresses of other instances."},
 		{InstanceReplaced, "InstanceReplaced", warn, "Another process with this instance's name and a later start time is running, or this machine's clock is behind; the process exits."},
+		{DutyChanged, "DutyChanged", info, "This instance may make duty calls to the platform's API from now on, or (Allowed false) no longer may; Reason gives the cause."},
+		{DutyCalled, "DutyCalled", info, "A duty call to the platform's API ended; Outcome and Error describe the result."},
+		{UsageFixed, "UsageFixed", info, "The usage report of a window was read from the log; its content doesn't change any more. NotFinal holds the live instances whose counts may be incomplete."},
+		{UsageExpired, "UsageExpired", warn, "The usage report of a window wasn't accepted by the platform in time and isn't sent any more."},
+		{ClockCorrected, "ClockCorrected", warn, "This machine's time of day differs from the median of the live instances, which is used for usage reports, or (Correction 0) no longer does."},
+		{DutyYielded, "DutyYielded", warn, "This instance's duty calls get no responses; it releases the lease, so that another instance makes them."},
 		{ServerFailed, "ServerFailed", warn, "A listener failed; the process exits."},
 	}
 }
--- a/core/services/jujuberegistry/registry.go
+++ b/core/services/jujuberegistry/registry.go
@@ -10,6 +10,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/models/jujubetable"
 	"jujubepier.example/core/services/jujubethrottle"
+	"jujubepier.example/core/services/jujubeusage"
 )
 
 // State is the state that an instance reports about itself.
@@ -40,6 +41,10 @@
 	Limits []jujubethrottle.Notice `json:",omitempty"`
 	// Number increases with each heartbeat of an incarnation.
 	Number int64
+	// Usage holds the instance's counts of requests, and TimeOfDay its time of day when it wrote the heartbeat. Both are absent where
+	// the reports of usage aren't a duty.
+	Usage     *jujubeusage.Note `json:",omitempty"`
+	TimeOfDay time.Time         `json:",omitzero"`
 }
 
 // Settings holds the periods of the registry.
--- a/entry/services/jujubenode/attempt.go
+++ b/entry/services/jujubenode/attempt.go
@@ -36,8 +36,11 @@
 	f.inFlight++
 	f.triedEndpoints = append(f.triedEndpoints, decision.Endpoint)
 	call := f.newCall(decision)
+	f.usage.beginAttempt()
+	sentAt := time.Now()
 	n.tomb.Go(func() error {
 		response, err := n.endpointCaller.Call(ctx, call)
+		f.usage.endAttempt(startOf(sentAt, err))
 		n.finishAttempt(ctx, id, call, response, err)
 		f.outcomes <- attempt{call.Endpoint, response, err}
 		return nil
--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -15,6 +15,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubedesired"
+	"jujubepier.example/core/services/jujubeduty"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -27,6 +28,8 @@
 	engines *fakeEngines
 	// callers sends the plain requests of the instances that start; by default these go to engines.
 	callers jujubenode.EndpointCaller
+	// platform receives the reports of usage, which are a duty if it isn't nil.
+	platform jujubenode.PlatformCaller
 	// holdAtStart is the hold of the stores of instances that start.
 	holdAtStart func(ctx context.Context, call string) error
 	// links are the links of instances to the endpoints; those of other instances work.
@@ -105,6 +108,10 @@
 	if callers == nil {
 		callers = c.engines
 	}
+	var duties []jujubeduty.Duty
+	if c.platform != nil {
+		duties = []jujubeduty.Duty{jujubeduty.UsageReport}
+	}
 	var node *jujubenode.Node
 	links, ok := c.links[id]
 	if !ok {
@@ -119,9 +126,10 @@
 		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: listener.Addr().String()},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
-			DirectReaders: c.directReaders,
+			DirectReaders: c.directReaders, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
 		},
-		Store: store, EngineClient: c.engines, EndpointCaller: callers, DialEndpoint: links.dial, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag),
+		PlatformCaller: c.platform,
+		Store:          store, EngineClient: c.engines, EndpointCaller: callers, DialEndpoint: links.dial, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag),
 	}, logger)
 	apply := func(now time.Time, record jujubenode.Record) {
 		if record.Key == "weights" {
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -113,6 +113,8 @@
 	defer cancel()
 	f := newForwarding(n, route, request)
 	f.fingerprint = request.fingerprint()
+	f.usage = n.trackUsage(request)
+	defer f.usage.close()
 	var response Response
 	err := n.checkTimeLeft(request.Deadline)
 	if err == nil {
@@ -171,6 +173,8 @@
 	software model.SoftwareVersion
 	// onResponse is called with each response; may be nil.
 	onResponse func(Response)
+	// usage counts the request; nil if it isn't counted.
+	usage *usageTracker
 }
 
 func newForwarding(n *Node, route *jujubedesired.Route, request PlainRequest) *forwarding {
--- a/entry/services/jujubenode/heartbeat.go
+++ b/entry/services/jujubenode/heartbeat.go
@@ -29,7 +29,7 @@
 	for ctx.Err() == nil {
 		n.mu.Lock()
 		now := time.Now()
-		due := !n.instancesFollower.caughtUpAt.IsZero() && now.Sub(n.lastHeartbeat) >= heartbeatInterval
+		due := !n.instancesFollower.caughtUpAt.IsZero() && n.canReplaceUsage() && now.Sub(n.lastHeartbeat) >= heartbeatInterval
 		var heartbeat jujuberegistry.Heartbeat
 		if due {
 			n.lastHeartbeat = now
@@ -39,6 +39,7 @@
 				CallerAddress: n.identity.CallerAddress, PeerAddress: n.identity.PeerAddress, State: n.state, CutOff: n.isCutOff(), Number: n.heartbeatNumber,
 				Engines: n.scheduler.EngineNotes(), Limits: n.limitNotices(now),
 			}
+			n.addUsage(now, &heartbeat)
 		}
 		n.mu.Unlock()
 		if due {
@@ -71,9 +72,12 @@
 	return err
 }
 
-func (n *Node) applyHeartbeat(now time.Time, _ int64, record Record) {
+func (n *Node) applyHeartbeat(now time.Time, offset int64, record Record) {
 	if len(record.Value) == 0 {
 		n.registry.Remove(model.InstanceID(record.Key))
+		if u := n.usage(); u != nil {
+			u.ledger.ObserveRemoved(now, model.InstanceID(record.Key))
+		}
 		return
 	}
 	var heartbeat jujuberegistry.Heartbeat
@@ -90,6 +94,7 @@
 		n.lastHeartbeat = time.Time{}
 	}
 	n.registry.Apply(now, heartbeat)
+	n.applyUsage(now, heartbeat, offset != snapshotOffset && n.instancesFollower.wasReadRecently(now))
 	if heartbeat.Instance != n.identity.Instance {
 		for _, engineNote := range heartbeat.Engines {
 			n.scheduler.ApplyEngineNote(now, engineNote)
@@ -103,9 +108,12 @@
 	}
 }
 
+// snapshotOffset stands for the offset of a record of a snapshot.
+const snapshotOffset = -1
+
 func (n *Node) resetHeartbeats(now time.Time, records []Record) {
 	for _, record := range records {
-		n.applyHeartbeat(now, 0, record)
+		n.applyHeartbeat(now, snapshotOffset, record)
 	}
 }
 
--- a/entry/services/jujubenode/leave.go
+++ b/entry/services/jujubenode/leave.go
@@ -64,11 +64,12 @@
 	}
 	ctx, cancel := context.WithTimeout(background, handOverTime/2)
 	defer cancel()
+	final := n.writeFinalUsage(ctx)
 	if err := n.putInstanceRecord(ctx, nil); err != nil {
 		n.log.Write(jujubeevent.BeatFailed, func() logrus.Fields {
 			return logrus.Fields{"Number": n.heartbeatNumber, "Error": err.Error()}
 		})
-		n.broadcast(background, "Relay.Left", LeftArgs{Instance: n.identity.Instance, HandedOver: handedOver})
+		n.broadcast(background, "Relay.Left", LeftArgs{Instance: n.identity.Instance, HandedOver: handedOver, Usage: final})
 	}
 }
 
@@ -112,3 +113,6 @@
 	defer n.mu.Unlock()
 	return !n.leaveDeadline.IsZero()
 }
+
+// Kill stops the node immediately, as a crash of its process does.
+func (n *Node) Kill() { n.tomb.Kill(nil) }
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -51,6 +51,7 @@
 			return float64(n.crashes.quarantine.Count(time.Now(), state))
 		})
 	}
+	addDutyMetrics(set, n)
 	return &nodeMetrics{
 		set:      set,
 		runs:     set.NewHistogram("jujube_node_run_duration_seconds"),
@@ -112,3 +113,10 @@
 	n.metrics.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
 }
+
+// RunsInFlight returns the number of items that run on this instance.
+func (n *Node) RunsInFlight() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.scheduler.RunsInFlight()
+}
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -102,6 +102,8 @@
 	Store          Store
 	EngineClient   EngineClient
 	EndpointCaller EndpointCaller
+	// PlatformCaller makes the duty calls to the platform's API; nil where there is none.
+	PlatformCaller PlatformCaller
 	// CloseIdleStoreConnections closes the idle connections to the store; may be nil.
 	CloseIdleStoreConnections func()
 	// DialEndpoint opens a connection to an endpoint directly; ConnectEndpoint uses it.
@@ -125,6 +127,7 @@
 	engineClient   EngineClient
 	endpointCaller EndpointCaller
 	endpointPath   *endpointPath
+	duties         *duties
 	log            *jujubeevent.Log
 	metrics        *nodeMetrics
 	tomb           *tomb.Tomb
@@ -225,6 +228,7 @@
 		stateChangedCh: make(chan struct{}),
 		state:          jujuberegistry.Starting,
 	}
+	n.duties = newDuties(options, incarnation)
 	n.endpointPath = &endpointPath{
 		node: n, dial: options.DialEndpoint, closeIdle: options.CloseIdleConnections,
 		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()),
@@ -290,6 +294,7 @@
 	n.tomb.Go(func() error { return n.schedule(background) })
 	n.tomb.Go(func() error { return n.sendHeartbeats(background) })
 	n.tomb.Go(func() error { return n.runRollout(background) })
+	n.startDuties(background)
 	for range loadWriters {
 		n.tomb.Go(func() error { return n.loads.run(background) })
 	}
@@ -387,13 +392,3 @@
 	defer n.mu.Unlock()
 	return n.ready && n.state == jujuberegistry.Ready
 }
-
-// Kill stops the node immediately, as a crash of its process does.
-func (n *Node) Kill() { n.tomb.Kill(nil) }
-
-// RunsInFlight returns the number of items that run on this instance.
-func (n *Node) RunsInFlight() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.scheduler.RunsInFlight()
-}
--- a/entry/services/jujubenode/peers.go
+++ b/entry/services/jujubenode/peers.go
@@ -10,6 +10,7 @@
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujuberegistry"
+	"jujubepier.example/core/services/jujubeusage"
 )
 
 // peerTimeout bounds a message to another instance.
@@ -23,6 +24,8 @@
 	Instance model.InstanceID
 	// HandedOver are the entries, without their texts, that another instance appends.
 	HandedOver []jujubebatch.Entry
+	// Usage is the instance's last statement of its counts; nil where the reports of usage aren't a duty.
+	Usage *jujubeusage.Statement
 }
 
 // HandOverArgs contains the entries that an instance couldn't append before it left.
@@ -66,6 +69,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.registry.Remove(args.Instance)
+	if args.Usage != nil {
+		n.applyUsageRecord(jujubeusage.Record{Left: args.Usage})
+	}
 	for _, entry := range args.HandedOver {
 		n.scheduler.MarkHandedOver(time.Now(), entry, false)
 	}
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -13,6 +13,7 @@
 	"jujubepier.example/core/services/jujubefleet"
 	"jujubepier.example/core/services/jujuberegistry"
 	"jujubepier.example/core/services/jujubethrottle"
+	"jujubepier.example/core/services/jujubeusage"
 )
 
 const (
@@ -62,18 +63,25 @@
 
 // rolloutRecord is a record of the rollout topic that isn't a lease record.
 type rolloutRecord struct {
-	Load *LoadRecord
+	Load  *LoadRecord         `json:",omitempty"`
+	Usage *jujubeusage.Record `json:",omitempty"`
 }
 
 // applyRollout applies a record of the rollout topic; the lock is held.
 func (n *Node) applyRollout(now time.Time, offset int64, record Record) {
 	n.lease.Apply(model.LogRecord{Offset: offset, Body: record.Value})
+	n.duties.observeLease(now, n.lease.State(now))
 	var decoded rolloutRecord
 	// The lease skips records that it can't decode, too.
-	if err := json.Unmarshal(record.Value, &decoded); err != nil || decoded.Load == nil {
+	if err := json.Unmarshal(record.Value, &decoded); err != nil {
 		return
 	}
-	n.applyLoad(now, *decoded.Load)
+	if decoded.Load != nil {
+		n.applyLoad(now, *decoded.Load)
+	}
+	if decoded.Usage != nil {
+		n.applyUsageRecord(*decoded.Usage)
+	}
 }
 
 // applyLoad records the start or end of a load; the lock is held.
@@ -97,7 +105,7 @@
 	// the log: each change of the holder costs a lease time without orders.
 	wasHolder := n.lease.State(now).Holder == n.identity.Instance
 	mayClaim := n.rank() < leaseCandidates && now.Sub(n.rolloutFollower.recoveredAt) > claimDelayAfterOutage
-	candidate := n.state == jujuberegistry.Ready && !n.isCutOff() &&
+	candidate := n.state == jujuberegistry.Ready && !n.isCutOff() && !n.yieldsDuties(now) &&
 		(!n.leadingSince.IsZero() || n.rolloutFollower.wasReadRecently(now) && (wasHolder || mayClaim))
 	if n.rolloutFollower.failingSince.IsZero() {
 		n.lease.SetLogUnavailable(now, false)
--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -1,6 +1,10 @@
 package jujubenode
 
-import "time"
+import (
+	"time"
+
+	"jujubepier.example/core/services/jujubeduty"
+)
 
 // Settings are the periods and limits that depend on the platform.
 type Settings struct {
@@ -18,4 +22,11 @@
 	// MaxRecordBytes and MaxAppendBytes are the store's size limits.
 	MaxRecordBytes int `validate:"min=1024" usage:"maximum size of a record in the store's log, in bytes"`
 	MaxAppendBytes int `validate:"min=1024" usage:"maximum size of an append to the store's log, in bytes"`
+	// Duties are the duties towards the platform's API; none by default.
+	Duties []jujubeduty.Duty `usage:"duties towards the platform's API"`
+	// DutiesPerSecond is the rate limit of the platform's API for all instances together; 0 if it isn't known.
+	DutiesPerSecond float64 `validate:"min=0" usage:"rate limit of the platform's API for all instances together, per second"`
+	// UsageWindow is the length of a window of the reports of usage, and UsageLate is the time after its end when its report is due.
+	UsageWindow time.Duration `usage:"length of a window of the reports of usage"`
+	UsageLate   time.Duration `usage:"time after a window's end when its report is due"`
 }
--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -88,6 +88,10 @@
 	defer cancel()
 	s := &streaming{forwarding: newForwarding(n, route, request.PlainRequest), sink: sink, after: request.After, isNew: request.After == 0}
 	s.retryable, s.fingerprint = s.retryable || route.Resumable, request.fingerprint()
+	if s.isNew { // a stream that the caller continues was counted with its first event
+		s.usage = n.trackUsage(request.PlainRequest)
+		defer s.usage.close()
+	}
 	if err = n.checkTimeLeft(request.Deadline); err == nil && !s.isNew {
 		err = s.applyOrigin(ctx, request.Origin)
 	}
@@ -153,10 +157,16 @@
 		s.triedEndpoints = append(s.triedEndpoints, decision.Endpoint)
 		call := s.newCall(decision)
 		call.After = s.after
+		s.usage.beginAttempt()
+		sentAt := time.Now()
 		response, err := s.node.endpointCaller.Stream(ctx, call)
+		if err != nil || response.Events == nil {
+			s.usage.endAttempt(startOf(sentAt, err))
+		}
 		if err == nil && response.Events != nil {
 			err = s.passEvents(ctx, decision, response)
 			response.Empty = s.after == call.After
+			s.usage.endStream(sentAt, err, response.Empty)
 			s.node.finishAttempt(ctx, id, call, response.Response, err)
 			if err == nil || s.sinkFailed {
 				return Response{}, err
@@ -212,6 +222,9 @@
 			return ignoreEOF(err)
 		}
 		isContinued = false
+		if err == nil {
+			s.usage.countNow(time.Now())
+		}
 		if err == nil && event.Number <= s.after {
 			return ErrCall{Ran: model.RanUnknown, Reason: "the endpoint repeats an event"}
 		}
