node: leave the duties to an instance that can connect to the API

A holder whose link to the platform's API is cut can't send reports, because the calls mustn't be relayed. After 3 s without a connection it asks the next candidates whether they can connect, and releases the lease if one can.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -205,7 +205,7 @@
 		{UsageFixed, "UsageFixed", info, "The usage report of a window was read from the log; its content doesn't change any more. NotFinal holds the live instances whose counts may be incomplete."},
 		{UsageExpired, "UsageExpired", warn, "The usage report of a window wasn't accepted by the platform in time and isn't sent any more."},
 		{ClockCorrected, "ClockCorrected", warn, "This machine's time of day differs from the median of the live instances, which is used for usage reports, or (Correction 0) no longer does."},
-		{DutyYielded, "DutyYielded", warn, "This instance's duty calls get no responses; it releases the lease, so that another instance makes them."},
+		{DutyYielded, "DutyYielded", warn, "This instance can't connect to the platform's API, and others can; it releases the lease, so that another instance makes the duty calls."},
 		{ServerFailed, "ServerFailed", warn, "A listener failed; the process exits."},
 	}
 }
--- a/core/services/jujubeduty/duty.go
+++ b/core/services/jujubeduty/duty.go
@@ -29,8 +29,10 @@
 	Rejected Outcome = "Rejected"
 	// Throttled calls weren't executed because of the rate limit.
 	Throttled Outcome = "Throttled"
-	// Unsent calls were never sent.
+	// Unsent calls were never sent, because there was no connection.
 	Unsent Outcome = "Unsent"
+	// Withdrawn calls were never sent, because the instance no longer may make them.
+	Withdrawn Outcome = "Withdrawn"
 	// Unknown calls got no response. They may still be executed, also after later calls.
 	Unknown Outcome = "Unknown"
 )
--- a/core/services/jujubeduty/yield.go
+++ b/core/services/jujubeduty/yield.go
@@ -3,43 +3,53 @@
 import "time"
 
 const (
-	// yieldAfter is how long calls fail without a response until the holder yields: six calls that each time out, which leaves the
-	// next holder the time for the wait after a takeover before a report is due.
-	yieldAfter = 6 * time.Second
+	// probeAfter is how long no connection to the API can be opened until the holder asks others whether they can open one. With the
+	// wait after a takeover, the next holder still sends a report before it is due.
+	probeAfter = 3 * time.Second
+	// probeInterval is the time between two such questions.
+	probeInterval = 2 * time.Second
 	// yieldFor is how long an instance that has yielded doesn't claim the lease, so that another one does.
 	yieldFor = 15 * time.Second
-	// yieldInterval is the minimum time between two yields of an instance. While the API is down for all, each of the few candidates
-	// yields once in it: a change of the holder costs the rollout a lease time.
+	// yieldInterval is the minimum time between two yields of an instance: a change of the holder costs the rollout a lease time.
 	yieldInterval = time.Minute
 )
 
-// reachability tracks whether this instance's calls reach the API.
+// reachability tracks whether this instance can connect to the API.
 type reachability struct {
-	// failingSince is the end of the first call without a response after the last one with a response; zero for none.
-	failingSince time.Time
-	yieldedAt    time.Time
+	// unsentSince is the end of the first call without a connection after the last one with a connection; zero for none.
+	unsentSince time.Time
+	probedAt    time.Time
+	yieldedAt   time.Time
 }
 
 func (r *reachability) record(now time.Time, outcome Outcome) {
 	switch {
-	case outcome != Unsent && outcome != Unknown:
-		r.failingSince = time.Time{}
-	case r.failingSince.IsZero():
-		r.failingSince = now
+	case outcome == Withdrawn:
+	case outcome != Unsent:
+		r.unsentSince = time.Time{}
+	case r.unsentSince.IsZero():
+		r.unsentSince = now
 	}
 }
 
-// IsYielding reports whether this instance shall not hold the lease, because its calls get no responses and those of another instance
-// may. hasOthers is whether there are any. A first result of true (began) is a decision to yield.
-func (g *Gate) IsYielding(now time.Time, hasOthers bool) (yielding, began bool) {
+// ShouldProbe reports whether to ask other instances now whether they can connect to the API, because this one can't.
+func (g *Gate) ShouldProbe(now time.Time) bool {
 	r := &g.reachability
-	if !r.yieldedAt.IsZero() && now.Sub(r.yieldedAt) < yieldFor {
-		return true, false
+	mayYield := r.yieldedAt.IsZero() || now.Sub(r.yieldedAt) >= yieldInterval
+	if !mayYield || r.unsentSince.IsZero() || now.Sub(r.unsentSince) < probeAfter || !r.probedAt.IsZero() && now.Sub(r.probedAt) < probeInterval {
+		return false
 	}
-	isDue := r.yieldedAt.IsZero() || now.Sub(r.yieldedAt) >= yieldInterval
-	if !hasOthers || !isDue || r.failingSince.IsZero() || now.Sub(r.failingSince) < yieldAfter {
-		return false, false
-	}
-	r.failingSince, r.yieldedAt = time.Time{}, now
-	return true, true
+	r.probedAt = now
+	return true
+}
+
+// Yield records that another instance can connect to the API, so that this one leaves the lease to others for a while.
+func (g *Gate) Yield(now time.Time) {
+	g.reachability.unsentSince, g.reachability.yieldedAt = time.Time{}, now
+}
+
+// IsYielding reports whether this instance leaves the lease to others.
+func (g *Gate) IsYielding(now time.Time) bool {
+	yieldedAt := g.reachability.yieldedAt
+	return !yieldedAt.IsZero() && now.Sub(yieldedAt) < yieldFor
 }
--- a/core/services/jujubeduty/yield_test.go
+++ b/core/services/jujubeduty/yield_test.go
@@ -10,8 +10,8 @@
 	"jujubepier.example/core/services/jujubelease"
 )
 
-// TestYield guards against a holder that keeps the lease although its link to the API is cut, and against holders that change all the
-// time while the API is down for all.
+// TestYield guards against a holder that keeps the lease although it can't connect to the API, against one that takes its own withdrawn
+// calls for that, and against holders that change all the time.
 func TestYield(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
@@ -20,21 +20,20 @@
 		assert.Assert(t, g.TryBegin(at(seconds)))
 		g.End(at(seconds), 1, outcome, false)
 	}
-	yields := func(seconds int, hasOthers bool) bool {
-		yielding, _ := g.IsYielding(at(seconds), hasOthers)
-		return yielding
-	}
-	call(0, jujubeduty.Unsent)
-	call(4, jujubeduty.Throttled)
-	call(5, jujubeduty.Unknown)
-	assert.Assert(t, !yields(7, true), "the API responded after 4 s")
+	call(0, jujubeduty.Withdrawn)
+	assert.Assert(t, !g.ShouldProbe(at(4)))
+	call(5, jujubeduty.Unsent)
+	call(7, jujubeduty.Unknown)
+	assert.Assert(t, !g.ShouldProbe(at(9)), "there was a connection after 7 s")
 	call(10, jujubeduty.Unsent)
-	assert.Assert(t, !yields(11, false), "nobody else can")
-	assert.Assert(t, yields(11, true))
-	assert.Assert(t, yields(25, true) && !yields(26, true))
-	call(30, jujubeduty.Unsent)
-	assert.Assert(t, !yields(70, true), "twice in a minute")
-	assert.Assert(t, yields(71, true))
+	call(11, jujubeduty.Withdrawn)
+	assert.Assert(t, !g.ShouldProbe(at(12)) && g.ShouldProbe(at(13)) && !g.ShouldProbe(at(14)) && g.ShouldProbe(at(15)))
+	assert.Assert(t, !g.IsYielding(at(15)))
+	g.Yield(at(15))
+	assert.Assert(t, g.IsYielding(at(29)) && !g.IsYielding(at(30)))
+	call(40, jujubeduty.Unsent)
+	assert.Assert(t, !g.ShouldProbe(at(74)), "twice in a minute")
+	assert.Assert(t, g.ShouldProbe(at(75)))
 }
 
 // TestGateReasons guards against calls with a refused token, of a leader that doesn't hold the lease, and above the rate limit.
--- a/entry/services/jujubenode/duty.go
+++ b/entry/services/jujubenode/duty.go
@@ -36,6 +36,8 @@
 type PlatformCaller interface {
 	ReportUsage(ctx context.Context, call DutyCall, report jujubeusage.Report) (jujubeduty.Outcome, error)
 	OrderServers(ctx context.Context, call DutyCall, order jujubeduty.ServerOrder) (jujubeduty.Outcome, error)
+	// Connect opens a connection to the API and closes it.
+	Connect(ctx context.Context) error
 }
 
 // duties is the node's part in the duties towards the platform; nil where none is set.
@@ -99,23 +101,12 @@
 		if n.duties.usage != nil {
 			n.sendReport(ctx)
 		}
+		n.yieldDuties(ctx)
 		sleep(ctx, dutyInterval)
 	}
 	return nil
 }
 
-// yieldsDuties reports whether this instance leaves the lease to others, because its duty calls get no responses; the lock is held.
-func (n *Node) yieldsDuties(now time.Time) bool {
-	if n.duties == nil {
-		return false
-	}
-	yields, began := n.duties.gate.IsYielding(now, len(n.liveInstances) > 1)
-	if began {
-		n.log.Write(jujubeevent.DutyYielded, func() logrus.Fields { return logrus.Fields{"Live": len(n.liveInstances)} })
-	}
-	return yields
-}
-
 // watchGate logs when this instance may make duty calls and when it no longer may; the lock is held.
 func (n *Node) watchGate(now time.Time) {
 	decision := n.decideDuty(now)
@@ -142,15 +133,20 @@
 	callCtx, cancel := context.WithTimeout(ctx, dutyCallTimeout)
 	defer cancel()
 	// The connection may have taken a while to open, and the machine may have been suspended meanwhile.
+	withdrawn := false
 	callCtx = jujubehttp.WithSendCheck(callCtx, func() bool {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		return n.decideDuty(time.Now()) == decision
+		withdrawn = n.decideDuty(time.Now()) != decision
+		return !withdrawn
 	})
 	outcome, err := call(callCtx, DutyCall{Holder: n.identity.Instance, Token: decision.Token})
-	n.metrics.countDuty(duty, outcome)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if withdrawn && outcome == jujubeduty.Unsent {
+		outcome = jujubeduty.Withdrawn
+	}
+	n.metrics.countDuty(duty, outcome)
 	// An order of servers is also refused in this way when there are none.
 	fenced := outcome == jujubeduty.Fenced && duty == jujubeduty.UsageReport
 	n.duties.gate.End(time.Now(), decision.Token, outcome, fenced)
--- a/entry/services/jujubenode/rollout.go
+++ b/entry/services/jujubenode/rollout.go
@@ -105,7 +105,7 @@
 	// the log: each change of the holder costs a lease time without orders.
 	wasHolder := n.lease.State(now).Holder == n.identity.Instance
 	mayClaim := n.rank() < leaseCandidates && now.Sub(n.rolloutFollower.recoveredAt) > claimDelayAfterOutage
-	candidate := n.state == jujuberegistry.Ready && !n.isCutOff() && !n.yieldsDuties(now) &&
+	candidate := n.state == jujuberegistry.Ready && !n.isCutOff() && !n.duties.isYielding(now) &&
 		(!n.leadingSince.IsZero() || n.rolloutFollower.wasReadRecently(now) && (wasHolder || mayClaim))
 	if n.rolloutFollower.failingSince.IsZero() {
 		n.lease.SetLogUnavailable(now, false)
--- a/entry/services/jujubenode/usage_test.go
+++ b/entry/services/jujubenode/usage_test.go
@@ -23,6 +23,8 @@
 type fakePlatform struct {
 	t  *testing.T
 	mu sync.Mutex
+	// cutOff is the instance whose calls aren't connected.
+	cutOff model.InstanceID
 	// outcomes are those of the next calls; afterwards all are done.
 	outcomes []jujubeduty.Outcome
 	calls    []jujubenode.DutyCall
@@ -33,6 +35,9 @@
 func (p *fakePlatform) ReportUsage(_ context.Context, call jujubenode.DutyCall, report jujubeusage.Report) (jujubeduty.Outcome, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if call.Holder == p.cutOff {
+		return jujubeduty.Unsent, nil
+	}
 	content, err := json.Marshal(report)
 	assert.Check(p.t, err)
 	for _, before := range p.calls {
@@ -58,6 +63,8 @@
 	return jujubeduty.Done, nil
 }
 
+func (p *fakePlatform) Connect(context.Context) error { return nil }
+
 // count returns the number of reported requests of an organisation.
 func (p *fakePlatform) count(organisation model.OrganisationName) int64 {
 	p.mu.Lock()
@@ -194,6 +201,17 @@
 	assert.Assert(t, platform.calls[3].Token > platform.calls[2].Token, "a call with a token that was refused")
 }
 
+// TestCutOffHolderYields guards against reports that are never sent because the holder's link to the platform's API is cut.
+func TestCutOffHolderYields(t *testing.T) {
+	cluster, platform := newUsageCluster(t)
+	platform.cutOff = "a"
+	a, _, _ := cluster.start("a")
+	waitFor(t, "the instance leads", func() bool { holder, _ := cluster.store.lastLeaseClaim(); return holder == "a" })
+	cluster.start("b")
+	send(t, a, "answered", 0)
+	waitFor(t, "the report", func() bool { return platform.count("answered") == 1 })
+}
+
 // TestNoUsageWithoutDuties guards against heartbeats that change where no duty is set.
 func TestNoUsageWithoutDuties(t *testing.T) {
 	cluster := newTestCluster(t)
