node: test that a continued stream isn't counted again

The test's stream had no origin, so the continued one was refused before it was sent. It now fails (3 != 0) with the check for new streams taken out.

--- a/entry/services/jujubenode/usage_test.go
+++ b/entry/services/jujubenode/usage_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujubeduty"
 	"jujubepier.example/core/services/jujubeusage"
 	"jujubepier.example/entry/services/jujubenode"
@@ -132,10 +133,12 @@
 		_, _ = node.Forward(t.Context(), unsafeRoute, request)
 	case "stream", "continued":
 		stream := jujubenode.StreamRequest{PlainRequest: request}
-		if route.Resumable = true; organisation == "continued" {
+		route.Resumable, route.Targets = true, []jujubedesired.Target{{Service: "s", Weight: 1}}
+		if organisation == "continued" {
 			stream.After, stream.Origin = 2, "stream0"
 		}
-		_, _, _ = node.ForwardStream(t.Context(), &route, stream, discardSink{})
+		_, _, err := node.ForwardStream(t.Context(), &route, stream, discardSink{})
+		assert.NilError(t, err)
 	default:
 		_, _ = node.Forward(t.Context(), &route, request)
 	}
