node: look for reports to fix at the holder only

Every instance estimated the true time and compared all instances with each other every 50 ms, which grows with the square of their number. Now only the holder of the lease does, and old reports are looked for once a second.

--- a/core/services/jujubeusage/clock.go
+++ b/core/services/jujubeusage/clock.go
@@ -80,8 +80,9 @@
 
 // Retain forgets all instances but the given ones.
 func (c *Clock) Retain(ids []model.InstanceID) {
+	retained := newSet(ids)
 	for id := range c.readings.All() {
-		if !slices.Contains(ids, id) {
+		if !retained[id] {
 			c.readings.Delete(id)
 		}
 	}
--- a/core/services/jujubeusage/ledger.go
+++ b/core/services/jujubeusage/ledger.go
@@ -198,19 +198,6 @@
 	return true
 }
 
-// Withdraw permits the records of Plan to be appended again at once, because the append had no effect. Records may be appended
-// several times, so an append without a known outcome does no harm.
-func (l *Ledger) Withdraw(records []Record) {
-	for _, record := range records {
-		if record.Fixed != nil {
-			l.proposedAt.Delete(record.Fixed.Window)
-		}
-		for _, window := range record.Accepted {
-			l.proposedAt.Delete(window)
-		}
-	}
-}
-
 // firstUnfixed returns the first window whose report may have to be fixed.
 func (l *Ledger) firstUnfixed(now time.Time) (Window, bool) {
 	var first Window
--- a/core/services/jujubeusage/send.go
+++ b/core/services/jujubeusage/send.go
@@ -1,7 +1,6 @@
 package jujubeusage
 
 import (
-	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -63,12 +62,13 @@
 			l.proposedAt.Delete(window)
 		}
 	}
+	isLive := newSet(live)
 	for id, s := range l.statements.All() {
 		last := s.Note.Final
 		for _, window := range s.Note.Windows {
 			last = max(last, window.Window)
 		}
-		if !slices.Contains(live, id) && last < l.floor {
+		if !isLive[id] && last < l.floor {
 			l.statements.Delete(id)
 		}
 	}
--- a/core/services/jujubeusage/window.go
+++ b/core/services/jujubeusage/window.go
@@ -82,3 +82,12 @@
 
 // oldest returns the oldest window that is kept.
 func (s Settings) oldest(now time.Time) Window { return s.windowOf(now.Add(-s.Late - retention)) }
+
+// newSet returns the instances as a set.
+func newSet(ids []model.InstanceID) map[model.InstanceID]bool {
+	set := make(map[model.InstanceID]bool, len(ids))
+	for _, id := range ids {
+		set[id] = true
+	}
+	return set
+}
--- a/entry/services/jujubenode/usage.go
+++ b/entry/services/jujubenode/usage.go
@@ -20,6 +20,9 @@
 // day of some live instances aren't. The other instances write as many meanwhile.
 const clockSettleReads = 3
 
+// forgetInterval is the time between two looks for old reports.
+const forgetInterval = time.Second
+
 // usage is the node's part in the reports of usage, guarded by the node's lock.
 type usage struct {
 	counter *jujubeusage.Counter
@@ -174,35 +177,49 @@
 
 // fixReports appends the reports that can be fixed, and the acceptances of reports, until the context ends.
 func (n *Node) fixReports(ctx context.Context) error {
+	var forgotAt time.Time
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		now, u := time.Now(), n.usage()
-		n.updateClock(now)
-		trueNow := u.clock.At(jujubeclock.Now())
-		live := n.liveIDs()
-		var records []jujubeusage.Record
-		// Any holder of the lease may fix reports, because the log decides which record counts.
-		holds := n.lease.State(now).Held
-		if holds && n.rolloutFollower.wasReadRecently(now) {
-			records = u.ledger.Plan(jujubeusage.Now{True: trueNow, Local: now}, live)
-		}
-		for _, window := range u.ledger.Forget(trueNow, live) {
-			if holds {
-				n.log.Write(jujubeevent.UsageExpired, func() logrus.Fields { return logrus.Fields{"Window": window} })
-			}
+		now := time.Now()
+		records := n.planReports(now)
+		if now.Sub(forgotAt) >= forgetInterval {
+			forgotAt = now
+			n.forgetReports(now)
 		}
 		n.mu.Unlock()
 		if err := n.appendUsage(ctx, records...); err != nil {
 			n.log.Write(jujubeevent.AppendFailed, func() logrus.Fields {
 				return logrus.Fields{"Topic": topicRollout.Name, "Records": len(records), "Error": err.Error()}
 			})
-			sleep(ctx, dutyInterval)
 		}
 		sleep(ctx, dutyInterval)
 	}
 	return nil
 }
 
+// planReports returns the records to append; the lock is held. Any holder of the lease may fix reports, because the log decides which
+// record counts.
+func (n *Node) planReports(now time.Time) []jujubeusage.Record {
+	if !n.lease.State(now).Held || !n.rolloutFollower.wasReadRecently(now) {
+		return nil
+	}
+	n.updateClock(now)
+	u := n.usage()
+	return u.ledger.Plan(jujubeusage.Now{True: u.clock.At(jujubeclock.Now()), Local: now}, n.liveIDs())
+}
+
+// forgetReports forgets old reports; the lock is held.
+func (n *Node) forgetReports(now time.Time) {
+	u := n.usage()
+	expired := u.ledger.Forget(u.clock.At(jujubeclock.Now()), n.liveIDs())
+	if !n.lease.State(now).Held {
+		return // the holder logs what is lost
+	}
+	for _, window := range expired {
+		n.log.Write(jujubeevent.UsageExpired, func() logrus.Fields { return logrus.Fields{"Window": window} })
+	}
+}
+
 // appendUsage appends records of the reports.
 func (n *Node) appendUsage(ctx context.Context, records ...jujubeusage.Record) error {
 	if len(records) == 0 {
