--- a/core/services/jujubeusage/counter.go
+++ b/core/services/jujubeusage/counter.go
@@ -60,9 +60,19 @@
 // Restore continues from the note of an earlier process of this instance. It may be called with several notes until this process has
 // written its first one: the counts of a process only grow, so the highest ones are the latest.
 func (c *Counter) Restore(note Note) {
+	var newest Window
 	for _, window := range note.Windows {
 		countsOf(c.restored, window.Window).raise(window.Counts)
 	}
+	for window := range c.restored.All() {
+		newest = window
+	}
+	// The log has the last statements of much earlier processes, too. The own time of day isn't reliable yet.
+	for window := range c.restored.All() {
+		if window < newest-Window(retention/c.settings.Length) {
+			c.restored.Delete(window)
+		}
+	}
 	if c.first == 0 || note.First < c.first {
 		c.first = note.First
 	}
--- a/core/services/jujubeusage/usage_test.go
+++ b/core/services/jujubeusage/usage_test.go
@@ -35,7 +35,7 @@
 	heartbeatInterval = 800 * time.Millisecond
 	liveTTL           = 2800 * time.Millisecond
 	maxReadAge        = 900 * time.Millisecond
-	settleReads       = 3
+	settleReads       = 4
 	graceTime         = 2 * time.Second
 )
 
@@ -55,12 +55,12 @@
 	skew    time.Duration
 	isAlive bool
 
-	counter  *jujubeusage.Counter
-	ledger   *jujubeusage.Ledger
-	clock    *jujubeusage.Clock
-	number   int64
-	lastBeat time.Time
-	ownReads int
+	counter            *jujubeusage.Counter
+	ledger             *jujubeusage.Ledger
+	clock              *jujubeusage.Clock
+	number             int64
+	lastBeat           time.Time
+	ownReads, lastRead int64
 	// readsAt is when the member reads the reports again; the heartbeats are another topic. It fixes no reports if that is too late.
 	readsAt              time.Time
 	heartbeats, rollouts int
@@ -100,7 +100,7 @@
 func (s *service) start(m *member) {
 	m.incarnation++
 	m.readsAt = time.Time{} // both topics are read before the first heartbeat is written
-	m.isAlive, m.number, m.ownReads, m.lastBeat = true, 0, 0, time.Time{}
+	m.isAlive, m.number, m.ownReads, m.lastRead, m.lastBeat = true, 0, 0, 0, time.Time{}
 	m.counter, m.ledger, m.clock = jujubeusage.NewCounter(s.instant(s.now), settings), jujubeusage.NewLedger(settings), jujubeusage.NewClock()
 	m.seen, m.open, m.rollouts = map[model.InstanceID]time.Time{}, map[int64]time.Time{}, 0
 	newest := map[model.InstanceID]heartbeat{}
@@ -128,7 +128,10 @@
 	}
 	if stated.Instance == m.id && stated.Incarnation == m.incarnation {
 		m.ledger.ObserveOwn(s.now)
-		m.ownReads++
+		if stated.Number > m.lastRead { // a repeated append doesn't count
+			m.lastRead = stated.Number
+			m.ownReads++
+		}
 	}
 }
 
@@ -353,6 +356,29 @@
 	assert.Assert(t, 2*included > requests)
 }
 
+// TestCountOfFinalWindow guards against a change of a window that was declared final, and against the loss of the count.
+func TestCountOfFinalWindow(t *testing.T) {
+	at := func(seconds int) jujubeclock.Instant {
+		return jujubeclock.Instant(time.Duration(seconds) * time.Second)
+	}
+	trueTime := func(instant jujubeclock.Instant) time.Time { return time.Unix(100, int64(instant)) }
+	c := jujubeusage.NewCounter(at(0), settings)
+	c.Restore(jujubeusage.Note{First: 1, Final: 1, Windows: []jujubeusage.WindowCounts{{Window: 1, Counts: jujubeusage.Counts{"old": 1}}}})
+	c.Restore(jujubeusage.Note{First: 18, Final: 19, Windows: []jujubeusage.WindowCounts{{Window: 200, Counts: jujubeusage.Counts{"o": 1}}}})
+	settled := false
+	note := func(seconds int) jujubeusage.Note {
+		return c.Note(at(seconds), trueTime, settled, func(jujubeusage.Window) bool { return false })
+	}
+	assert.Equal(t, len(note(5).Windows), 1, "statements of much earlier processes fill the note")
+	settled = true
+	assert.Equal(t, note(6).Final, jujubeusage.Window(20))
+	c.Count("late", at(4))
+	expected := []jujubeusage.WindowCounts{{Window: 21, Counts: jujubeusage.Counts{"late": 1}}, {Window: 200, Counts: jujubeusage.Counts{"o": 1}}}
+	assert.DeepEqual(t, note(11), jujubeusage.Note{First: 1, Final: 21, Windows: expected})
+	c.Begin(at(12))
+	assert.Equal(t, note(30).Final, jujubeusage.Window(21), "a request may have begun in the next window")
+}
+
 // TestReportsAreExact guards against requests that no report includes, or that of another window, although no instance is killed.
 func TestReportsAreExact(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/entry/services/jujubenode/usage.go
+++ b/entry/services/jujubenode/usage.go
@@ -17,8 +17,8 @@
 )
 
 // clockSettleReads is the number of own heartbeats that have been read back until the true time counts as known, although the times of
-// day of some live instances aren't. The other instances write as many meanwhile.
-const clockSettleReads = 3
+// day of some live instances aren't. The other instances write as many meanwhile, of which two have to be read.
+const clockSettleReads = 4
 
 // forgetInterval is the time between two looks for old reports.
 const forgetInterval = time.Second
@@ -30,9 +30,11 @@
 	clock   *jujubeusage.Clock
 	// correction is that of the own time of day, as of the last estimate.
 	correction time.Duration
-	// ownReads is the number of this process's heartbeats that were read back, and settled is true once the true time is known.
-	ownReads int
-	settled  bool
+	// ownReads is the number of this process's heartbeats that were read back, lastOwnRead is the number of the last one, and settled
+	// is true once the true time is known.
+	ownReads    int
+	lastOwnRead int64
+	settled     bool
 }
 
 func newUsage(settings jujubeusage.Settings) *usage {
@@ -134,7 +136,10 @@
 	}, u.ledger.ApplyStatement)
 	if isOwn && heartbeat.Incarnation == n.incarnation && n.heartbeatNumber > 0 {
 		u.ledger.ObserveOwn(now)
-		u.ownReads++
+		if heartbeat.Number > u.lastOwnRead { // an append may be repeated
+			u.lastOwnRead = heartbeat.Number
+			u.ownReads++
+		}
 	}
 }
 
@@ -200,17 +205,20 @@
 // planReports returns the records to append; the lock is held. Any holder of the lease may fix reports, because the log decides which
 // record counts.
 func (n *Node) planReports(now time.Time) []jujubeusage.Record {
-	if !n.lease.State(now).Held || !n.rolloutFollower.wasReadRecently(now) {
+	u := n.usage()
+	if !u.settled || !n.lease.State(now).Held || !n.rolloutFollower.wasReadRecently(now) {
 		return nil
 	}
 	n.updateClock(now)
-	u := n.usage()
 	return u.ledger.Plan(jujubeusage.Now{True: u.clock.At(jujubeclock.Now()), Local: now}, n.liveIDs())
 }
 
-// forgetReports forgets old reports; the lock is held.
+// forgetReports forgets old reports; the lock is held. A clock that is ahead would make it forget those of the present.
 func (n *Node) forgetReports(now time.Time) {
 	u := n.usage()
+	if !u.settled {
+		return
+	}
 	expired := u.ledger.Forget(u.clock.At(jujubeclock.Now()), n.liveIDs())
 	if !n.lease.State(now).Held {
 		return // the holder logs what is lost
