--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jujubepier.example/core/services/jujubeduty"
 	"jujubepier.example/core/services/jujubeprompt"
 )
 
@@ -26,4 +27,11 @@
 	MaxAppendBytes int `validate:"min=1024" usage:"maximum size of an append to the store's log, in bytes"`
 	// Placement decides among the engines that are equally suitable for an item; nil for the least cost in time.
 	Placement jujubeprompt.Policy
+	// Duties are the duties towards the platform's API; none by default.
+	Duties []jujubeduty.Duty `usage:"duties towards the platform's API"`
+	// DutiesPerSecond is the rate limit of the platform's API for all instances together; 0 if it isn't known.
+	DutiesPerSecond float64 `validate:"min=0" usage:"rate limit of the platform's API for all instances together, per second"`
+	// UsageWindow is the length of a window of the reports of usage, and UsageLate is the time after its end when its report is due.
+	UsageWindow time.Duration `usage:"length of a window of the reports of usage"`
+	UsageLate   time.Duration `usage:"time after a window's end when its report is due"`
 }
