batch: place items by expected finish on engines of different speeds

The ranking by classes fills the faster ones with short items, so long items end up on slow ones and their steps wait for them.

The lead can measure it with the setting UnevenEngines true (the default) and false.

--- a/core/services/jujubebatch/assign.go
+++ b/core/services/jujubebatch/assign.go
@@ -20,26 +20,38 @@
 	// full holds the services without an engine for items that have no text.
 	full := map[model.ServiceName]bool{}
 	for _, item := range submission.longestFirst {
-		if item.assignedEngine != "" || item.hasResult || item.resultQueued || item.unscored != nil ||
-			now.Before(item.notBefore) || !s.isResponsible(now, item) {
-			continue
-		}
-		route, ok := s.desired.Match(submission.Host, item.Path)
-		if !ok || item.hasUsedAttempts(route) || s.isPastRetention(now, submission, route) {
-			continue // startItems queues its errored result
-		}
-		if e := s.selectForItem(now, item, route, serving, full, fleet); e != nil {
-			item.textBlockedSince, item.serviceBlockedSince = time.Time{}, time.Time{}
-			s.assign(item, e)
-			continue
+		route, ok := s.matchWaiting(now, item)
+		if ok && !s.assignItem(now, item, route, serving, full, fleet) && areAllFull(serving, full) {
+			return
 		}
+	}
+}
+
+// matchWaiting returns the route of an item that waits for an engine; ok is false for any other item.
+func (s *Scheduler) matchWaiting(now time.Time, item *item) (route *jujubedesired.Route, ok bool) {
+	if item.assignedEngine != "" || item.hasResult || item.resultQueued || item.unscored != nil ||
+		now.Before(item.notBefore) || !s.isResponsible(now, item) {
+		return nil, false
+	}
+	route, ok = s.desired.Match(item.submission.Host, item.Path)
+	if !ok || item.hasUsedAttempts(route) || s.isPastRetention(now, item.submission, route) {
+		return nil, false // startItems queues its errored result
+	}
+	return route, true
+}
+
+// assignItem assigns an engine to a waiting item; it returns false if none has room.
+func (s *Scheduler) assignItem(now time.Time, item *item, route *jujubedesired.Route, serving, full map[model.ServiceName]bool, fleet fleetIntervals) bool {
+	e := s.selectForItem(now, item, route, serving, full, fleet)
+	if e == nil {
 		if item.serviceBlockedSince.IsZero() {
 			item.serviceBlockedSince = now
 		}
-		if areAllFull(serving, full) {
-			return
-		}
+		return false
 	}
+	item.textBlockedSince, item.serviceBlockedSince, item.assignedAt = time.Time{}, time.Time{}, now
+	s.assign(item, e)
+	return true
 }
 
 // areAllFull reports whether no service that could run items has an engine with room.
--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -87,7 +87,7 @@
 	confirmedAt, askedAt time.Time
 	// moveReason is why a run here should continue there. The run is cancelled once the other instance has accepted the
 	// item.
-	moveReason string
+	moveReason MoveReason
 }
 
 // SetLiveMembers sets the live instances, sorted by id.
@@ -331,7 +331,7 @@
 	if item.run == nil {
 		return
 	}
-	s.cancelRun(item.run, item.delegation.moveReason)
+	s.endRun(item.run, newMove(item.run, item.delegation.moveReason))
 	if e, ok := s.engines.Get(to); ok {
 		s.assign(item, e)
 	}
@@ -339,11 +339,11 @@
 
 // moveRun continues a run on another engine. If that engine has a remote gateway, the run here continues until the gateway
 // has accepted the item, because a slow run is better than none.
-func (s *Scheduler) moveRun(now time.Time, r *run, to *engine, reason string) {
+func (s *Scheduler) moveRun(now time.Time, r *run, to *engine, reason MoveReason) {
 	item := r.item
 	item.movedAt = now
 	if !s.hasRemoteGateway(now, to) {
-		s.cancelRun(r, reason)
+		s.endRun(r, newMove(r, reason))
 		return
 	}
 	s.delegate(now, item, to)
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -246,6 +246,9 @@
 
 // selectBest returns the best engine with room among those that are allowed.
 func (s *Scheduler) selectBest(now time.Time, item *item, fleet fleetIntervals, isAllowed func(e *engine) bool) *engine {
+	if s.settings.UnevenEngines {
+		return s.place(now, item, fleet, isAllowed)
+	}
 	var best *engine
 	var bestRank engineRank
 	for _, e := range s.engines.All() {
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeplacement"
 )
 
 // SubmissionID identifies a submission.
@@ -106,6 +107,8 @@
 	Data Pointer `json:",omitzero"`
 	// TextBytes is the JSON-encoded size of the text in a response; zero if unknown.
 	TextBytes int `json:",omitempty"`
+	// Events is the number of events of the text; zero in the records of earlier builds.
+	Events int `json:",omitempty"`
 	// By is the instance that wrote the text and caches it.
 	By model.InstanceID `json:",omitempty"`
 	// Versions are the distinct weight versions that generated events of the text.
@@ -219,6 +222,12 @@
 	RetryDelay time.Duration
 	// SlowFactor is the multiple of the median event interval above which an engine counts as slow.
 	SlowFactor float64
+	// UnevenEngines places items by their expected finish, lets runs move to engines on which they end much earlier, runs surplus
+	// groups last and shares slots between submissions. Without it engines are ranked by their classes and the oldest submission
+	// comes first.
+	UnevenEngines bool
+	// Placement selects the engines instead of jujubeplacement.ByFinish, for measurements; nil for none.
+	Placement jujubeplacement.Policy
 	// CheckpointAfter is how long an item runs before its first checkpoint, and the minimum time between two of them.
 	CheckpointAfter time.Duration
 	// EndedRetention is how long an ended submission stays readable.
@@ -232,7 +241,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		FirstEventTimeout: 1500 * time.Millisecond, StallTimeout: time.Second, SilenceTimeout: 700 * time.Millisecond,
-		LoadingBackoff: 250 * time.Millisecond, FailureBackoff: time.Second, MaxFailureBackoff: 4 * time.Second, RetryDelay: 30 * time.Millisecond, SlowFactor: 2,
+		LoadingBackoff: 250 * time.Millisecond, FailureBackoff: time.Second, MaxFailureBackoff: 4 * time.Second, RetryDelay: 30 * time.Millisecond, SlowFactor: 2, UnevenEngines: true,
 		CheckpointAfter: time.Second, EndedRetention: 130 * time.Second, OpenRetention: 280 * time.Second,
 	}
 }
--- a/core/services/jujubebatch/interval.go
+++ b/core/services/jujubebatch/interval.go
@@ -1,6 +1,7 @@
 package jujubebatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -64,6 +65,16 @@
 	medianRecent time.Duration
 	// goodBaseline is the lower quartile of the baselines, which represents the faster hardware.
 	goodBaseline time.Duration
+	// fastBaseline is the lower tenth of the baselines. Hardware may differ so much that few engines are several times as fast as
+	// the others.
+	fastBaseline time.Duration
+	// typicalBaseline is the median of the baselines, however few. It is assumed for engines without one.
+	typicalBaseline time.Duration
+}
+
+// fastInterval returns the event interval of the faster engines.
+func (f fleetIntervals) fastInterval() time.Duration {
+	return cmp.Or(f.fastBaseline, f.typicalBaseline, defaultEventInterval)
 }
 
 // minMeasuredEngines is how many engines need samples before they are compared.
@@ -82,7 +93,12 @@
 			baselines = append(baselines, e.intervals.baseline)
 		}
 	}
-	return fleetIntervals{quantile(recent, 0.5), quantile(baselines, 0.25)}
+	fleet := fleetIntervals{medianRecent: quantile(recent, 0.5), goodBaseline: quantile(baselines, 0.25), fastBaseline: quantile(baselines, 0.1)}
+	if len(baselines) > 0 {
+		slices.Sort(baselines)
+		fleet.typicalBaseline = baselines[len(baselines)/2]
+	}
+	return fleet
 }
 
 // quantile returns zero for fewer than minMeasuredEngines values.
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeplacement"
 )
 
 // RunID numbers the runs and scoring calls of one instance.
@@ -45,16 +46,45 @@
 	Assigned int
 	// EventInterval is the engine's recent event interval, for the log line of the run's start.
 	EventInterval time.Duration
+	// ExpectedEvents is how many events the run is expected to emit, ExpectedFinish the time in which it is expected to end, and
+	// Placement why it has this engine.
+	ExpectedEvents int
+	ExpectedFinish time.Duration
+	Placement      jujubeplacement.Reason
 }
 
 // CancelRun closes the connection of a run or scoring call.
 type CancelRun struct {
 	Run    RunID
 	Reason string
+	// Move is why the run continues on another engine; empty if it doesn't.
+	Move MoveReason
 	// Silent is true if the engine has sent no event in time.
 	Silent bool
 }
 
+// MoveReason is why a run continues on another engine.
+type MoveReason string
+
+// Reasons for a move.
+const (
+	// FasterEngine means that the run is expected to end much earlier on the other engine.
+	FasterEngine MoveReason = "FasterEngine"
+	// FreeSlot means that the run waits for a slot and the other engine has a free one.
+	FreeSlot MoveReason = "FreeSlot"
+	// SlowEngine and WeakerHardware are those without Settings.UnevenEngines.
+	SlowEngine     MoveReason = "SlowEngine"
+	WeakerHardware MoveReason = "WeakerHardware"
+)
+
+func newMove(r *run, reason MoveReason) CancelRun {
+	texts := map[MoveReason]string{
+		FasterEngine: "it is expected to end earlier on a faster engine", FreeSlot: "it waits for a slot, and another engine has one",
+		SlowEngine: "the engine is slow", WeakerHardware: "a long run on weaker hardware",
+	}
+	return CancelRun{Run: r.id, Reason: texts[reason], Move: reason}
+}
+
 // AppendEntry requests an append to the submission's partition.
 type AppendEntry struct {
 	Submission SubmissionID
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -7,6 +7,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/models/jujubetable"
 	"jujubepier.example/core/services/jujubedesired"
+	"jujubepier.example/core/services/jujubeplacement"
 )
 
 // Scheduler assigns the items of submissions to engines, for one instance. It isn't safe for concurrent use.
@@ -45,6 +46,13 @@
 	// unreachableUntil holds the time until which an instance that didn't respond is bypassed.
 	unreachableUntil map[model.InstanceID]time.Time
 	lastRunID        RunID
+	// measuredFleet are the intervals at the latest tick.
+	measuredFleet fleetIntervals
+	// lengths are estimated from the results of each model's submissions.
+	lengths map[model.ModelName]*jujubeplacement.Lengths
+	// candidates and candidateEngines are reused by place.
+	candidates       []jujubeplacement.Engine
+	candidateEngines []*engine
 	draining         bool
 	// isBehindLog is true while records are known to be unread. No run starts in that time, because the next record may
 	// end its submission or be the item's result.
@@ -63,6 +71,7 @@
 		latestMinVersions: make(map[model.ModelName]model.WeightVersion),
 		unreachableUntil:  make(map[model.InstanceID]time.Time),
 		streams:           make(map[model.RequestID]StreamOrigin),
+		lengths:           make(map[model.ModelName]*jujubeplacement.Lengths),
 	}
 }
 
@@ -83,17 +92,19 @@
 	s.expireSubmissions(now)
 	s.acceptPendingOffers(now)
 	fleet := s.measureFleet(now)
-	s.scoringBudgets = nil
+	s.scoringBudgets, s.measuredFleet = nil, fleet
+	var open []*submission
+	for _, submission := range s.openSubmissions() {
+		if s.mayHaveWork(submission) {
+			open = append(open, submission)
+		}
+	}
+	if s.settings.UnevenEngines {
+		s.measureSteps(now, open, fleet)
+	}
 	s.checkRuns(now, fleet)
 	if !s.draining && !s.isBehindLog {
-		for _, submission := range s.openSubmissions() {
-			if !s.mayHaveWork(submission) {
-				continue
-			}
-			s.checkDelegations(now, submission)
-			s.assignItems(now, submission, fleet)
-			s.startItems(now, submission)
-		}
+		s.advanceItems(now, open, fleet)
 	}
 	for _, offer := range s.offers {
 		s.actions = append(s.actions, offer)
@@ -172,6 +183,7 @@
 	if route.SingleVersion {
 		start.ExpectVersion = start.KnownVersion
 	}
+	s.describePlacement(&start, item, e, s.measuredFleet)
 	e.inFlight++
 	s.actions = append(s.actions, start)
 }
@@ -186,7 +198,7 @@
 		result.State = Completed
 	case state == Completed:
 		result.Text, result.TextBytes = joinText(item.events)
-		result.Versions = item.versions
+		result.Versions, result.Events = item.versions, len(item.events)
 	}
 	s.actions = append(s.actions, AppendEntry{item.submission.ID, Entry{Result: result}})
 }
@@ -310,7 +322,10 @@
 
 // selectMoveTarget returns the engine with a free slot to which a run should move, and the reason: its own engine is slow,
 // or it is a long run on slower hardware.
-func (s *Scheduler) selectMoveTarget(now time.Time, r *run, fleet fleetIntervals) (to *engine, reason string) {
+func (s *Scheduler) selectMoveTarget(now time.Time, r *run, fleet fleetIntervals) (to *engine, reason MoveReason) {
+	if s.settings.UnevenEngines {
+		return s.selectFasterEngine(now, r, fleet)
+	}
 	e, known := s.engines.Get(r.engine)
 	if !known || r.awaitsFirstEvent {
 		return nil, ""
@@ -331,11 +346,11 @@
 	case other == nil || s.isSlow(other, fleet) || s.estimateLoad(now, other) >= other.Slots:
 		return nil, ""
 	case isSlow:
-		return other, "the engine is slow"
+		return other, SlowEngine
 	case fleet.hasSlowHardware(other):
 		return nil, ""
 	}
-	return other, "a long run on weaker hardware"
+	return other, WeakerHardware
 }
 
 func (s *Scheduler) checkpoint(now time.Time, item *item) {
--- a/core/services/jujubebatch/score.go
+++ b/core/services/jujubebatch/score.go
@@ -71,6 +71,7 @@
 	item.unscoredAt = now
 	item.unscored = &Result{Submission: item.submission.ID, Item: item.ID, Versions: slices.Clone(item.versions), By: s.self}
 	item.unscored.Text, item.unscored.TextBytes = joinText(item.events)
+	item.unscored.Events = len(item.events)
 	item.events, item.versions = nil, nil
 	s.logUnscored(item)
 }
--- /dev/null
+++ b/core/services/jujubebatch/share.go
@@ -0,0 +1,148 @@
+package jujubebatch
+
+import (
+	"math"
+	"time"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubedesired"
+	"jujubepier.example/core/services/jujubeplacement"
+)
+
+// advanceItems assigns and starts the items of the open submissions.
+func (s *Scheduler) advanceItems(now time.Time, open []*submission, fleet fleetIntervals) {
+	if s.settings.UnevenEngines {
+		for _, submission := range open {
+			s.checkDelegations(now, submission)
+		}
+		s.assignInTurn(now, open, fleet)
+		for _, submission := range open {
+			s.startItems(now, submission)
+		}
+		return
+	}
+	for _, submission := range open {
+		s.checkDelegations(now, submission)
+		s.assignItems(now, submission, fleet)
+		s.startItems(now, submission)
+	}
+}
+
+// turn is a submission whose items are being assigned.
+type turn struct {
+	submission    *submission
+	serving, full map[model.ServiceName]bool
+	// isSurplus selects the surplus items instead of the needed ones.
+	isSurplus bool
+	// next is the index in longestFirst at which the search for a waiting item continues.
+	next int
+	// item is the next waiting item, nil for none.
+	item  *item
+	route *jujubedesired.Route
+	due   time.Time
+	held  int
+	// blocked counts the items that found no engine.
+	blocked int
+}
+
+// assignInTurn assigns engines to the needed items of all submissions, in the order of their slack and with a minimum share for each
+// model, and then to the surplus items if free slots remain that no needed item waits for.
+func (s *Scheduler) assignInTurn(now time.Time, open []*submission, fleet fleetIntervals) {
+	var turns []*turn
+	slots := 0
+	for _, submission := range open {
+		if submission.unassigned == 0 || !s.hasDesired(submission) {
+			turns = append(turns, &turn{submission: submission, held: submission.unresolved - submission.unassigned, next: len(submission.order)})
+			continue
+		}
+		turns = append(turns, &turn{
+			submission: submission, serving: s.servingServices(submission), full: map[model.ServiceName]bool{},
+			due: s.dueTime(submission), held: submission.unresolved - submission.unassigned,
+		})
+	}
+	for _, e := range s.engines.All() {
+		if !e.Leaving {
+			slots += e.Slots
+		}
+	}
+	s.takeTurns(now, turns, slots, math.MaxInt, fleet)
+	s.assignSurplus(now, turns, slots, fleet)
+}
+
+// assignSurplus assigns surplus items to the free slots that no needed item waits for.
+func (s *Scheduler) assignSurplus(now time.Time, turns []*turn, slots int, fleet fleetIntervals) {
+	waiting := s.countForeignWaiting(now)
+	for _, t := range turns {
+		waiting += t.blocked
+	}
+	for _, t := range turns {
+		if t.serving == nil || len(s.latestMinVersions) > 1 && now.Sub(t.submission.readAt) < surplusDelay {
+			continue
+		}
+		surplus := &turn{submission: t.submission, serving: t.serving, full: map[model.ServiceName]bool{}, due: t.due, isSurplus: true}
+		s.takeTurns(now, []*turn{surplus}, slots, s.countFreeSlots(now, t.submission)-waiting, fleet)
+	}
+}
+
+// takeTurns assigns engines to at most limit items, one after the other.
+func (s *Scheduler) takeTurns(now time.Time, turns []*turn, slots, limit int, fleet fleetIntervals) {
+	claims := make([]jujubeplacement.Claim[model.ModelName], len(turns))
+	for i, t := range turns {
+		s.advanceTurn(now, t)
+		claims[i] = s.claimOf(now, t, fleet)
+	}
+	for limit > 0 {
+		i := jujubeplacement.Next(claims, slots)
+		if i < 0 {
+			return
+		}
+		t := turns[i]
+		if s.assignItem(now, t.item, t.route, t.serving, t.full, fleet) {
+			t.held++
+			limit--
+		} else {
+			t.blocked++
+		}
+		if areAllFull(t.serving, t.full) {
+			t.item = nil
+		} else {
+			s.advanceTurn(now, t)
+		}
+		claims[i] = s.claimOf(now, t, fleet)
+	}
+}
+
+// advanceTurn finds the submission's next waiting item. The longest items come first: a step ends with them, and right after a new weight
+// version only some engines can run them.
+func (s *Scheduler) advanceTurn(now time.Time, t *turn) {
+	t.item = nil
+	for ; t.next < len(t.submission.longestFirst); t.next++ {
+		item := t.submission.longestFirst[t.next]
+		if item.isSurplus != t.isSurplus {
+			continue
+		}
+		if route, ok := s.matchWaiting(now, item); ok {
+			t.item, t.route = item, route
+			t.next++
+			return
+		}
+	}
+}
+
+func (s *Scheduler) claimOf(now time.Time, t *turn, fleet fleetIntervals) jujubeplacement.Claim[model.ModelName] {
+	claim := jujubeplacement.Claim[model.ModelName]{Model: t.submission.Model, IsWaiting: t.item != nil, Held: t.held}
+	if t.item != nil {
+		events := s.lengthsOf(t.submission.Model).Remaining(t.item.ExpectedTokens, t.item.textLength())
+		claim.Slack = t.due.Sub(now) - time.Duration(events*float64(fleet.fastInterval()))
+	}
+	return claim
+}
+
+// dueTime returns the local time at which a submission's results are due.
+func (s *Scheduler) dueTime(submission *submission) time.Time {
+	deadline := defaultResultDeadline
+	if route, ok := s.desired.Match(submission.Host, submission.Path); ok && route.ResultDeadline > 0 {
+		deadline = route.ResultDeadline
+	}
+	return submission.acceptedAt.Add(deadline)
+}
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -8,6 +8,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeplacement"
 )
 
 // submission is a Submission together with its items' state and its results.
@@ -23,6 +24,13 @@
 	// longestFirst holds the items in descending order of expected tokens.
 	longestFirst []*item
 	ended        bool
+	// groups holds the items by group, in the order of the groups' first items.
+	groups []itemGroup
+	// acceptedAt is the local time at which the submission was accepted, as far as the clocks agree.
+	acceptedAt time.Time
+	// stepEvents is the expected number of events that the longest needed item still has, as of measuredAt.
+	stepEvents float64
+	measuredAt time.Time
 	// unresolved counts the items without a result, unassigned those of them without an engine, and delegatedHere those
 	// that other instances delegated to this one.
 	unresolved, unassigned, delegatedHere int
@@ -33,8 +41,13 @@
 	Item
 	submission *submission
 	index      int
-	// hasResult is true once the log has a result of the item.
-	hasResult bool
+	// hasResult is true once the log has a result of the item, isErrored if that is an error.
+	hasResult, isErrored bool
+	// isSurplus is true while the submission doesn't need the item's group.
+	isSurplus bool
+	// choice is why the item's engine was selected; assignedAt is when.
+	choice     jujubeplacement.Choice
+	assignedAt time.Time
 	// events and versions are the part of the text that this instance holds in memory.
 	events   []string
 	versions []model.WeightVersion
@@ -135,6 +148,7 @@
 	s.submissions.Put(record.ID, submission)
 	s.byReadTime = append(s.byReadTime, submissionTime{id: record.ID, at: now})
 	s.latestMinVersions[record.Model] = max(s.latestMinVersions[record.Model], record.MinVersion)
+	submission.groups, submission.acceptedAt = s.groupItems(submission), submission.localAcceptance()
 	s.reuseTexts(submission)
 	s.acceptPendingOffers(now)
 	return true
@@ -181,7 +195,8 @@
 	if !ok || item.hasResult {
 		return false
 	}
-	item.hasResult = true
+	item.hasResult, item.isErrored = true, result.State == Errored
+	s.lengthsOf(submission.Model).Observe(item.ExpectedTokens, result.Events)
 	item.dropText()
 	item.Content = Content{}
 	s.cancelScoring(item, "the item has a result")
--- a/core/services/jujubedesired/desired.go
+++ b/core/services/jujubedesired/desired.go
@@ -55,6 +55,8 @@
 	// Streaming and Resumable describe responses that are server-sent events.
 	Streaming bool
 	Resumable bool
+	// ResultDeadline is the time from the acceptance of a submission until its results are due; zero if not configured.
+	ResultDeadline time.Duration
 	// Retention is how long an item is kept after its submission; after that it may be dropped.
 	Retention time.Duration
 	// SingleVersion requires all events of a result to come from one weight version.
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -26,6 +26,11 @@
 		defer n.mu.Unlock()
 		return float64(n.scheduler.RunsInFlight())
 	})
+	set.NewGauge("jujube_node_surplus_items", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(n.scheduler.SurplusWaiting(time.Now()))
+	})
 	set.NewGauge("jujube_node_scorings_in_flight", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -63,6 +68,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_runs_total{outcome=%q}", kind)).Inc()
 }
 
+// countMove counts runs that went on to another engine, by reason.
+func (m *nodeMetrics) countMove(reason jujubebatch.MoveReason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_moves_total{reason=%q}", reason)).Inc()
+}
+
 // countScoring counts scoring calls by outcome: a score, a failure reported by a server, or no response.
 func (m *nodeMetrics) countScoring(outcome jujubebatch.ScoringOutcome) {
 	kind := "Unanswered"
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -191,6 +191,8 @@
 	lease := jujubelease.Settings{TTL: leaseTTL, Margin: leaseMargin, AppendTimeout: appendTimeout, Conditional: true}
 	fleetSettings := jujubefleet.DefaultSettings()
 	fleetSettings.LeaseTime = options.Settings.LeaseTime
+	batchSettings := jujubebatch.DefaultSettings()
+	batchSettings.UnevenEngines = options.Settings.UnevenEngines
 	incarnation := model.Incarnation(options.Started.UnixMilli())
 	id := options.Identity.Instance
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
@@ -210,7 +212,7 @@
 		endServing:     endServing,
 		wakeCh:         make(chan struct{}, 1),
 		blobCache:      newBlobCache(),
-		scheduler:      jujubebatch.New(id, jujubebatch.DefaultSettings()),
+		scheduler:      jujubebatch.New(id, batchSettings),
 		fleet:          jujubefleet.New(id, fleetSettings),
 		lease:          jujubelease.New("rollout", id, incarnation, lease),
 		registry:       jujuberegistry.New(jujuberegistry.DefaultSettings()),
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -70,6 +70,7 @@
 			"Submission": start.Submission, "Item": start.Item, "Run": start.Run, "Endpoint": start.Engine, "After": start.After,
 			"KnownVersion": start.KnownVersion, "InFlight": start.InFlight, "Planned": start.Assigned, "Pace": start.EventInterval.String(),
 			"SoftwareVersion": start.SoftwareVersion, "TextSoftware": start.TextSoftware, "Checkpoint": start.Progress != nil,
+			"ExpectedEvents": start.ExpectedEvents, "ExpectedFinish": start.ExpectedFinish.String(), "Placement": start.Placement,
 		}
 	})
 	decidedAt := time.Now()
@@ -96,6 +97,9 @@
 			n.tomb.Go(func() error { n.endpointPath.checkLinks(run.address); return nil })
 		}
 	}
+	if a.Move != "" {
+		n.metrics.countMove(a.Move)
+	}
 	n.log.Write(jujubeevent.ItemStopped, func() logrus.Fields {
 		return logrus.Fields{"Run": a.Run, "Reason": a.Reason}
 	})
--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -18,4 +18,6 @@
 	// MaxRecordBytes and MaxAppendBytes are the store's size limits.
 	MaxRecordBytes int `validate:"min=1024" usage:"maximum size of a record in the store's log, in bytes"`
 	MaxAppendBytes int `validate:"min=1024" usage:"maximum size of an append to the store's log, in bytes"`
+	// UnevenEngines places items by their expected finish (see jujubebatch.Settings).
+	UnevenEngines bool `usage:"place items by their expected finish, as engines differ in speed; false ranks engines by classes"`
 }
