batch: count pending offers against the bound of assigned items

A gateway that has read some submissions of a moment but not others accepted offers up to the bound for both kinds, so an engine of 8 slots got more than 10 requests. Found by the simulation of 7 instances, which asserts the bound.

--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -188,7 +188,7 @@
 	}
 	route, ok := s.desired.Match(submission.Host, item.Path)
 	e, known := s.engines.Get(offer.Engine)
-	if !ok || !known || e.assigned >= s.maxAssigned(e) || !route.HasTarget(e.Service) || !s.isUsable(now, e, item, e.Service) {
+	if !ok || !known || e.assigned+s.countPendingOffers(e.ID) >= s.maxAssigned(e) || !route.HasTarget(e.Service) || !s.isUsable(now, e, item, e.Service) {
 		return false
 	}
 	s.acceptDelegation(now, item, offer)
@@ -382,5 +382,5 @@
 	case age > remoteLoadTTL:
 		remoteLoad = max(0, min(remoteLoad, s.maxAssigned(e)-probeItems-e.assigned))
 	}
-	return e.assigned + remoteLoad
+	return e.assigned + remoteLoad + s.countPendingOffers(e.ID)
 }
