router: spread retry-after times and use the pace of servers while young

Callers that were refused at the same moment were told the same time and returned together.

The load header may have a fourth figure, the time that work takes in percent of the usual time. It is used for plain requests while it is younger than 100 ms, decaying towards 100.

--- a/core/models/jujubemodel/endpoint.go
+++ b/core/models/jujubemodel/endpoint.go
@@ -44,6 +44,8 @@
 	Waiting int
 	// Slots is the number of requests that the endpoint runs concurrently; zero when it has no such limit.
 	Slots int
+	// Pace is the time that work takes, in percent of the usual time; zero if the endpoint doesn't report it.
+	Pace int `json:",omitempty"`
 	// TokensPerSecond is the generation rate of one running stream.
 	TokensPerSecond float64
 	Model           ModelName `json:",omitempty"`
--- a/core/services/jujuberouter/endpoint.go
+++ b/core/services/jujuberouter/endpoint.go
@@ -12,6 +12,8 @@
 	pool     *pool
 	load     model.LoadReport
 	hasLoad  bool
+	// loadAt is when the load report was received.
+	loadAt time.Time
 	// reportedUntil is the time, on this instance's clock, up to which the load report includes this instance's dispatches.
 	reportedUntil time.Time
 	// inFlight is the number of this instance's requests in flight on the endpoint, over all incarnations.
@@ -168,7 +170,7 @@
 	if report.Slots != e.load.Slots {
 		e.pool.stale = true // the pool's capacity is computed from the slots
 	}
-	e.load, e.hasLoad = report, true
+	e.load, e.hasLoad, e.loadAt = report, true, now
 	if report.TokensPerSecond > 0 {
 		e.pool.tokensPerSecond = report.TokensPerSecond
 	}
--- a/core/services/jujuberouter/finish.go
+++ b/core/services/jujuberouter/finish.go
@@ -41,14 +41,22 @@
 	return Decision{}, false
 }
 
-// refuse refuses a request that isn't in flight and removes it from the queue.
+// spread adds a random part of up to half to a retry-after time, so that callers that are refused together don't return together.
+func (r *Router[P]) spread(after time.Duration) time.Duration {
+	if after <= 0 {
+		return after
+	}
+	return after + time.Duration(r.random.Int63n(int64(after)/2+1))
+}
+
+// refuse refuses a request that isn't in flight and removes it from the queue. The retry-after time is spread.
 func (r *Router[P]) refuse(req *trackedRequest, code, reason string, after time.Duration) Decision {
 	if r.requests[req.request.ID] == req {
 		r.dequeue(req)
 		r.untrack(req)
 	}
 	return Decision{
-		Request: req.request.ID, Kind: Refuse, Code: code, Reason: reason, RetryAfter: after,
+		Request: req.request.ID, Kind: Refuse, Code: code, Reason: reason, RetryAfter: r.spread(after),
 		Policy: r.policy.Name(), Considered: len(r.candidates),
 	}
 }
@@ -61,11 +69,12 @@
 }
 
 // refuseThrottled refuses a request because all endpoints name a rate that is used up. The retry-after times are spread over as
-// long again as the next permit takes, so that the refused callers don't return together.
+// long again as the next permit takes, as only one of the refused callers gets it.
 func (r *Router[P]) refuseThrottled(now time.Time, req *trackedRequest, until time.Time) Decision {
 	after := max(until.Sub(now), minRetryAfter)
-	after += time.Duration(r.random.Int63n(int64(after)))
-	return r.refuse(req, jujubeerror.CodeOverloaded, "the rates of all endpoints are used up", after)
+	decision := r.refuse(req, jujubeerror.CodeOverloaded, "the rates of all endpoints are used up", 0)
+	decision.RetryAfter = after + time.Duration(r.random.Int63n(int64(after)))
+	return decision
 }
 
 // lateness returns by how much a request that is dispatched after the given wait would miss its deadline.
@@ -77,8 +86,8 @@
 	return late
 }
 
-// refuseLate refuses a request that would miss its deadline. The retry-after time is the lateness: at the current dequeue
-// rate, a retry with the same timeout would be accepted after that time.
+// refuseLate refuses a request that would miss its deadline. The retry-after time is the lateness, spread: at the
+// current dequeue rate, a retry with the same timeout would be accepted after that time.
 func (r *Router[P]) refuseLate(now time.Time, req *trackedRequest, wait, late time.Duration) Decision {
 	code, reason := jujubeerror.CodeOverloaded, "the expected wait exceeds the deadline"
 	if !now.Before(req.request.Deadline) {
--- a/core/services/jujuberouter/policy.go
+++ b/core/services/jujuberouter/policy.go
@@ -19,7 +19,9 @@
 	// ExpectedWait is the estimated time until the endpoint has a free slot.
 	ExpectedWait time.Duration
 	// Saved is the prefill time saved by a cached prefix.
-	Saved   time.Duration
+	Saved time.Duration
+	// Delayed is by how much longer than usual the request takes at the endpoint's pace; negative for a faster one.
+	Delayed time.Duration
 	Running int
 	Waiting int
 	// Occupied is the estimated number of requests on the endpoint now, including those of other instances.
@@ -30,9 +32,9 @@
 	state *endpointState
 }
 
-// isBetter compares the expected wait less the saved prefill time, then the occupancy.
+// isBetter compares the expected wait and delay less the saved prefill time, then the occupancy.
 func (c *Candidate) isBetter(other *Candidate) bool {
-	own, others := c.ExpectedWait-c.Saved, other.ExpectedWait-other.Saved
+	own, others := c.ExpectedWait+c.Delayed-c.Saved, other.ExpectedWait+other.Delayed-other.Saved
 	if own != others {
 		return own < others
 	}
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -202,7 +202,7 @@
 		if !request.Held && (!e.hasCapacity() || e.load.Version < request.MinVersion || anyHealthy && e.isEjected(now)) {
 			return
 		}
-		r.candidates = append(r.candidates, r.estimate(p, e, request.Prefix))
+		r.candidates = append(r.candidates, r.estimate(now, p, e, request.Prefix))
 	}
 	if len(request.Only) > 0 {
 		for i, id := range request.Only {
@@ -234,7 +234,7 @@
 
 // estimate returns an endpoint as a candidate with its expected wait. The occupancy is the reported load plus this instance's
 // dispatches since the report, multiplied by the number of instances that dispatch to the endpoint, as the others do the same.
-func (r *Router[P]) estimate(p *pool, e *endpointState, prefix uint64) Candidate {
+func (r *Router[P]) estimate(now time.Time, p *pool, e *endpointState, prefix uint64) Candidate {
 	c := Candidate{
 		Endpoint: e.endpoint.ID, Running: e.load.Running, Waiting: e.load.Waiting, InFlight: e.inFlight, state: e,
 		Occupied: e.load.Running + e.load.Waiting + len(e.unreported)*p.dispatchers,
@@ -242,6 +242,10 @@
 	if over := c.Occupied - e.load.Slots + 1; e.load.Slots > 0 && over > 0 {
 		c.ExpectedWait = time.Duration(float64(over) * p.meanService / float64(e.load.Slots) * float64(time.Second))
 	}
+	// The work that the endpoint has, and the request itself, take longer or shorter than usual by its pace.
+	pace := PaceAt(e.load.Pace, now.Sub(e.loadAt))
+	c.ExpectedWait = time.Duration(float64(c.ExpectedWait) * pace / usualPace)
+	c.Delayed = time.Duration((pace/usualPace - 1) * p.meanService * float64(time.Second))
 	if e.cache.has(prefix) {
 		c.Cached, c.Saved = true, r.settings.PrefillSaved
 	}
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -58,6 +58,8 @@
 	Empty bool
 	// Running, Waiting and Slots are the endpoint's load; Slots is zero if the endpoint doesn't report it.
 	Running, Waiting, Slots int
+	// Pace is the time that work takes there, in percent of the usual time; zero if the endpoint doesn't report it.
+	Pace int
 }
 
 // isSuccess reports whether the response shows that the endpoint has run the request. Other responses may come from an endpoint that
@@ -311,7 +313,7 @@
 	}
 	if response.Slots > 0 {
 		outcome.Load = &model.LoadReport{
-			Endpoint: call.Endpoint, At: now, Running: response.Running, Waiting: response.Waiting, Slots: response.Slots,
+			Endpoint: call.Endpoint, At: now, Running: response.Running, Waiting: response.Waiting, Slots: response.Slots, Pace: response.Pace,
 			Incarnation: n.endpointIncarnation(call.Endpoint),
 		}
 	}
