--- a/core/services/jujubebatch/share.go
+++ b/core/services/jujubebatch/share.go
@@ -76,7 +76,7 @@
 		waiting += t.blocked
 	}
 	for _, t := range turns {
-		if t.serving == nil || len(s.latestMinVersions) > 1 && now.Sub(t.submission.readAt) < surplusDelay {
+		if t.serving == nil {
 			continue
 		}
 		surplus := &turn{submission: t.submission, serving: t.serving, full: map[model.ServiceName]bool{}, due: t.due, isSurplus: true}
--- a/core/services/jujubebatch/surplus.go
+++ b/core/services/jujubebatch/surplus.go
@@ -12,9 +12,6 @@
 const (
 	// measureInterval is the minimum time between two estimates of a submission's remaining work.
 	measureInterval = 20 * time.Millisecond
-	// surplusDelay is how long surplus items of a new submission wait if several models submit. Trainers submit at the same moment,
-	// and the records of other submissions are read within that time.
-	surplusDelay = 250 * time.Millisecond
 	// foreignWaitTime is how long the items of a submission that another instance assigns count as waiting. They have engines then,
 	// or those that are left wait for a version.
 	foreignWaitTime = 2 * time.Second
