batch: start a moved run on the engine for which it moved

With engines that other models need next, a run was stopped for a faster engine and could be placed on its own one again. TestMoveGoesToItsEngine fails without the change.

--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -344,6 +344,9 @@
 	item.movedAt = now
 	if !s.hasRemoteGateway(now, to) {
 		s.endRun(r, newMove(r, reason))
+		if s.settings.UnevenEngines {
+			s.assign(item, to)
+		}
 		return
 	}
 	s.delegate(now, item, to)
--- a/core/services/jujubebatch/placement_test.go
+++ b/core/services/jujubebatch/placement_test.go
@@ -154,3 +154,31 @@
 	assert.Equal(t, run.Placement, jujubeplacement.EarliestFinish)
 	assert.Assert(t, run.ExpectedFinish > 900*time.Millisecond && run.ExpectedFinish < 1100*time.Millisecond, "%v", run.ExpectedFinish)
 }
+
+// TestMoveGoesToItsEngine guards against a run that is stopped for a faster engine and starts again on its own one, because other models
+// need the faster one next.
+func TestMoveGoesToItsEngine(t *testing.T) {
+	ts := newTestScheduler(t, 4)
+	ts.recordBaselines(4)
+	versions := func() map[model.ModelName]model.WeightVersion {
+		return map[model.ModelName]model.WeightVersion{"m": 1, "n": 2, "o": 2}
+	}
+	for i := range 3 {
+		ts.PutEngine(jujubebatch.Engine{
+			ID: model.EndpointID(fmt.Sprintf("e%d", i)), Incarnation: 1, Service: "s", Slots: 12, SoftwareVersion: "v1", Versions: versions(),
+		})
+	}
+	for _, name := range []model.ModelName{"n", "o"} {
+		other := newSubmission(string(name), 0, "a")
+		other.Model = name
+		ts.accept(other)
+	}
+	ts.accept(newSubmission("s", 1, "a"))
+	run := tick[jujubebatch.StartRun](ts)[0]
+	assert.Equal(t, run.Engine, model.EndpointID("e3"), "the others are needed by two models")
+	ts.sendEvents(run.Run, 1, 60, 65*time.Millisecond)
+	moved := tick[jujubebatch.StartRun](ts)
+	assert.Equal(t, len(moved), 1)
+	assert.Assert(t, moved[0].Engine != "e3")
+	assert.Equal(t, moved[0].After, 60)
+}
--- a/core/services/jujubebatch/share.go
+++ b/core/services/jujubebatch/share.go
@@ -71,16 +71,21 @@
 
 // assignSurplus assigns surplus items to the free slots that no needed item waits for.
 func (s *Scheduler) assignSurplus(now time.Time, turns []*turn, slots int, fleet fleetIntervals) {
-	waiting := s.countForeignWaiting(now)
+	var surplus []*turn
+	waiting := 0
 	for _, t := range turns {
 		waiting += t.blocked
-	}
-	for _, t := range turns {
-		if t.serving == nil {
-			continue
+		next := &turn{submission: t.submission, serving: t.serving, full: map[model.ServiceName]bool{}, due: t.due, isSurplus: true}
+		if s.advanceTurn(now, next); next.item != nil && t.serving != nil {
+			surplus = append(surplus, next)
 		}
-		surplus := &turn{submission: t.submission, serving: t.serving, full: map[model.ServiceName]bool{}, due: t.due, isSurplus: true}
-		s.takeTurns(now, []*turn{surplus}, slots, s.countFreeSlots(now, t.submission)-waiting, fleet)
+	}
+	if len(surplus) == 0 {
+		return
+	}
+	waiting += s.countForeignWaiting(now)
+	for _, t := range surplus {
+		s.takeTurns(now, []*turn{t}, slots, s.countFreeSlots(now, t.submission)-waiting, fleet)
 	}
 }
 
@@ -88,7 +93,9 @@
 func (s *Scheduler) takeTurns(now time.Time, turns []*turn, slots, limit int, fleet fleetIntervals) {
 	claims := make([]jujubeplacement.Claim[model.ModelName], len(turns))
 	for i, t := range turns {
-		s.advanceTurn(now, t)
+		if t.item == nil {
+			s.advanceTurn(now, t)
+		}
 		claims[i] = s.claimOf(now, t, fleet)
 	}
 	for limit > 0 {
