merge: placement on engines of different speeds

Change: items are placed and moved by their expected finish. Joined with the cost of prompts, which decides among engines of one speed and load, and with the bound on an engine's memory.

--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -87,7 +87,7 @@
 	confirmedAt, askedAt time.Time
 	// moveReason is why a run here should continue there. The run is cancelled once the other instance has accepted the
 	// item.
-	moveReason string
+	moveReason MoveReason
 }
 
 // SetLiveMembers sets the live instances, sorted by id.
@@ -189,7 +189,7 @@
 	}
 	route, ok := s.desired.Match(submission.Host, item.Path)
 	e, known := s.engines.Get(offer.Engine)
-	if !ok || !known || e.assigned >= s.maxAssigned(e) || !route.HasTarget(e.Service) || !s.isUsable(now, e, item, e.Service) {
+	if !ok || !known || e.assigned+s.countPendingOffers(e.ID) >= s.maxAssigned(e) || !route.HasTarget(e.Service) || !s.isUsable(now, e, item, e.Service) {
 		return false
 	}
 	s.acceptDelegation(now, item, offer)
@@ -333,7 +333,7 @@
 	if item.run == nil {
 		return
 	}
-	s.cancelRun(item.run, item.delegation.moveReason)
+	s.endRun(item.run, newMove(item.run, item.delegation.moveReason))
 	if e, ok := s.engines.Get(to); ok {
 		s.assign(item, e)
 	}
@@ -341,11 +341,14 @@
 
 // moveRun continues a run on another engine. If that engine has a remote gateway, the run here continues until the gateway
 // has accepted the item, because a slow run is better than none.
-func (s *Scheduler) moveRun(now time.Time, r *run, to *engine, reason string) {
+func (s *Scheduler) moveRun(now time.Time, r *run, to *engine, reason MoveReason) {
 	item := r.item
 	item.movedAt = now
 	if !s.hasRemoteGateway(now, to) {
-		s.cancelRun(r, reason)
+		s.endRun(r, newMove(r, reason))
+		if s.settings.UnevenEngines {
+			s.assign(item, to)
+		}
 		return
 	}
 	s.delegate(now, item, to)
@@ -384,5 +387,5 @@
 	case age > remoteLoadTTL:
 		remoteLoad = max(0, min(remoteLoad, s.maxAssigned(e)-probeItems-e.assigned))
 	}
-	return e.assigned + remoteLoad
+	return e.assigned + remoteLoad + s.countPendingOffers(e.ID)
 }
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -252,6 +252,9 @@
 // selectBest returns the best engine with room among those that are allowed: the one on which the item costs the least time, of those
 // that rank highest, or the first of them if its prompt isn't known.
 func (s *Scheduler) selectBest(now time.Time, item *item, fleet fleetIntervals, isAllowed func(e *engine) bool) *engine {
+	if s.settings.UnevenEngines {
+		return s.place(now, item, fleet, isAllowed)
+	}
 	var bestRank engineRank
 	best := s.prompts.candidates[:0]
 	for _, e := range s.engines.All() {
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -14,6 +14,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubeplacement"
 	"jujubepier.example/core/services/jujubeprompt"
 )
 
@@ -109,6 +110,8 @@
 	Data Pointer `json:",omitzero"`
 	// TextBytes is the JSON-encoded size of the text in a response; zero if unknown.
 	TextBytes int `json:",omitempty"`
+	// Events is the number of events of the text; zero in the records of earlier builds.
+	Events int `json:",omitempty"`
 	// By is the instance that wrote the text and caches it.
 	By model.InstanceID `json:",omitempty"`
 	// Versions are the distinct weight versions that generated events of the text.
@@ -222,6 +225,12 @@
 	RetryDelay time.Duration
 	// SlowFactor is the multiple of the median event interval above which an engine counts as slow.
 	SlowFactor float64
+	// UnevenEngines places items by their expected finish, lets runs move to engines on which they end much earlier, and
+	// shares slots between submissions. Without it engines are ranked by their classes and the oldest submission
+	// comes first.
+	UnevenEngines bool
+	// Placement selects the engines instead of jujubeplacement.ByFinish, for measurements; nil for none.
+	Placement jujubeplacement.Policy
 	// CheckpointAfter is how long an item runs before its first checkpoint, and the minimum time between two of them.
 	CheckpointAfter time.Duration
 	// EndedRetention is how long an ended submission stays readable.
@@ -229,8 +238,8 @@
 	// OpenRetention is the time from the reading of a submission's record after which a submission that wasn't ended is
 	// deleted. The log keeps its records for at most 300 s.
 	OpenRetention time.Duration
-	// Placement decides among the engines that are equally suitable for an item whose prompt is known.
-	Placement jujubeprompt.Policy
+	// PromptPolicy decides among the engines that are equally suitable for an item whose prompt is known.
+	PromptPolicy jujubeprompt.Policy
 	// PromptRetention is how long after its last use by this instance an engine is assumed to keep a part of a prompt.
 	PromptRetention time.Duration
 }
@@ -239,8 +248,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		FirstEventTimeout: 1500 * time.Millisecond, StallTimeout: time.Second, SilenceTimeout: 700 * time.Millisecond,
-		LoadingBackoff: 250 * time.Millisecond, FailureBackoff: time.Second, MaxFailureBackoff: 4 * time.Second, RetryDelay: 30 * time.Millisecond, SlowFactor: 2,
+		LoadingBackoff: 250 * time.Millisecond, FailureBackoff: time.Second, MaxFailureBackoff: 4 * time.Second, RetryDelay: 30 * time.Millisecond, SlowFactor: 2, UnevenEngines: true,
 		CheckpointAfter: time.Second, EndedRetention: 130 * time.Second, OpenRetention: 280 * time.Second,
-		Placement: jujubeprompt.LeastCost{}, PromptRetention: 20 * time.Second,
+		PromptPolicy: jujubeprompt.LeastCost{}, PromptRetention: 20 * time.Second,
 	}
 }
--- a/core/services/jujubebatch/prompt.go
+++ b/core/services/jujubebatch/prompt.go
@@ -32,7 +32,7 @@
 }
 
 func newPrompts(settings Settings) prompts {
-	policy := settings.Placement
+	policy := settings.PromptPolicy
 	if policy == nil {
 		policy = jujubeprompt.LeastCost{}
 	}
--- a/core/services/jujuberouter/endpoint.go
+++ b/core/services/jujuberouter/endpoint.go
@@ -13,6 +13,8 @@
 	pool     *pool
 	load     model.LoadReport
 	hasLoad  bool
+	// loadAt is when the load report was received.
+	loadAt time.Time
 	// reportedUntil is the time, on this instance's clock, up to which the load report includes this instance's dispatches.
 	reportedUntil time.Time
 	// inFlight is the number of this instance's requests in flight on the endpoint, over all incarnations.
@@ -27,8 +29,6 @@
 	instanceLimit int
 	limited       bool
 	watched       bool
-	// loadAt is when the load report was applied, on this instance's clock.
-	loadAt time.Time
 	// rendezvous is the rendezvous hash that orders the endpoints for this instance.
 	rendezvous uint64
 
--- a/core/services/jujuberouter/policy.go
+++ b/core/services/jujuberouter/policy.go
@@ -21,7 +21,9 @@
 	ExpectedWait time.Duration
 	// Cost is the time that running the request on the endpoint costs: the expected wait, the slowdown by the requests there and the
 	// prefill of what the endpoint doesn't keep of the prompt.
-	Cost    jujubeprompt.Cost
+	Cost jujubeprompt.Cost
+	// Delayed is by how much longer than usual the request takes at the endpoint's pace; negative for a faster one.
+	Delayed time.Duration
 	Running int
 	Waiting int
 	// Occupied is the estimated number of requests on the endpoint now, including those of other instances.
@@ -33,9 +35,9 @@
 	state *endpointState
 }
 
-// isBetter compares the cost, then the occupancy.
+// isBetter compares the cost and the delay by the endpoint's pace, then the occupancy.
 func (c *Candidate) isBetter(other *Candidate) bool {
-	own, others := c.Cost.Total(), other.Cost.Total()
+	own, others := c.Cost.Total()+c.Delayed, other.Cost.Total()+other.Delayed
 	if own != others {
 		return own < others
 	}
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -254,6 +254,10 @@
 		}
 		c.Cost = r.rates.Cost(jujubeprompt.Candidate{Load: c.Occupied, Slots: e.load.Slots, Kept: kept}, spec)
 	}
+	// The work that the endpoint has, and the request itself, take longer or shorter than usual by its pace.
+	pace := PaceAt(e.load.Pace, now.Sub(e.loadAt))
+	c.ExpectedWait = time.Duration(float64(c.ExpectedWait) * pace / usualPace)
+	c.Delayed = time.Duration((pace/usualPace - 1) * p.meanService * float64(time.Second))
 	c.Cost.Wait = c.ExpectedWait
 	return c
 }
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -79,6 +79,11 @@
 	m.set.GetOrCreateCounter("jujube_node_prompt_tokens_kept_total").Add(kept)
 }
 
+// countMove counts runs that went on to another engine, by reason.
+func (m *nodeMetrics) countMove(reason jujubebatch.MoveReason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_moves_total{reason=%q}", reason)).Inc()
+}
+
 // countScoring counts scoring calls by outcome: a score, a failure reported by a server, or no response.
 func (m *nodeMetrics) countScoring(outcome jujubebatch.ScoringOutcome) {
 	kind := "Unanswered"
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -186,7 +186,8 @@
 	fleetSettings := jujubefleet.DefaultSettings()
 	fleetSettings.LeaseTime = options.Settings.LeaseTime
 	batchSettings := jujubebatch.DefaultSettings()
-	batchSettings.Placement = options.Settings.Placement
+	batchSettings.PromptPolicy = options.Settings.PromptPolicy
+	batchSettings.UnevenEngines = options.Settings.UnevenEngines
 	incarnation := model.Incarnation(options.Started.UnixMilli())
 	id := options.Identity.Instance
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -71,6 +71,7 @@
 			"KnownVersion": start.KnownVersion, "InFlight": start.InFlight, "Planned": start.Assigned, "Pace": start.EventInterval.String(),
 			"SoftwareVersion": start.SoftwareVersion, "TextSoftware": start.TextSoftware, "Checkpoint": start.Progress != nil,
 			"PromptTokens": start.PromptTokens, "KeptTokens": start.KeptTokens,
+			"ExpectedEvents": start.ExpectedEvents, "ExpectedFinish": start.ExpectedFinish.String(), "Placement": start.Placement,
 		}
 	})
 	n.metrics.countPrompt(start.PromptTokens, start.KeptTokens)
@@ -91,6 +92,9 @@
 			n.tomb.Go(func() error { n.endpointPath.checkLinks(run.address); return nil })
 		}
 	}
+	if a.Move != "" {
+		n.metrics.countMove(a.Move)
+	}
 	n.log.Write(jujubeevent.ItemStopped, func() logrus.Fields {
 		return logrus.Fields{"Run": a.Run, "Reason": a.Reason}
 	})
--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -25,8 +25,8 @@
 	// MaxRecordBytes and MaxAppendBytes are the store's size limits.
 	MaxRecordBytes int `validate:"min=1024" usage:"maximum size of a record in the store's log, in bytes"`
 	MaxAppendBytes int `validate:"min=1024" usage:"maximum size of an append to the store's log, in bytes"`
-	// Placement decides among the engines that are equally suitable for an item; nil for the least cost in time.
-	Placement jujubeprompt.Policy
+	// PromptPolicy decides among the engines that are equally suitable for an item; nil for the least cost in time.
+	PromptPolicy jujubeprompt.Policy
 	// Duties are the duties towards the platform's API; none by default.
 	Duties []jujubeduty.Duty `usage:"duties towards the platform's API"`
 	// DutiesPerSecond is the rate limit of the platform's API for all instances together; 0 if it isn't known.
@@ -34,4 +34,6 @@
 	// UsageWindow is the length of a window of the reports of usage, and UsageLate is the time after its end when its report is due.
 	UsageWindow time.Duration `usage:"length of a window of the reports of usage"`
 	UsageLate   time.Duration `usage:"time after a window's end when its report is due"`
+	// UnevenEngines places items by their expected finish (see jujubebatch.Settings).
+	UnevenEngines bool `usage:"place items by their expected finish, as engines differ in speed; false ranks engines by classes"`
 }
