http: guard the listeners of both programs against hostile clients

net/http parses a head before a handler runs, and neither it nor the programs bounded the sum over all connections, so that heads of legal size, missing bodies and unfinished messages of peers took any amount of memory, and connections any number of descriptors.

A guard, shared by all listeners of a process, counts what each connection makes the process hold before net/http gets it. Without room it closes the connection that holds the most for longest, or refuses the newcomer with 503 and Retry-After, whose request then can't run. It bounds connections by the descriptor limit, closes clients without progress, and makes room in the budget for bodies by closing the slowest clients. A codec of net/rpc bounds messages and calls of peers.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -100,6 +100,7 @@
 	RequestAfterExit Number = 8006
 	ServerFailed     Number = 8007
 	InstanceReplaced Number = 8008
+	ClientsRefused   Number = 8009
 )
 
 // Catalogue returns every event. A test in ctl/services/jujubedocs checks that docs/events.md matches it.
@@ -193,6 +194,7 @@
 		{LogLevelChanged, "LogLevelChanged", info, "An operator changed the log level."},
 		{RequestAfterExit, "RequestAfterExit", info, "A request that arrived after the start of the shutdown was refused, with the addresses of other instances."},
 		{InstanceReplaced, "InstanceReplaced", warn, "Another process with this instance's name and a later start time is running, or this machine's clock is behind; the process exits."},
+		{ClientsRefused, "ClientsRefused", warn, "Clients were refused, or their connections closed, because they exceed a limit or to make room for others. The line counts those since the last one, by cause."},
 		{ServerFailed, "ServerFailed", warn, "A listener failed; the process exits."},
 	}
 }
--- a/core/modules/jujubehttp/shutdown.go
+++ b/core/modules/jujubehttp/shutdown.go
@@ -63,6 +63,9 @@
 
 // trackConn updates busyConns when the state of a connection changes.
 func (s *Server) trackConn(conn net.Conn, state http.ConnState) {
+	if guarded, ok := conn.(*guardedConn); ok {
+		guarded.observeState(state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
--- a/core/modules/jujubememory/budget.go
+++ b/core/modules/jujubememory/budget.go
@@ -46,6 +46,10 @@
 // Budget bounds the total size of the buffers that were allocated from it and haven't been collected yet. A nil Budget has no
 // bound.
 type Budget struct {
+	// Relieve is called when a full budget has found no garbage; it may make others release theirs. It may be nil, and is set before
+	// the first use.
+	Relieve func()
+
 	size int
 
 	mu sync.Mutex
@@ -91,6 +95,9 @@
 		}
 		b.mu.Unlock()
 		if isDue {
+			if b.Relieve != nil {
+				b.Relieve()
+			}
 			runtime.GC() // releases the buffers that are unreachable
 		}
 		nextCollection := time.NewTimer(collectInterval)
--- a/entry/modules/jujubepeer/serve.go
+++ b/entry/modules/jujubepeer/serve.go
@@ -24,7 +24,9 @@
 	if err := server.Register(receiver); err != nil {
 		return errors.Wrap(err, "register peer methods")
 	}
-	return serve(ctx, listener, server.ServeConn)
+	return serve(ctx, listener, func(conn io.ReadWriteCloser, limits meter) {
+		server.ServeCodec(newServerCodec(conn, limits, func() {}))
+	})
 }
 
 // ServeWithTunnels serves as Serve does, and a Tunnel on each connection.
@@ -33,26 +35,26 @@
 	if err := rpc.NewServer().Register(receiver); err != nil {
 		return errors.Wrap(err, "register peer methods")
 	}
-	return serve(ctx, listener, func(conn io.ReadWriteCloser) {
+	return serve(ctx, listener, func(conn io.ReadWriteCloser, limits meter) {
 		server, tunnel := rpc.NewServer(), &Tunnel{ctx: ctx, open: open}
 		defer tunnel.close()
 		if server.Register(receiver) != nil || server.Register(tunnel) != nil {
 			_ = conn.Close()
 			return
 		}
-		// ServeConn waits for calls in progress, and a read of the tunnel lasts until the tunnel is closed.
-		server.ServeConn(readObserver{conn, tunnel.close})
+		// ServeCodec waits for calls in progress, and a read of the tunnel lasts until the tunnel is closed.
+		server.ServeCodec(newServerCodec(conn, limits, tunnel.close))
 	})
 }
 
 // readObserver calls onEnd when a read fails, such as at the end of the connection.
 type readObserver struct {
-	io.ReadWriteCloser
+	io.Reader
 	onEnd func()
 }
 
 func (o readObserver) Read(p []byte) (int, error) {
-	n, err := o.ReadWriteCloser.Read(p)
+	n, err := o.Reader.Read(p)
 	if err != nil {
 		o.onEnd()
 	}
@@ -66,7 +68,7 @@
 }
 
 // serve accepts connections until the context ends.
-func serve(ctx context.Context, listener net.Listener, serveConn func(conn io.ReadWriteCloser)) error {
+func serve(ctx context.Context, listener net.Listener, serveConn func(conn io.ReadWriteCloser, limits meter)) error {
 	var conns sync.Map
 	stop := context.AfterFunc(ctx, func() {
 		_ = listener.Close()
@@ -94,7 +96,14 @@
 			time.Sleep(delay)
 			continue
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
+		inner, limits := conn, meter(noMeter{})
+		if guarded, ok := conn.(interface {
+			meter
+			NetConn() net.Conn
+		}); ok {
+			inner, limits = guarded.NetConn(), guarded
+		}
+		if tcp, ok := inner.(*net.TCPConn); ok {
 			_ = tcp.SetKeepAliveConfig(newKeepAlive()) // on failure a dead peer is noticed later
 		}
 		conns.Store(conn, nil)
@@ -104,7 +113,7 @@
 		active.Add(1)
 		go func() {
 			defer active.Done()
-			serveConn(conn)
+			serveConn(conn, limits)
 			conns.Delete(conn)
 		}()
 	}
--- a/entry/modules/jujubepeer/tunnel.go
+++ b/entry/modules/jujubepeer/tunnel.go
@@ -14,8 +14,8 @@
 const (
 	// tunnelWriteTimeout bounds a write through a tunnel. A peer that doesn't respond to one in that time is gone.
 	tunnelWriteTimeout = 2 * time.Second
-	// maxTunnelRead bounds the bytes of one read through a tunnel.
-	maxTunnelRead = 32 << 10
+	// maxTunnelRead bounds the bytes of one read through a tunnel, and maxTunnelWrite those of one write.
+	maxTunnelRead, maxTunnelWrite = 32 << 10, 256 << 10
 )
 
 // OpenFunc opens a connection for a peer. Its error is passed to the peer as a text, except for ErrPeerUnable.
@@ -78,6 +78,9 @@
 	ctx  context.Context
 	open OpenFunc
 
+	// reading is locked during a read, so that several of them take one buffer.
+	reading sync.Mutex
+
 	mu     sync.Mutex
 	conn   net.Conn
 	closed bool
@@ -123,6 +126,8 @@
 	if err != nil {
 		return err
 	}
+	t.reading.Lock()
+	defer t.reading.Unlock()
 	buffer := make([]byte, max(1, min(args.MaxBytes, maxTunnelRead)))
 	n, err := conn.Read(buffer)
 	reply.Data = buffer[:n]
@@ -226,6 +231,18 @@
 }
 
 func (c *tunnelConn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		part := p[written:min(len(p), written+maxTunnelWrite)]
+		n, err := c.writePart(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *tunnelConn) writePart(p []byte) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), tunnelWriteTimeout)
 	defer cancel()
 	var reply WriteReply
--- a/entry/routers/jujubeserver/server.go
+++ b/entry/routers/jujubeserver/server.go
@@ -13,6 +13,7 @@
 
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/modules/jujubehttp"
+	"jujubepier.example/entry/modules/jujubeguard"
 	"jujubepier.example/entry/routers/jujubecallerapi"
 	"jujubepier.example/entry/routers/jujubeoperatorapi"
 	"jujubepier.example/entry/routers/jujubepeerapi"
@@ -22,9 +23,6 @@
 // closeTimeout bounds the wait for responses that are still being written when the service has ended.
 const closeTimeout = 5 * time.Second
 
-// maxHeaderBytes bounds the size of a request's header.
-const maxHeaderBytes = 64 << 10
-
 // Server is a running entry instance.
 type Server struct {
 	// Settings contains the actual addresses, with the assigned port where port 0 was configured.
@@ -51,14 +49,17 @@
 		return nil, nil, err
 	}
 	s := &Server{Settings: settings, Service: service, Done: make(chan struct{})}
+	guard := jujubeguard.New(settings.GuardSettings(), jujubeevent.NewLog(logger), service.MetricsSet())
+	service.RelieveBodies(guard.Relieve)
 	callers := newHTTPServer(settings, limitBody(jujubecallerapi.New(service, settings.MaxBodyBytes), settings.BodyTimeout))
-	s.callers = jujubehttp.Serve(callers, listeners.callers)
-	s.operators = jujubehttp.Serve(newHTTPServer(settings, jujubeoperatorapi.New(service)), listeners.operators)
+	s.callers = jujubehttp.Serve(callers, guard.Listen(listeners.callers))
+	s.operators = jujubehttp.Serve(newHTTPServer(settings, jujubeoperatorapi.New(service)), guard.Listen(listeners.operators))
 	peersCtx, stopPeers := context.WithCancel(context.Background())
-	failures := make(chan error, 3)
+	failures := make(chan error, 4)
 	go func() { failures <- <-s.callers.ServeError() }()
 	go func() { failures <- <-s.operators.ServeError() }()
-	go func() { failures <- jujubepeerapi.Serve(peersCtx, listeners.peers, service) }()
+	go func() { failures <- jujubepeerapi.Serve(peersCtx, guard.ListenPeers(listeners.peers), service) }()
+	go func() { failures <- guard.Run(peersCtx) }()
 	go s.run(ctx, stopPeers, cleanService, failures, logger)
 	kill := func() {
 		service.Kill()
@@ -150,6 +151,6 @@
 
 func newHTTPServer(settings jujubeentry.Settings, handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: settings.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: settings.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: settings.MaxHeaderBytes,
 	}
 }
--- a/entry/services/jujubeentry/call.go
+++ b/entry/services/jujubeentry/call.go
@@ -31,6 +31,9 @@
 	noMemoryRetryAfter = time.Second
 )
 
+// RelieveBodies sets what is called when there is no memory for bodies. It is called before the first request.
+func (s *Service) RelieveBodies(relieve func()) { s.bodies.Relieve = relieve }
+
 // ReadBody reads the body of a call. It returns an ErrRefused for one that is too large or finds no memory.
 func (s *Service) ReadBody(ctx context.Context, body io.Reader, length int64) ([]byte, error) {
 	data, err := s.bodies.ReadAll(ctx, jujubememory.Body{
--- a/entry/services/jujubeentry/metrics.go
+++ b/entry/services/jujubeentry/metrics.go
@@ -52,6 +52,9 @@
 // ObserveRequest records the duration of a caller's request that began at started.
 func (s *Service) ObserveRequest(started time.Time) { s.metrics.requests.UpdateDuration(started) }
 
+// MetricsSet returns the set to which the program adds metrics of its own.
+func (s *Service) MetricsSet() *metrics.Set { return s.metrics.set }
+
 // WriteMetrics writes the metrics of the instance and of the process in the Prometheus text format.
 func (s *Service) WriteMetrics(w io.Writer) {
 	s.metrics.set.WritePrometheus(w)
--- a/entry/services/jujubeentry/settings.go
+++ b/entry/services/jujubeentry/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubehttp"
 	"jujubepier.example/core/modules/jujubesetting"
 )
 
@@ -53,10 +54,26 @@
 	HeaderTimeout time.Duration `validate:"min=1s,max=1m" usage:"maximum time for a caller to send a request's header"`
 	// BodyTimeout bounds the time that a caller may take to send the whole request.
 	BodyTimeout time.Duration `validate:"min=1s,max=10m" usage:"maximum time for a caller to send a request's body"`
+	// These bound what all clients together may take; docs/design/hostile-clients.md.
+	MaxHeaderBytes     int           `validate:"min=16384,max=1048576" usage:"maximum size of a request's header, in bytes"`
+	MaxHeaderLines     int           `validate:"min=100,max=1048576" usage:"maximum number of lines of a request's header"`
+	MaxHeldBytes       int64         `validate:"min=1048576,max=1099511627776" usage:"maximum memory of connections, headers and messages of all clients together, in bytes"`
+	MaxConnections     int           `validate:"min=0,max=1048576" usage:"maximum number of connections of callers and operators; 0 for three quarters of the descriptor limit"`
+	MaxPeerConnections int           `validate:"min=0,max=1048576" usage:"maximum number of connections of other instances; 0 for an eighth of the descriptor limit"`
+	MaxMessageBytes    int           `validate:"min=1048576,max=1073741824" usage:"maximum size of a message of another instance, in bytes"`
+	ProgressTimeout    time.Duration `validate:"min=1s,max=1h" usage:"time without a byte of a body, or of a response that the client reads, after which a connection is closed"`
 	// MaxTimeout bounds the timeout that a caller may request.
 	MaxTimeout time.Duration `validate:"min=1s,max=24h" usage:"maximum timeout that a caller may request"`
 }
 
+// GuardSettings returns the limits of clients.
+func (s Settings) GuardSettings() jujubehttp.GuardSettings {
+	return jujubehttp.GuardSettings{
+		MaxHeaderLines: s.MaxHeaderLines, MaxHeldBytes: int(s.MaxHeldBytes), MaxConnections: s.MaxConnections,
+		MaxPeerConnections: s.MaxPeerConnections, MaxMessageBytes: s.MaxMessageBytes, ProgressTimeout: s.ProgressTimeout,
+	}
+}
+
 // TLSSettings name the files for TLS on the callers' and operators' listeners; empty for plain HTTP.
 type TLSSettings struct {
 	CertificateFile string `validate:"required_with=KeyFile" usage:"PEM certificate for callers and operators; empty for plain HTTP"`
@@ -93,5 +110,7 @@
 		SlowPollPeriod: 30 * time.Second,
 		StallTimeout:   45 * time.Second, ShutdownTimeout: 10 * time.Minute,
 		MaxBodyBytes: 64 << 20, MaxBufferedBytes: 256 << 20, HeaderTimeout: 10 * time.Second, BodyTimeout: time.Minute, MaxTimeout: time.Hour,
+		MaxHeaderBytes: 64 << 10, MaxHeaderLines: jujubehttp.DefaultMaxHeaderLines, MaxHeldBytes: 256 << 20,
+		MaxMessageBytes: jujubehttp.DefaultMaxMessageBytes, ProgressTimeout: jujubehttp.DefaultProgressTimeout,
 	}
 }
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -107,6 +107,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_offers_total{outcome=%q}", outcome)).Add(items)
 }
 
+// MetricsSet returns the set to which the program adds metrics of its own.
+func (n *Node) MetricsSet() *metrics.Set { return n.metrics.set }
+
 // WriteMetrics writes the metrics of the node and the process in the Prometheus text format.
 func (n *Node) WriteMetrics(w io.Writer) {
 	n.metrics.set.WritePrometheus(w)
--- a/load/services/jujubeprocess/hostile_test.go
+++ b/load/services/jujubeprocess/hostile_test.go
@@ -23,7 +23,10 @@
 // TestHostileClients guards against clients that end an entry instance or take more than its memory and descriptors, on all
 // of its listeners: heads, bodies and messages that don't end, connections that are idle, and responses that aren't read.
 func TestHostileClients(t *testing.T) {
-	s := startSite(t, siteConfig{services: 1, entries: 0, entryFlags: []string{"--max-body-bytes", "1048576", "--max-buffered-bytes", "16777216"}})
+	s := startSite(t, siteConfig{services: 1, entries: 0, entryFlags: []string{
+		"--max-body-bytes", "1048576", "--max-buffered-bytes", "16777216", "--max-held-bytes", "25165824", "--max-connections", "64",
+		"--max-peer-connections", "64",
+	}})
 	path := "/v1/services/" + serviceName + "/records"
 	get := "/v1/services/" + serviceName + "/entries"
 	heads, bodies := jujubecrowd.HeadForms(http.MethodPost, path, "entry"), jujubecrowd.BodyForms(path, "entry")
