http: answer a body that finds no memory with 503

A part of a body for which the guard had no memory closed the connection, so that the client couldn't know whether its request had run. It fails now like a body for which the budget has none, and nothing is read after it: without that, the rest could be taken for a request.

The fuzz target found an empty line with two carriage returns that ended a head when they arrived one by one; net/http doesn't end a head there.

--- a/core/modules/jujubehttp/guard_test.go
+++ b/core/modules/jujubehttp/guard_test.go
@@ -4,19 +4,24 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"jujubepier.example/core/modules/jujubehttp"
+	"jujubepier.example/core/modules/jujubememory"
 )
 
 const (
@@ -185,9 +190,55 @@
 	assert.Equal(t, wide.guard.Stats().Refused[jujubehttp.CauseLines], 1)
 }
 
+// TestBodyWithoutRoom guards against bodies beyond the memory, against a response other than a refusal, and against the rest of a dropped
+// body that is taken for a request.
+func TestBodyWithoutRoom(t *testing.T) {
+	g := startGuarded(t, jujubehttp.GuardSettings{MaxHeldBytes: 16<<10 + 8<<10}, func(w http.ResponseWriter, r *http.Request) {
+		_, err := jujubememory.NewBudget(1<<20).ReadAll(r.Context(), jujubememory.Body{Reader: r.Body, Length: r.ContentLength, IsTrusted: true, Limit: 1 << 20})
+		if errors.As(err, new(jujubememory.ErrExhausted)) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 16000\r\n\r\n"
+	conn := g.dial(t, request+strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 16_000/27))
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	_, err = http.ReadResponse(reader, nil)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, g.runs.Load(), int64(1))
+}
+
+// TestGuardOverTLS guards against encrypted listeners whose requests the guard doesn't see, and connections that it can't close at once.
+func TestGuardOverTLS(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler()) // for its certificate
+	defer certified.Close()
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	guard := jujubehttp.NewGuard(jujubehttp.GuardSettings{MaxHeldBytes: 1 << 20})
+	server := jujubehttp.Serve(&http.Server{Handler: http.HandlerFunc(echo)}, guard.Listen(tls.NewListener(plain, &tls.Config{Certificates: certified.TLS.Certificates})))
+	defer server.Close()
+	for lineCount, status := range map[int]int{10: http.StatusOK, 4500: http.StatusServiceUnavailable} {
+		pool := x509.NewCertPool()
+		pool.AddCert(certified.Certificate())
+		conn, err := tls.Dial("tcp", plain.Addr().String(), &tls.Config{RootCAs: pool, ServerName: "example.com"})
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n"+lines(lineCount)+"\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, status)
+	}
+}
+
 // TestMemoryIsGivenBack guards against memory that stays reserved after requests of all kinds, which would refuse all others in time.
 func TestMemoryIsGivenBack(t *testing.T) {
-	g := startGuarded(t, jujubehttp.GuardSettings{}, echo)
+	g := startGuarded(t, jujubehttp.GuardSettings{}, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.CopyBuffer(w, struct{ io.Reader }{r.Body}, make([]byte, 100)) // net/http reads into its buffer
+	})
 	const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 	ended := []net.Conn{
 		g.dial(t, get+get+get), g.dial(t, strings.TrimSuffix(get, "\r\n")+lines(100)), g.dial(t, "bad\r\n\r\n"),
@@ -202,8 +253,12 @@
 		assert.NilError(t, conn.Close())
 	}
 	g.eventually(t, "all is given back", func(stats jujubehttp.GuardStats) bool { return stats.HeldBytes == 0 && stats.Connections == 0 })
-	kept := g.dial(t, get)
-	_, err := http.ReadResponse(bufio.NewReader(kept), nil)
+	kept := g.dial(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 30000\r\n\r\n"+strings.Repeat("\n", 29_000))
+	_, err := io.WriteString(kept, strings.Repeat("\n", 1000))
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(kept), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
 	assert.NilError(t, err)
 	g.eventually(t, "an idle connection holds nothing but itself", func(stats jujubehttp.GuardStats) bool { return stats.HeldBytes == 16<<10 })
 }
--- a/core/modules/jujubehttp/guardconn.go
+++ b/core/modules/jujubehttp/guardconn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jujubepier.example/core/modules/jujubememory"
 )
 
 const (
@@ -94,6 +96,9 @@
 	meter HeadMeter
 	// body is how much of the current body the guard has counted.
 	body int
+	// isBroken is true after a part of a body was dropped because it found no memory. Nothing is read after that, so that the rest can't
+	// be taken for a request.
+	isBroken bool
 	// tail is the number of line ends that net/http may have in its buffer after the current request, and tailBytes what is held for
 	// them.
 	tail, tailBytes int
@@ -197,8 +202,12 @@
 	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errGuarded}
 }
 
-// readBody reads in a request's body, or one byte after it, which is how net/http waits for the end of the connection.
+// readBody reads in a request's body. A body that finds no memory fails as one for which a budget has none, so that the handler responds
+// with 503. It also reads one byte after it, which is how net/http waits for the end of the connection.
 func (c *guardedConn) readBody(p []byte) (int, error) {
+	if c.isBroken {
+		return 0, jujubememory.ErrExhausted{}
+	}
 	if len(p) == 1 {
 		n, err := c.Conn.Read(p)
 		if n == 1 && p[0] == '\n' {
@@ -217,7 +226,11 @@
 	if charged := min(n, chargedBodyBytes-c.body); charged > 0 {
 		c.body += charged
 		if !c.guard.reserve(c, charged, false) {
-			return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errGuarded}
+			c.isBroken = true
+			c.guard.mu.Lock()
+			c.guard.markClosing(c)
+			c.guard.mu.Unlock()
+			return 0, jujubememory.ErrExhausted{Size: charged}
 		}
 	}
 	return n, err
--- a/core/modules/jujubehttp/head.go
+++ b/core/modules/jujubehttp/head.go
@@ -9,8 +9,9 @@
 	// Ended is true after the empty line that ends the head.
 	Ended bool
 
-	// hasLine is true once a line that isn't empty has ended, and hasText while the current line isn't empty.
-	hasLine, hasText bool
+	// hasLine is true once a line that isn't empty has ended, hasText while the current line isn't empty, and hasReturn after its first
+	// byte, which is a carriage return as long as the line has no text.
+	hasLine, hasText, hasReturn bool
 }
 
 // Add counts further bytes and returns how many of them follow the head.
@@ -21,16 +22,17 @@
 		if end >= 0 {
 			line = data[:end]
 		}
-		// An empty line may have a carriage return, also one that arrived before.
-		if len(line) > 1 || len(line) == 1 && line[0] != '\r' {
-			m.hasText = true
+		// An empty line may have one carriage return, also one that arrived before.
+		if len(line) > 0 {
+			m.hasText = m.hasText || m.hasReturn || len(line) > 1 || line[0] != '\r'
+			m.hasReturn = true
 		}
 		if end < 0 {
 			return 0
 		}
 		m.Lines++
 		m.Ended = m.hasLine && !m.hasText
-		m.hasLine, m.hasText = m.hasLine || m.hasText, false
+		m.hasLine, m.hasText, m.hasReturn = m.hasLine || m.hasText, false, false
 		data = data[end+1:]
 	}
 	return len(data)
--- a/core/modules/jujubehttp/head_test.go
+++ b/core/modules/jujubehttp/head_test.go
@@ -20,10 +20,12 @@
 // head that isn't where net/http finds it.
 func FuzzHeadMeter(f *testing.F) {
 	for _, seed := range []string{
-		"GET / HTTP/1.1\r\nHost: h\r\n\r\nbody\n\n", "GET / HTTP/1.1\nHost: h\n\nbody", "\r\n\r\nGET / HTTP/1.1\r\n\r\n", "\n\n\n\n", "\r\r\n\n",
+		"GET / HTTP/1.1\r\nHost: h\r\n\r\nbody\n\n", "GET / HTTP/1.1\nHost: h\n\nbody", "\r\n\r\nGET / HTTP/1.1\r\n\r\n", "\n\n\n\n", "\r\r\n\n", "0\n\r\r\n",
 		"GET / HTTP/1.1\r\nHost: h\r\na: b\r\n c\r\n\r\n", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n\n\n", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
 	} {
-		f.Add([]byte(seed), int64(1))
+		for random := range int64(4) {
+			f.Add([]byte(seed), random)
+		}
 	}
 	f.Fuzz(func(t *testing.T, data []byte, seed int64) {
 		var whole jujubehttp.HeadMeter
--- a/entry/modules/jujubepeer/codec_test.go
+++ b/entry/modules/jujubepeer/codec_test.go
@@ -111,6 +111,7 @@
 	}
 	refused := <-calls[len(calls)-1].Done
 	assert.Assert(t, refused.Error != nil, "there is no memory for 40 messages")
+	assert.Equal(t, guard.Stats().Refused[jujubehttp.CauseMemory], 1)
 	assert.Assert(t, guard.Stats().HeldBytes <= 4<<20)
 	close(block)
 	_, client = dial()
