crowd: run one test against hostile clients at a time

The tests of the two programs are in packages that run at the same time. A file lock keeps their crowds apart.

--- a/load/services/jujubeprocess/hostile_test.go
+++ b/load/services/jujubeprocess/hostile_test.go
@@ -47,6 +47,9 @@
 	} {
 		for _, form := range listener.forms {
 			t.Run(listener.name+"/"+form.Name, func(t *testing.T) {
+				release, err := jujubecrowd.Exclusive()
+				assert.NilError(t, err)
+				defer release()
 				e := s.startEntry(t, 0)
 				isAnswered := func() bool {
 					assert.Assert(t, !e.hasExited(), "%s", e.log.tail())
