--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -106,6 +106,7 @@
 	RequestAfterExit Number = 8006
 	ServerFailed     Number = 8007
 	InstanceReplaced Number = 8008
+	ClientsRefused   Number = 8009
 
 	DutyChanged    Number = 9001
 	DutyCalled     Number = 9002
@@ -211,6 +212,7 @@
 		{LogLevelChanged, "LogLevelChanged", info, "An operator changed the log level."},
 		{RequestAfterExit, "RequestAfterExit", info, "A request that arrived after the start of the shutdown was refused, with the addresses of other instances."},
 		{InstanceReplaced, "InstanceReplaced", warn, "Another process with this instance's name and a later start time is running, or this machine's clock is behind; the process exits."},
+		{ClientsRefused, "ClientsRefused", warn, "Clients were refused, or their connections closed, because they exceed a limit or to make room for others. The line counts those since the last one, by cause."},
 		{DutyChanged, "DutyChanged", info, "This instance may make duty calls to the platform's API from now on, or (Allowed false) no longer may; Reason gives the cause."},
 		{DutyCalled, "DutyCalled", info, "A duty call to the platform's API ended; Outcome and Error describe the result."},
 		{UsageFixed, "UsageFixed", info, "The usage report of a window was read from the log; its content doesn't change any more. NotFinal holds the live instances whose counts may be incomplete."},
