http: count pipelined heads whole and leave peers to peers

Change: the tail is given back only while net/http waits for the first bytes of a request; clients displace clients only; times count from the guard's start.

--- a/core/modules/jujubehttp/guard.go
+++ b/core/modules/jujubehttp/guard.go
@@ -87,7 +87,9 @@
 // Guard bounds the number of connections of all listeners of a process, and the memory that their clients make it hold.
 type Guard struct {
 	settings GuardSettings
-	// clock is the time of day in Unix nanoseconds, to clockInterval. Reading it costs a request less than asking the system.
+	// started is the origin of the guard's times. They don't follow the time of day, which may be set.
+	started time.Time
+	// clock is the time since started in nanoseconds, to clockInterval. Reading it costs a request less than asking the system.
 	clock atomic.Int64
 
 	mu sync.Mutex
@@ -127,13 +129,16 @@
 	orDefault(&settings.ProgressTimeout, DefaultProgressTimeout)
 	orDefault(&settings.MaxHeldBytes, math.MaxInt/2)
 	g := &Guard{
-		settings: settings, releasedCh: make(chan struct{}),
+		settings: settings, started: time.Now(), releasedCh: make(chan struct{}),
 		refused: make(map[RefusalCause]int), reported: make(map[RefusalCause]int),
 	}
-	g.clock.Store(time.Now().UnixNano())
+	g.clock.Store(1) // zero means that nothing waits
 	return g
 }
 
+// sinceStart returns the time since the guard's start in nanoseconds.
+func (g *Guard) sinceStart(now time.Time) int64 { return int64(now.Sub(g.started)) }
+
 func orDefault[T int | time.Duration](value *T, byDefault T) {
 	if *value == 0 {
 		*value = byDefault
@@ -190,7 +195,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		g.clock.Store(now.UnixNano())
+		g.clock.Store(max(1, g.sinceStart(now)))
 		if now.Sub(sweptAt) >= sweepInterval {
 			sweptAt = now
 			g.sweep(now)
@@ -261,7 +266,7 @@
 		cause := CauseConnections
 		if !isFull {
 			cause = CauseMemory
-			victim = g.chooseHolder(connectionBytes, now)
+			victim = g.chooseHolder(connectionBytes, now, kind)
 		}
 		if victim == nil {
 			victim = g.chooseIdle(kind, now)
@@ -273,7 +278,7 @@
 		}
 		g.markAborted(victim, cause)
 	}
-	c := &guardedConn{Conn: conn, guard: g, kind: kind, index: len(g.conns), serial: g.serial, since: now.UnixNano()}
+	c := &guardedConn{Conn: conn, guard: g, kind: kind, index: len(g.conns), serial: g.serial, since: g.sinceStart(now)}
 	g.serial++
 	g.conns = append(g.conns, c)
 	g.open[kind]++
@@ -339,7 +344,7 @@
 		}
 		var victim *guardedConn
 		if g.held-g.closing+size > g.settings.MaxHeldBytes {
-			if victim = g.chooseHolder(c.held+size, time.Now()); victim == nil {
+			if victim = g.chooseHolder(c.held+size, time.Now(), c.kind); victim == nil {
 				g.refused[CauseMemory]++
 				return false
 			}
--- a/core/modules/jujubehttp/guardconn.go
+++ b/core/modules/jujubehttp/guardconn.go
@@ -84,7 +84,7 @@
 	index int
 	// held is what the connection holds in addition to connectionBytes.
 	held int
-	// since is when the current request began, or the connection became idle, in Unix nanoseconds.
+	// since is when the current request began, or the connection became idle, in nanoseconds since the guard's start.
 	since int64
 	// isAborted is true once the guard has closed the connection, and isClosing also once its request was refused.
 	isAborted, isClosing bool
@@ -102,9 +102,12 @@
 	// tail is the number of line ends that net/http may have in its buffer after the current request, and tailBytes what is held for
 	// them.
 	tail, tailBytes int
+	// deadlines counts the read deadlines that net/http has set since the connection became idle. It sets one before it waits for the first
+	// bytes of a request, and the next one when it has them.
+	deadlines int
 
 	currentPhase atomic.Int32
-	// readSince and writeSince are when the read of a body or message, or a write, began to wait, in Unix nanoseconds; zero while
+	// readSince and writeSince are when the read of a body or message, or a write, began to wait, in nanoseconds since the guard's start; zero while
 	// there is none.
 	readSince, writeSince atomic.Int64
 	// calls is the number of calls of a peer in progress.
@@ -119,7 +122,7 @@
 	blocked := time.Duration(0)
 	for _, since := range []int64{c.readSince.Load(), c.writeSince.Load()} {
 		if since != 0 {
-			blocked = max(blocked, time.Duration(now.UnixNano()-since))
+			blocked = max(blocked, time.Duration(c.guard.sinceStart(now)-since))
 		}
 	}
 	return blocked
@@ -130,7 +133,7 @@
 func (c *guardedConn) isStalled(now time.Time, timeout time.Duration) bool {
 	if c.kind == kindPeer {
 		since := c.writeSince.Load()
-		return since != 0 && time.Duration(now.UnixNano()-since) > timeout
+		return since != 0 && time.Duration(c.guard.sinceStart(now)-since) > timeout
 	}
 	return c.phase() == phaseActive && c.blockedFor(now) > timeout
 }
@@ -140,7 +143,7 @@
 	isHead := c.phase() == phaseHead && c.kind == kindClient
 	isBlocked := c.readSince.Load() != 0 || c.writeSince.Load() != 0
 	return Holder{
-		Serial: c.serial, Held: c.held, Unwritten: int(c.unwritten.Load()), Age: time.Duration(now.UnixNano() - c.since), Moved: int(c.moved.Load()),
+		Serial: c.serial, Held: c.held, Unwritten: int(c.unwritten.Load()), Age: time.Duration(c.guard.sinceStart(now) - c.since), Moved: int(c.moved.Load()),
 		IsWaiting: isHead || isBlocked && c.calls.Load() == 0, IsIdle: isHead, IsSilent: (isHead || c.kind == kindPeer) && !c.served,
 	}
 }
@@ -158,8 +161,9 @@
 	case c.phase() == phaseActive:
 		return c.readBody(p)
 	}
-	if c.tailBytes > 0 && len(p) > serverBufferBytes-4 {
-		// net/http reads into an empty buffer, so there was no beginning of a head in it.
+	if c.tailBytes > 0 && len(p) > serverBufferBytes-4 && c.deadlines < 2 {
+		// net/http waits with an empty buffer, so there was no beginning of a head in it. Later its buffer is also empty when it has parsed
+		// the lines in it, which it holds until the head ends.
 		c.releaseBytes(c.tailBytes)
 		c.tailBytes = 0
 	}
@@ -286,6 +290,14 @@
 // NetConn returns the connection that the guard wraps.
 func (c *guardedConn) NetConn() net.Conn { return c.Conn }
 
+// SetReadDeadline sets the deadline of reads.
+func (c *guardedConn) SetReadDeadline(at time.Time) error {
+	if c.phase() == phaseHead {
+		c.deadlines++
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
 // CloseWrite ends the writing direction.
 func (c *guardedConn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -325,7 +337,7 @@
 		c.moved.Store(0)
 		c.currentPhase.Store(int32(phaseActive))
 	case http.StateIdle:
-		c.meter, c.body, c.tailBytes = HeadMeter{}, 0, 0
+		c.meter, c.body, c.tailBytes, c.deadlines = HeadMeter{}, 0, 0, 0
 		c.begin(phaseHead)
 		if size := c.tail * lineBytes; size > 0 {
 			if !c.guard.reserve(c, size, false) {
--- a/core/modules/jujubehttp/holder.go
+++ b/core/modules/jujubehttp/holder.go
@@ -93,10 +93,11 @@
 	return chosen
 }
 
-// chooseHolder returns a connection that holds more than twice of what is needed.
-func (g *Guard) chooseHolder(need int, now time.Time) *guardedConn {
+// chooseHolder returns a connection that holds more than twice of what a connection of a kind needs. Clients don't displace peers, whose
+// calls belong to the requests of many clients.
+func (g *Guard) chooseHolder(need int, now time.Time, kind connKind) *guardedConn {
 	isBetter := func(h Holder, best *Holder) bool { return h.BetterForMemory(best, need) }
-	if victim := g.choose(now, kindClient, isBetter); victim != nil {
+	if victim := g.choose(now, kindClient, isBetter); victim != nil || kind == kindClient {
 		return victim
 	}
 	return g.choose(now, kindPeer, isBetter)
