node, duty: keep counts after a clock step, yield only when needed

Cause, found in a review: an instance that left and started again with its clock set back had a lower incarnation than its last statement, so that its counts were ignored; a log that answered late for some heartbeats shifted the true time of all instances by its delay; a stream that broke off before its first event counted as begun; and a holder whose own next call wasn't due yet gave up the lease although it could connect again. Change: the incarnation exceeds that of the last statement; heartbeats of others tell no time while the own ones take over 250 ms to be read back; streams count with their first event only; a holder checks its own connection before it yields. TestCutOffHolderYields now gives the cut-off instance an API that it can't connect to; before, the fake let it connect.

--- a/core/services/jujubeduty/yield.go
+++ b/core/services/jujubeduty/yield.go
@@ -48,6 +48,9 @@
 	g.reachability.unsentSince, g.reachability.yieldedAt = time.Time{}, now
 }
 
+// RecordConnected records that this instance can connect to the API.
+func (g *Gate) RecordConnected() { g.reachability.unsentSince = time.Time{} }
+
 // IsYielding reports whether this instance leaves the lease to others.
 func (g *Gate) IsYielding(now time.Time) bool {
 	yieldedAt := g.reachability.yieldedAt
--- a/entry/services/jujubenode/dutyyield.go
+++ b/entry/services/jujubenode/dutyyield.go
@@ -45,8 +45,14 @@
 	if connected == 0 {
 		return
 	}
+	err := n.duties.caller.Connect(ctx)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if err == nil {
+		// The API is back, and only this instance's next call isn't due yet.
+		n.duties.gate.RecordConnected()
+		return
+	}
 	n.duties.gate.Yield(time.Now())
 	n.log.Write(jujubeevent.DutyYielded, func() logrus.Fields {
 		return logrus.Fields{"Asked": len(others), "Connected": connected}
--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -160,13 +160,16 @@
 		s.usage.beginAttempt()
 		sentAt := time.Now()
 		response, err := s.node.endpointCaller.Stream(ctx, call)
-		if err != nil || response.Events == nil {
-			s.usage.endAttempt(startOf(sentAt, err))
+		switch {
+		case err != nil:
+			s.usage.endStream()
+		case response.Events == nil:
+			s.usage.endAttempt(startOf(sentAt, nil)) // a whole response
 		}
 		if err == nil && response.Events != nil {
 			err = s.passEvents(ctx, decision, response)
 			response.Empty = s.after == call.After
-			s.usage.endStream(sentAt, err, response.Empty)
+			s.usage.endStream()
 			s.node.finishAttempt(ctx, id, call, response.Response, err)
 			if err == nil || s.sinkFailed {
 				return Response{}, err
--- a/entry/services/jujubenode/usage.go
+++ b/entry/services/jujubenode/usage.go
@@ -34,9 +34,15 @@
 	// is true once the true time is known.
 	ownReads    int
 	lastOwnRead int64
-	settled     bool
+	// readDelay is the time from the writing of the own last heartbeat until it was read back. While it is long, the heartbeats of others
+	// don't tell their time either.
+	readDelay time.Duration
+	settled   bool
 }
 
+// maxReadDelay is half of the difference from which on the own time of day is corrected. The log takes some ms.
+const maxReadDelay = 250 * time.Millisecond
+
 func newUsage(settings jujubeusage.Settings) *usage {
 	u := &usage{counter: jujubeusage.NewCounter(jujubeclock.Now(), settings), ledger: jujubeusage.NewLedger(settings), clock: jujubeusage.NewClock()}
 	u.clock.Update(time.Now(), jujubeclock.Now(), nil)
@@ -125,7 +131,11 @@
 		return
 	}
 	isOwn := heartbeat.Instance == n.identity.Instance
-	if fresh && !isOwn && !heartbeat.TimeOfDay.IsZero() {
+	switch {
+	case heartbeat.TimeOfDay.IsZero():
+	case isOwn:
+		u.readDelay = now.Sub(heartbeat.TimeOfDay).Abs()
+	case fresh && u.readDelay < maxReadDelay:
 		u.clock.Observe(heartbeat.Instance, heartbeat.TimeOfDay, jujubeclock.Now())
 	}
 	if heartbeat.Usage == nil {
@@ -148,6 +158,10 @@
 func (n *Node) applyStatement(statement jujubeusage.Statement, apply func(jujubeusage.Statement)) {
 	if statement.Instance == n.identity.Instance && n.heartbeatNumber == 0 {
 		n.usage().counter.Restore(statement.Note)
+		if statement.Incarnation > n.incarnation {
+			// The clock was set back since the process before left, which removed its heartbeat.
+			n.incarnation = statement.Incarnation + 1
+		}
 	}
 	apply(statement)
 }
--- a/entry/services/jujubenode/usage_test.go
+++ b/entry/services/jujubenode/usage_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -66,6 +67,19 @@
 
 func (p *fakePlatform) Connect(context.Context) error { return nil }
 
+// cutPlatform is the platform's API for the instance whose link to it is cut.
+type cutPlatform struct{ *fakePlatform }
+
+func (cutPlatform) Connect(context.Context) error { return errors.New("no connection") }
+
+// platformFor returns the platform's API as an instance reaches it.
+func (c *testCluster) platformFor(id model.InstanceID) jujubenode.PlatformCaller {
+	if p, ok := c.platform.(*fakePlatform); ok && p.cutOff == id {
+		return cutPlatform{p}
+	}
+	return c.platform
+}
+
 // count returns the number of reported requests of an organisation.
 func (p *fakePlatform) count(organisation model.OrganisationName) int64 {
 	p.mu.Lock()
--- a/entry/services/jujubenode/usagetracker.go
+++ b/entry/services/jujubenode/usagetracker.go
@@ -61,15 +61,8 @@
 	u.finish(false)
 }
 
-// endStream records the end of an attempt whose response was a stream. A stream begins with its first event, which countNow has
-// counted, so a complete one without events (empty) never began.
-func (u *usageTracker) endStream(sentAt time.Time, err error, empty bool) {
-	if err == nil && empty {
-		u.endAttempt(time.Time{})
-		return
-	}
-	u.endAttempt(startOf(sentAt, err))
-}
+// endStream records the end of an attempt of a stream. A stream begins with its first event, which countNow has counted.
+func (u *usageTracker) endStream() { u.endAttempt(time.Time{}) }
 
 // countNow counts a request that a server has begun at a time for sure, because its response may take long.
 func (u *usageTracker) countNow(startedAt time.Time) {
