--- a/core/services/jujubeorganisation/authenticate.go
+++ b/core/services/jujubeorganisation/authenticate.go
@@ -64,6 +64,8 @@
 	// Read is the time of the last complete read of the desired state, whether it brought a new version or not. The clock runs on
 	// while the machine is suspended; otherwise a machine that resumes would take an old view for a recent one.
 	Read jujubeclock.ReadTime
+	// IsUncertain is true if a version between the one in force and the last one may have been missed; nothing is decided then.
+	IsUncertain bool
 }
 
 // Decision is what to do with a request.
@@ -73,9 +75,9 @@
 const (
 	Accept Decision = "Accept"
 	Deny   Decision = "Deny"
-	// Wait means that the view is too old to decide, and that the next read of the desired state may be awaited.
+	// Wait means that the view is too old or uncertain to decide, and that the next read of the desired state may be awaited.
 	Wait Decision = "Wait"
-	// Refuse means that the view is too old to decide.
+	// Refuse means that the view is too old or uncertain to decide.
 	Refuse Decision = "Refuse"
 )
 
@@ -99,12 +101,12 @@
 	verdict := Verdict{Organisation: organisation, Problem: problem}
 	if problem == NoProblem {
 		verdict.Age, verdict.Decision = now.Sub(v.Read.RequestedAt), Accept
-		if bound <= 0 || verdict.Age < bound-revokeMargin {
+		if !v.IsUncertain && (bound <= 0 || verdict.Age < bound-revokeMargin) {
 			return verdict
 		}
 	} else {
 		verdict.Age, verdict.Decision = now.Sub(v.Read.ReadAt), Deny
-		if verdict.Age <= MaxDenialAge {
+		if !v.IsUncertain && verdict.Age <= MaxDenialAge {
 			return verdict
 		}
 	}
--- a/core/services/jujubeorganisation/directory_test.go
+++ b/core/services/jujubeorganisation/directory_test.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// TestDecideUncertain guards against a decision from a view that may lack a version.
+func TestDecideUncertain(t *testing.T) {
+	view := organisation.View{Directory: newDirectory(t), Read: jujubeclock.RequestedNow(1), IsUncertain: true}
+	for _, header := range []string{"Bearer secret", "Bearer other"} {
+		assert.Equal(t, view.Decide(1, []string{header}, 0, true).Decision, organisation.Wait)
+		assert.Equal(t, view.Decide(1, []string{header}, time.Second, false).Decision, organisation.Refuse)
+	}
+}
+
 // TestDecide guards against decisions from a view that is too old, and against a request that is refused although the next read could
 // decide.
 func TestDecide(t *testing.T) {
--- a/entry/services/jujubenode/authenticate.go
+++ b/entry/services/jujubenode/authenticate.go
@@ -48,7 +48,7 @@
 func (e ErrUnauthenticated) Error() string { return "authenticate: " + string(e.Problem) }
 
 // Authenticate returns what a request may do. The result remains valid for the request, whatever changes afterwards. It returns
-// ErrUnauthenticated for a key that isn't known, and a refusal if the desired state was read too long ago to tell. While the desired
+// ErrUnauthenticated for a key that isn't known, and a refusal if the desired state was read too long ago to tell, or a version of it may have been missed. While the desired
 // state has no organisations, every request may do everything.
 func (n *Node) Authenticate(ctx context.Context, credentials Credentials) (Access, error) {
 	var timer *time.Timer
@@ -59,7 +59,9 @@
 			return Access{}, refusal(jujubeerror.CodeNotReady, "the desired state hasn't been read yet")
 		}
 		desired, changedCh := n.desired, n.desiredFollower.readCh
-		view := jujubeorganisation.View{Directory: desired.Organisations, Read: n.desiredFollower.viewTime}
+		view := jujubeorganisation.View{
+			Directory: desired.Organisations, Read: n.desiredFollower.viewTime, IsUncertain: n.desiredDoubt.isUncertain,
+		}
 		now := n.bootClock()
 		n.mu.Unlock()
 		if view.Directory == nil {
--- a/entry/services/jujubenode/desired.go
+++ b/entry/services/jujubenode/desired.go
@@ -13,9 +13,11 @@
 // SetDesired applies a newer desired state, and reports whether it is one. It is called from a feed, with the node's lock held.
 func (n *Node) SetDesired(_ time.Time, state *jujubedesired.State) (isNewer bool) {
 	if n.desired != nil && state.Version <= n.desired.Version {
+		n.desiredDoubt.isConfirmed = n.desiredDoubt.isConfirmed || state.Version == n.desired.Version
 		return false
 	}
 	n.desired = state
+	n.desiredDoubt.isConfirmed, n.desiredDoubt.isUncertain = true, false
 	n.scheduler.SetDesired(state)
 	singleVersion, routed := false, map[model.ServiceName]bool{}
 	for i := range state.Routes {
--- a/entry/services/jujubenode/desiredcopy.go
+++ b/entry/services/jujubenode/desiredcopy.go
@@ -11,7 +11,7 @@
 	"jujubepier.example/core/modules/jujubeevent"
 )
 
-// desiredCopyInterval is the time between two requests of an instance without a desired state to the others.
+// desiredCopyInterval is the time between two requests of an instance without a certain desired state to the others.
 const desiredCopyInterval = 300 * time.Millisecond
 
 // DesiredArgs request the record of the desired state in force.
@@ -20,7 +20,8 @@
 	Next int64
 }
 
-// DesiredReply holds that record, redacted; Known is false if the instance has none or is behind the asking one.
+// DesiredReply holds that record, redacted; Known is false if the instance has none, may have missed one, or is behind the
+// asking one.
 type DesiredReply struct {
 	Known  bool
 	Record Record
@@ -41,7 +42,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	f := n.desiredFollower
-	if f == nil || n.desired == nil || len(n.desiredRecord.Value) == 0 || f.next < args.Next {
+	if f == nil || !n.isDesiredCertain() || len(n.desiredRecord.Value) == 0 || f.next < args.Next {
 		return nil
 	}
 	reply.Known, reply.Record = true, n.desiredRecord
@@ -49,26 +50,27 @@
 }
 
 // copyDesired gets the desired state from another instance if this one finds only an unusable record of it: the one before is in force,
-// but the store may not have its record any more. It returns once there is a desired state.
+// but the store may not have its record any more. This happens to an instance that starts, and to one that was cut off until the records
+// had expired.
 func (n *Node) copyDesired(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, desiredCopyInterval)
 		n.mu.Lock()
 		f := n.desiredFollower
-		isKnown := f == nil || n.desired != nil
+		isCertain := n.isDesiredCertain()
 		isRead := f != nil && !f.caughtUpAt.IsZero()
 		n.mu.Unlock()
-		switch {
-		case isKnown:
+		if f == nil {
 			return nil
-		case isRead:
+		}
+		if isRead && !isCertain {
 			n.askForDesired(ctx, f)
 		}
 	}
 	return nil
 }
 
-// askForDesired asks the other instances one after the other, until one of them knows the desired state.
+// askForDesired asks the other instances one after the other, until one of them has shown which desired state is in force.
 func (n *Node) askForDesired(ctx context.Context, f *follower) {
 	addresses := n.peerAddresses()
 	for _, id := range slices.Sorted(maps.Keys(addresses)) {
@@ -83,13 +85,13 @@
 			continue
 		}
 		n.mu.Lock()
-		if n.desired == nil {
-			f.apply(time.Now(), args.Next, reply.Record)
+		if !n.isDesiredCertain() {
+			n.applyCopy(args.Next, func() { f.apply(time.Now(), args.Next, reply.Record) })
 		}
-		isKnown := n.desired != nil
+		isCertain := n.isDesiredCertain()
 		n.notifyChange()
 		n.mu.Unlock()
-		if isKnown {
+		if isCertain {
 			n.log.Write(jujubeevent.DesiredCopied, func() logrus.Fields {
 				return logrus.Fields{"Peer": id, "Next": args.Next}
 			})
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -241,7 +241,7 @@
 	f.recordSuccess(now)
 	f.next = max(f.next, complete.end)
 	f.dropRecent()
-	f.reset(now, complete.records)
+	f.applySnapshot(f.next, func() { f.reset(now, complete.records) })
 	f.recordCaughtUp(complete.requestedAt)
 	f.node.notifyChange()
 	return nil
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -172,6 +172,8 @@
 	desiredFollower *follower
 	// desiredRecord is the record of the desired state in force.
 	desiredRecord Record
+	// desiredDoubt tells whether a later version may have been missed.
+	desiredDoubt desiredDoubt
 	// desiredRefreshedAt is when it was last read because of a request.
 	desiredRefreshedAt jujubeclock.Instant
 	// endpointFollower reads the topic of the endpoints' registry entries; nil without one.
