router, node: don't hold second copies

While requests are held, the copy of a request whose first attempt hangs was given up if the router would let it wait. A request has one second copy, so it then failed with its deadline.

A second copy is now dispatched regardless of held endpoints and waiting requests while requests are held. Otherwise it waits in the router again.

--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -200,7 +200,7 @@
 			}
 			return
 		}
-		if !request.Held && (!e.hasCapacity() || r.isHeld(now, e) || e.load.Version < request.MinVersion || anyHealthy && e.isEjected(now)) {
+		if !request.Held && (!e.hasCapacity() || !request.SecondCopy && r.isHeld(now, e) || e.load.Version < request.MinVersion || anyHealthy && e.isEjected(now)) {
 			return
 		}
 		r.candidates = append(r.candidates, r.estimate(now, p, e, request, prompt))
--- a/core/services/jujuberouter/request.go
+++ b/core/services/jujuberouter/request.go
@@ -56,6 +56,9 @@
 	// Held is true for a stream that the endpoint in Only already runs. It occupies a slot there whether this instance reads it
 	// or not, so it is dispatched regardless of this instance's shares and of MinVersion. It still counts towards the shares.
 	Held bool
+	// SecondCopy is true for a copy of a request that is in flight at another endpoint. While requests are held, it is dispatched
+	// regardless of the waiting ones, as the caller waits for it already.
+	SecondCopy bool `json:",omitempty"`
 	// Retry marks a retry, which is charged to the retry budget.
 	Retry bool
 }
--- a/entry/services/jujubenode/attempt.go
+++ b/entry/services/jujubenode/attempt.go
@@ -113,7 +113,7 @@
 	}
 	request := jujuberouter.Request{
 		ID: id, Kind: model.KindService, Service: f.service, SoftwareVersion: f.software, Priority: f.priority, Organisation: f.request.Organisation, Level: f.request.Level, Arrived: now, Deadline: f.request.Deadline,
-		Exclude: append(slices.Clip(exclude), f.excludeSuspects(now)...), Prompt: f.request.Prompt,
+		Exclude: append(slices.Clip(exclude), f.excludeSuspects(now)...), Prompt: f.request.Prompt, SecondCopy: kind == hedged,
 	}
 	decision := n.router.Route(now, request)
 	if decision.Code == jujubeerror.CodeNoEndpoint && len(request.Exclude) > len(exclude) {
@@ -121,12 +121,6 @@
 		decision = n.router.Route(now, request)
 	}
 	var waiter chan jujuberouter.Decision
-	if decision.Kind == jujuberouter.Wait && kind == hedged {
-		// The outcome of the first attempt mustn't wait for the second one.
-		n.deliverDecisions(n.router.Cancel(now, id))
-		n.mu.Unlock()
-		return decision, refusal(jujubeerror.CodeNoEndpoint, "no endpoint is free for a second copy")
-	}
 	if decision.Kind == jujuberouter.Wait {
 		waiter = make(chan jujuberouter.Decision, 1)
 		n.routeWaiters[id] = waiter
