node: bound the age of a state without organisations

While the desired state had no organisations, an instance that was cut off accepted any key however old its view was, and passed the key on, although organisations might have been published since. With a bound on revocations, requests that carry Authorization now wait for a read and get 503 once the view is as old as the bound allows. Other requests, and instances without a bound, aren't affected.

--- a/core/services/jujubeorganisation/authenticate.go
+++ b/core/services/jujubeorganisation/authenticate.go
@@ -96,10 +96,17 @@
 //
 // The request was sent before now. So if a version was acknowledged longer than the bound before the request was sent, a view whose
 // read was requested less than the bound before now includes that version.
+//
+// Without a directory every request is accepted, except that the bound holds for those that carry a key: organisations may have been
+// published since.
 func (v View) Decide(now jujubeclock.Instant, authorization []string, bound time.Duration, mayWait bool) Verdict {
-	organisation, problem := v.Directory.Authenticate(authorization)
-	verdict := Verdict{Organisation: organisation, Problem: problem}
-	if problem == NoProblem {
+	var verdict Verdict
+	if v.Directory != nil {
+		verdict.Organisation, verdict.Problem = v.Directory.Authenticate(authorization)
+	} else if bound <= 0 || len(authorization) == 0 {
+		return Verdict{Decision: Accept, Age: now.Sub(v.Read.RequestedAt)}
+	}
+	if verdict.Problem == NoProblem {
 		verdict.Age, verdict.Decision = now.Sub(v.Read.RequestedAt), Accept
 		if !v.IsUncertain && (bound <= 0 || verdict.Age < bound-revokeMargin) {
 			return verdict
--- a/core/services/jujubeorganisation/directory_test.go
+++ b/core/services/jujubeorganisation/directory_test.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// TestDecideWithoutOrganisations guards against a key that is passed on by an instance that hasn't learned of the first organisations.
+func TestDecideWithoutOrganisations(t *testing.T) {
+	const bound = 5 * time.Second
+	key := []string{"Bearer x"}
+	for name, c := range map[string]struct {
+		authorization []string
+		age, bound    time.Duration
+		uncertain     bool
+		want          organisation.Decision
+	}{
+		"recent":              {key, 4499 * time.Millisecond, bound, false, organisation.Accept},
+		"old":                 {key, 4500 * time.Millisecond, bound, false, organisation.Refuse},
+		"uncertain":           {key, 0, bound, true, organisation.Refuse},
+		"no key":              {nil, time.Hour, bound, true, organisation.Accept},
+		"no bound":            {key, time.Hour, 0, false, organisation.Accept},
+		"no bound, uncertain": {key, time.Hour, 0, true, organisation.Accept},
+	} {
+		view := organisation.View{Read: jujubeclock.RequestedNow(1), IsUncertain: c.uncertain}
+		verdict := view.Decide(jujubeclock.Instant(1).Add(c.age), c.authorization, c.bound, false)
+		assert.Check(t, verdict.Decision == c.want, "%s: %+v", name, verdict)
+	}
+}
+
 // TestDecideUncertain guards against a decision from a view that may lack a version.
 func TestDecideUncertain(t *testing.T) {
 	view := organisation.View{Directory: newDirectory(t), Read: jujubeclock.RequestedNow(1), IsUncertain: true}
--- a/entry/services/jujubenode/authenticate.go
+++ b/entry/services/jujubenode/authenticate.go
@@ -49,7 +49,7 @@
 
 // Authenticate returns what a request may do. The result remains valid for the request, whatever changes afterwards. It returns
 // ErrUnauthenticated for a key that isn't known, and a refusal if the desired state was read too long ago to tell, or a version of it may have been missed. While the desired
-// state has no organisations, every request may do everything.
+// state has no organisations, every request may do everything, but with a bound on revocations one that carries a key is refused likewise.
 func (n *Node) Authenticate(ctx context.Context, credentials Credentials) (Access, error) {
 	var timer *time.Timer
 	for mayWait := true; ; {
@@ -64,14 +64,17 @@
 		}
 		now := n.bootClock()
 		n.mu.Unlock()
-		if view.Directory == nil {
-			return credentials.unrestricted(), nil
-		}
-		isPublic, level := credentials.matchRoute(desired)
-		if isPublic {
-			return Access{Enforced: true, Level: level}, nil
+		level := 0
+		if view.Directory != nil {
+			var isPublic bool
+			if isPublic, level = credentials.matchRoute(desired); isPublic {
+				return Access{Enforced: true, Level: level}, nil
+			}
 		}
 		verdict := view.Decide(now, credentials.Authorization, n.settings.RevokeTime, mayWait)
+		if verdict.Decision == jujubeorganisation.Accept && view.Directory == nil {
+			return credentials.unrestricted(), nil
+		}
 		if verdict.Decision != jujubeorganisation.Wait {
 			return n.access(verdict, desired, level)
 		}
