router: bound the queue ahead of a lower class while holding

The estimated wait of a scoring call counted all waiting requests of a higher class as ahead of it. While requests are held, there are so many that the calls were refused on arrival, although a lower class is served at least once in maxSkips+1 dispatches. The number ahead is now bounded by that.

With the queue of TestLowerClassWhileHolding a call was refused before the change and waits now.

--- a/core/services/jujuberouter/hold_test.go
+++ b/core/services/jujuberouter/hold_test.go
@@ -1,6 +1,8 @@
 package jujuberouter_test
 
 import (
+	"fmt"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -31,3 +33,22 @@
 	assert.Equal(t, route(limited, 0, false), router.Dispatch)
 	assert.Equal(t, route(limited, 1, true), router.Wait)
 }
+
+// TestLowerClassWhileHolding guards against scoring calls that are refused on arrival because of all waiting requests of a higher class,
+// of which only maxSkips go before each of them.
+func TestLowerClassWhileHolding(t *testing.T) {
+	r := router.New(router.LeastExpectedWait{}, router.Settings{Instance: "i", ServiceTime: 50 * time.Millisecond}, rand.New(rand.NewSource(1)))
+	r.PutEndpoint(start, model.Endpoint{ID: "e", Kind: model.KindService, Service: "s", Incarnation: 1})
+	r.SetHolding(1)
+	at := start.Add(time.Millisecond)
+	r.ReportLoad(at, model.LoadReport{Endpoint: "e", Incarnation: 1, At: at, Slots: 4, Running: 4, Waiting: 3})
+	route := func(id int, priority model.Priority, left time.Duration) router.DecisionKind {
+		return r.Route(at, router.Request{
+			ID: model.RequestID(fmt.Sprint(id)), Kind: model.KindService, Service: "s", Priority: priority, Arrived: at, Deadline: at.Add(left),
+		}).Kind
+	}
+	for id := range 60 {
+		assert.Assert(t, route(id, model.PriorityInteractive, 10*time.Second) != router.Refuse)
+	}
+	assert.Equal(t, route(60, model.PriorityTrainer, 400*time.Millisecond), router.Wait)
+}
--- a/core/services/jujuberouter/queue.go
+++ b/core/services/jujuberouter/queue.go
@@ -247,6 +247,11 @@
 	for priority := model.PriorityInteractive; priority < req.request.Priority; priority++ {
 		higher += p.classes[priority].length
 	}
+	if r.holdMembers > 0 {
+		// A lower class is skipped at most maxSkips times before each of its dispatches, and requests of organisations wait here
+		// in great numbers.
+		higher = min(higher, maxSkips*max(1, ahead))
+	}
 	class := &p.classes[req.request.Priority]
 	own, _ := class.queues.Get(req.key)
 	isDue := own != nil && own.isDue()
