router: use a free server while restricted requests wait

While requests are held, a new request waited behind any waiting request of its flow or of one that goes first, even one that may not use the free server, for up to a tick. Now only requests that may use all endpoints go before it.

TestFreeServerWhileRestrictedWait got Wait before the change.

--- a/core/services/jujuberouter/hold_test.go
+++ b/core/services/jujuberouter/hold_test.go
@@ -34,6 +34,25 @@
 	assert.Equal(t, route(limited, 1, true), router.Wait)
 }
 
+// TestFreeServerWhileRestrictedWait guards against a request that waits for the next tick although an endpoint is free, because a retry
+// that may not go there waits before it.
+func TestFreeServerWhileRestrictedWait(t *testing.T) {
+	for _, organisation := range []model.OrganisationName{"o", "p"} {
+		r := newRouter(2, 0)
+		r.SetHolding(4)
+		at := start.Add(time.Millisecond)
+		route := func(id int, organisation model.OrganisationName, exclude ...model.EndpointID) router.DecisionKind {
+			request := newRequest(id, model.PriorityInteractive, "")
+			request.Organisation, request.Exclude = organisation, exclude
+			return r.Route(at, request).Kind
+		}
+		assert.Equal(t, route(0, "o", "e000"), router.Dispatch)
+		r.ReportLoad(at, model.LoadReport{Endpoint: "e001", Incarnation: 1, At: at, Slots: 4, Running: 4, Waiting: 3})
+		assert.Equal(t, route(1, "o", "e000"), router.Wait)
+		assert.Equal(t, route(2, organisation), router.Dispatch, organisation)
+	}
+}
+
 // TestLowerClassWhileHolding guards against scoring calls that are refused on arrival because of all waiting requests of a higher class,
 // of which only maxSkips go before each of them.
 func TestLowerClassWhileHolding(t *testing.T) {
--- a/core/services/jujuberouter/queue.go
+++ b/core/services/jujuberouter/queue.go
@@ -153,20 +153,29 @@
 	}
 }
 
-// mustQueue reports whether a new request must wait behind others that come first.
-func (p *pool) mustQueue(req *trackedRequest) bool {
+// mustQueue reports whether a new request must wait behind others that come first. While requests are held, those of its class that may
+// not use all endpoints don't keep it from one that is free.
+func (p *pool) mustQueue(req *trackedRequest, isHolding bool) bool {
 	for priority := range p.classes {
 		c := &p.classes[priority]
 		switch own := int(req.request.Priority); {
 		case priority < own && c.hasEligible(), priority > own && c.skips >= maxSkips && c.hasEligible():
 			return true
-		case priority == own && c.length > 0 && (len(c.queueFor(req).requests) > 0 || c.hasEligibleBefore(c.queueFor(req))):
+		case priority == own && c.length > 0 && (c.queueFor(req).blocks(isHolding) || c.hasEligibleBefore(c.queueFor(req), isHolding)):
 			return true
 		}
 	}
 	return false
 }
 
+// blocks reports whether the queue has a request that a later one has to wait for.
+func (q *flowQueue) blocks(isHolding bool) bool {
+	if !isHolding {
+		return len(q.requests) > 0
+	}
+	return slices.ContainsFunc(q.requests, func(req *trackedRequest) bool { return req.request.isUnrestricted() })
+}
+
 // dispatchWaiting dispatches waiting requests while endpoints have capacity, and refuses those that it finds to be too late. It
 // tries scanLimit requests per trainer and class.
 func (r *Router[P]) dispatchWaiting(now time.Time, p *pool, scanLimit int) []Decision {
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -142,7 +142,7 @@
 	if req.caller != nil {
 		req.caller.active++
 	}
-	if r.queued == 0 || request.Held || request.SecondCopy && r.holdMembers > 0 || !req.pool.mustQueue(req) {
+	if r.queued == 0 || request.Held || request.SecondCopy && r.holdMembers > 0 || !req.pool.mustQueue(req, r.holdMembers > 0) {
 		if decision := r.tryDispatch(now, req); decision.Kind != Wait {
 			return decision
 		}
--- a/core/services/jujuberouter/turns.go
+++ b/core/services/jujuberouter/turns.go
@@ -57,13 +57,13 @@
 }
 
 // hasEligibleBefore reports whether a request of another flow waits that goes before those of a flow, and that its trainer's limit
-// doesn't block.
-func (c *priorityClass) hasEligibleBefore(own *flowQueue) bool {
+// doesn't block. While requests are held, it has to be one that may use all endpoints.
+func (c *priorityClass) hasEligibleBefore(own *flowQueue, isHolding bool) bool {
 	if !c.turns.isShared || own.isDue() {
 		return false
 	}
 	for _, q := range c.queues.All() {
-		if len(q.requests) > 0 && (q.isDue() || q.level < own.level) && q.trainer.hasCapacity() {
+		if (q.isDue() || q.level < own.level) && q.trainer.hasCapacity() && q.blocks(isHolding) {
 			return true
 		}
 	}
