--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -133,7 +133,7 @@
 		{GenerationRestarted, "GenerationRestarted", info, "A generation starts anew on another engine, because no engine of the software version that began its text can continue it."},
 		{RequestAuthenticated, "RequestAuthenticated", debug, "A request carries a key of an organisation; Age is how long ago the read of the desired state was requested."},
 		{RequestDenied, "RequestDenied", info, "A request carries no known key and was answered with 401. Problem is what it lacks; the key isn't logged."},
-		{AuthenticationFailed, "AuthenticationFailed", warn, "A request was refused as not ready, because the desired state was read too long ago to tell whether its key is valid."},
+		{AuthenticationFailed, "AuthenticationFailed", warn, "A request was refused as not ready, because the desired state was read too long ago to tell whether its key is valid, or a version of it may have been missed."},
 		{SubmissionForeign, "SubmissionForeign", info, "A request about a submission carries a key of another organisation and was answered as if the submission didn't exist."},
 		{PartAccepted, "PartAccepted", info, "A trainer's step part was accepted, or taken over from an earlier attempt."},
 		{PartRefused, "PartRefused", info, "A trainer's step part or pull was refused."},
