--- a/core/services/jujubeorganisation/authenticate.go
+++ b/core/services/jujubeorganisation/authenticate.go
@@ -52,6 +52,11 @@
 	return organisation, NoProblem
 }
 
+// IsSendable reports whether a request's header can contain a key.
+func IsSendable(key string) bool {
+	return isToken(key) && len(scheme)+1+len(key) <= maxHeaderBytes
+}
+
 // isToken reports whether a text consists of one or more visible ASCII characters.
 func isToken(text string) bool {
 	return text != "" && !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' })
