--- a/core/services/jujubeorganisation/authenticate.go
+++ b/core/services/jujubeorganisation/authenticate.go
@@ -52,6 +52,11 @@
 	return organisation, NoProblem
 }
 
+// IsSendable reports whether a request's header can contain a key.
+func IsSendable(key string) bool {
+	return isToken(key) && len(scheme)+1+len(key) <= maxHeaderBytes
+}
+
 // isToken reports whether a text consists of one or more visible ASCII characters.
 func isToken(text string) bool {
 	return text != "" && !strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' })
@@ -64,6 +69,8 @@
 	// Read is the time of the last complete read of the desired state, whether it brought a new version or not. The clock runs on
 	// while the machine is suspended; otherwise a machine that resumes would take an old view for a recent one.
 	Read jujubeclock.ReadTime
+	// IsUncertain is true if a version between the one in force and the last one may have been missed; nothing is decided then.
+	IsUncertain bool
 }
 
 // Decision is what to do with a request.
@@ -73,9 +80,9 @@
 const (
 	Accept Decision = "Accept"
 	Deny   Decision = "Deny"
-	// Wait means that the view is too old to decide, and that the next read of the desired state may be awaited.
+	// Wait means that the view is too old or uncertain to decide, and that the next read of the desired state may be awaited.
 	Wait Decision = "Wait"
-	// Refuse means that the view is too old to decide.
+	// Refuse means that the view is too old or uncertain to decide.
 	Refuse Decision = "Refuse"
 )
 
@@ -94,17 +101,24 @@
 //
 // The request was sent before now. So if a version was acknowledged longer than the bound before the request was sent, a view whose
 // read was requested less than the bound before now includes that version.
+//
+// Without a directory every request is accepted, except that the bound holds for those that carry a key: organisations may have been
+// published since.
 func (v View) Decide(now jujubeclock.Instant, authorization []string, bound time.Duration, mayWait bool) Verdict {
-	organisation, problem := v.Directory.Authenticate(authorization)
-	verdict := Verdict{Organisation: organisation, Problem: problem}
-	if problem == NoProblem {
+	var verdict Verdict
+	if v.Directory != nil {
+		verdict.Organisation, verdict.Problem = v.Directory.Authenticate(authorization)
+	} else if bound <= 0 || len(authorization) == 0 {
+		return Verdict{Decision: Accept, Age: now.Sub(v.Read.RequestedAt)}
+	}
+	if verdict.Problem == NoProblem {
 		verdict.Age, verdict.Decision = now.Sub(v.Read.RequestedAt), Accept
-		if bound <= 0 || verdict.Age < bound-revokeMargin {
+		if !v.IsUncertain && (bound <= 0 || verdict.Age < bound-revokeMargin) {
 			return verdict
 		}
 	} else {
 		verdict.Age, verdict.Decision = now.Sub(v.Read.ReadAt), Deny
-		if verdict.Age <= MaxDenialAge {
+		if !v.IsUncertain && verdict.Age <= MaxDenialAge {
 			return verdict
 		}
 	}
