jujuberouter: explain a decision without making it

Operators can see where a request went, but not where one would go now. Explain runs the steps of Route up to the policy's choice on a copy of the state that they change. Route is split into admit, findCandidates and dispatch for this, and the reasons against an endpoint are in one function that both use. The core and the operators' client pass it on.

--- a/core/modules/jujubeclient/operator.go
+++ b/core/modules/jujubeclient/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +54,18 @@
 	return status, err
 }
 
+// ExplainRoute returns what the instance would do with a request now; the query describes it.
+func (c *OperatorClient) ExplainRoute(ctx context.Context, query url.Values) (model.RouteExplanation, error) {
+	var explanation model.RouteExplanation
+	err := c.do(ctx, http.MethodGet, "/v1/explain?"+query.Encode(), nil, &explanation)
+	var failure ErrOperator
+	if errors.As(err, &failure) {
+		failure.Path = "/v1/explain" // the query may contain a prompt
+		return explanation, failure
+	}
+	return explanation, err
+}
+
 // Drain drains an endpoint: it receives no new work from any entry instance.
 func (c *OperatorClient) Drain(ctx context.Context, endpoint model.EndpointID) error {
 	return c.do(ctx, http.MethodPost, "/v1/drain", model.DrainRequest{Endpoint: endpoint}, nil)
--- a/core/services/jujubecore/core.go
+++ b/core/services/jujubecore/core.go
@@ -40,6 +40,7 @@
 	ReportLoad(now time.Time, report model.LoadReport)
 	ReportCache(now time.Time, id model.EndpointID, events []model.CacheEvent)
 	Route(now time.Time, request jujuberouter.Request) jujuberouter.Decision
+	Explain(now time.Time, request jujuberouter.Request) model.RouteExplanation
 	Finish(now time.Time, id model.RequestID, outcome jujuberouter.Outcome) []jujuberouter.Decision
 	Cancel(now time.Time, id model.RequestID) []jujuberouter.Decision
 	SetEndpointFilter(id model.RequestID, only, exclude []model.EndpointID)
--- a/core/services/jujubecore/views.go
+++ b/core/services/jujubecore/views.go
@@ -7,6 +7,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/services/jujubeclaim"
 	"jujubepier.example/core/services/jujubeconfig"
+	"jujubepier.example/core/services/jujuberouter"
 )
 
 // IsReady reports whether the instance has a configuration, isn't leaving and may serve callers.
@@ -50,3 +51,10 @@
 	endpoint, known := c.endpoints.Get(id)
 	return endpoint.info, known
 }
+
+// ExplainRoute returns what the router would do with a request now, and why. It changes nothing and doesn't consider quarantines.
+func (c *Core) ExplainRoute(now time.Time, request jujuberouter.Request) model.RouteExplanation {
+	explanation := c.router.Explain(now, request)
+	explanation.Instance = c.self.ID
+	return explanation
+}
--- a/core/services/jujuberouter/policy.go
+++ b/core/services/jujuberouter/policy.go
@@ -63,6 +63,11 @@
 			best = second
 		}
 	}
+	return preferCached(candidates, best)
+}
+
+// preferCached returns the best of a candidate and those that keep a part of the prompt.
+func preferCached(candidates []Candidate, best int) int {
 	for i := range candidates {
 		if candidates[i].Cached && candidates[i].isBetter(&candidates[best]) {
 			best = i
@@ -71,6 +76,22 @@
 	return best
 }
 
+// mayChoose returns, for each candidate, whether Choose can return it.
+func (LeastExpectedWait) mayChoose(candidates []Candidate) []bool {
+	may := make([]bool, len(candidates))
+	for i := range candidates {
+		// The better of two candidates is one that another one isn't better than.
+		isWinner := len(candidates) == 1
+		for j := range candidates {
+			isWinner = isWinner || i != j && !candidates[j].isBetter(&candidates[i])
+		}
+		if isWinner {
+			may[preferCached(candidates, i)] = true
+		}
+	}
+	return may
+}
+
 // Random chooses uniformly at random. It is a baseline.
 type Random struct{}
 
--- a/core/services/jujuberouter/pool.go
+++ b/core/services/jujuberouter/pool.go
@@ -183,24 +183,24 @@
 func (r *Router[P]) collectCandidates(now time.Time, p *pool, request *Request) availability {
 	r.refresh(p)
 	r.candidates = r.candidates[:0]
-	anyHealthy := slices.ContainsFunc(p.watched, func(e *endpointState) bool {
-		return !e.isEjected(now) && !e.isThrottled(now, request.Priority)
-	})
+	anyHealthy := p.hasHealthy(now, request.Priority)
 	found, prompt := availability{zeroShare: true}, r.promptOf(request)
 	add := func(e *endpointState) {
-		if !e.isActive() || slices.Contains(request.Exclude, e.endpoint.ID) || !request.allowsSoftware(e.endpoint.SoftwareVersion) {
+		reason := r.exclusion(now, e, request, anyHealthy)
+		switch reason {
+		case model.ExcludedRemoved, model.ExcludedLeaving, model.ExcludedByRequest, model.ExcludedSoftware:
 			return
 		}
 		found.allowed++
 		found.zeroShare = found.zeroShare && e.limited && e.instanceLimit == 0 && !request.Held
-		if until := e.throttledUntil[request.Priority]; !request.Held && now.Before(until) {
+		if reason == model.ExcludedThrottled {
+			until := e.throttledUntil[request.Priority]
 			found.throttled++
 			if found.throttled == 1 || until.Before(found.throttledUntil) {
 				found.throttledUntil = until
 			}
-			return
 		}
-		if !request.Held && (!e.hasCapacity() || r.isHeld(now, e) || e.load.Version < request.MinVersion || anyHealthy && e.isEjected(now)) {
+		if reason != "" {
 			return
 		}
 		r.candidates = append(r.candidates, r.estimate(now, p, e, request, prompt))
--- a/core/services/jujuberouter/queue.go
+++ b/core/services/jujuberouter/queue.go
@@ -156,17 +156,25 @@
 // mustQueue reports whether a new request must wait behind others that come first.
 func (p *pool) mustQueue(req *trackedRequest) bool {
 	for priority := range p.classes {
-		c := &p.classes[priority]
-		switch own := int(req.request.Priority); {
-		case priority < own && c.hasEligible(), priority > own && c.skips >= maxSkips && c.hasEligible():
-			return true
-		case priority == own && c.length > 0 && (len(c.queueFor(req).requests) > 0 || c.hasEligibleBefore(c.queueFor(req))):
+		if p.isAhead(priority, req) {
 			return true
 		}
 	}
 	return false
 }
 
+// isAhead reports whether requests of a class go before a new request.
+func (p *pool) isAhead(priority int, req *trackedRequest) bool {
+	c := &p.classes[priority]
+	switch own := int(req.request.Priority); {
+	case priority < own:
+		return c.hasEligible()
+	case priority > own:
+		return c.skips >= maxSkips && c.hasEligible()
+	}
+	return c.length > 0 && (len(c.queueFor(req).requests) > 0 || c.hasEligibleBefore(c.queueFor(req)))
+}
+
 // dispatchWaiting dispatches waiting requests while endpoints have capacity, and refuses those that it finds to be too late. It
 // tries scanLimit requests per trainer and class.
 func (r *Router[P]) dispatchWaiting(now time.Time, p *pool, scanLimit int) []Decision {
--- a/core/services/jujuberouter/router.go
+++ b/core/services/jujuberouter/router.go
@@ -114,40 +114,54 @@
 
 // Route decides on a new request: it dispatches it, queues it or refuses it.
 func (r *Router[P]) Route(now time.Time, request Request) Decision {
+	req, decision, refused := r.admit(now, request)
+	if refused {
+		return decision
+	}
+	if r.mayDispatch(req) {
+		if decision := r.tryDispatch(now, req); decision.Kind != Wait {
+			return decision
+		}
+	}
+	return r.enqueueOrRefuse(now, req)
+}
+
+// mayDispatch reports whether a new request may be dispatched before those that wait.
+func (r *Router[P]) mayDispatch(req *trackedRequest) bool {
+	return r.queued == 0 || req.request.Held || !req.pool.mustQueue(req)
+}
+
+// admit checks a new request against the limits, charges it to them and counts it. It returns true with a refusal.
+func (r *Router[P]) admit(now time.Time, request Request) (*trackedRequest, Decision, bool) {
 	req := &trackedRequest{request: request}
 	if request.Deadline.IsZero() {
 		req.request.Deadline = now.Add(r.settings.MaxWait)
 	}
-	req.request.Priority = min(max(request.Priority, model.PriorityInteractive), model.PriorityBackground)
+	req.request.Priority = clampPriority(request.Priority)
 	if _, ok := r.requests[request.ID]; ok {
-		return r.refuse(req, jujubeerror.CodeConflict, "a request with this id is waiting or in flight", 0)
+		return nil, r.refuse(req, jujubeerror.CodeConflict, "a request with this id is waiting or in flight", 0), true
 	}
 	if !now.Before(req.request.Deadline) {
-		return r.refuse(req, jujubeerror.CodeDeadline, "the deadline has passed", 0)
+		return nil, r.refuse(req, jujubeerror.CodeDeadline, "the deadline has passed", 0), true
 	}
 	var ok bool
 	if req.pool, ok = r.pools[newPoolKey(request.Kind, request.Model, request.Service)]; !ok {
-		return r.refuse(req, jujubeerror.CodeNoEndpoint, "no endpoint is known", defaultRetryAfter)
+		return nil, r.refuse(req, jujubeerror.CodeNoEndpoint, "no endpoint is known", defaultRetryAfter), true
 	}
 	req.trainer, _ = r.trainers.Get(request.Trainer)
 	req.key = newQueueKey(req)
 	if t := req.trainer; t != nil && t.limited && t.instanceLimit == 0 && !request.Held {
-		return r.refuseZeroShare(req, "other instances hold the trainer's limit")
+		return nil, r.refuseZeroShare(req, "other instances hold the trainer's limit"), true
 	}
 	if decision, refused := r.chargeLimits(now, req); refused {
-		return decision
+		return nil, decision, true
 	}
 	r.requests[request.ID] = req
 	req.pool.classes[req.request.Priority].recordArrival(req)
 	if req.caller != nil {
 		req.caller.active++
 	}
-	if r.queued == 0 || request.Held || !req.pool.mustQueue(req) {
-		if decision := r.tryDispatch(now, req); decision.Kind != Wait {
-			return decision
-		}
-	}
-	return r.enqueueOrRefuse(now, req)
+	return req, Decision{}, false
 }
 
 // enqueueOrRefuse queues a request, or refuses it when the queue is full or the request would be dispatched too late.
@@ -175,6 +189,14 @@
 
 // tryDispatch dispatches or refuses a request; both are final. It returns Wait, and changes nothing, when neither applies yet.
 func (r *Router[P]) tryDispatch(now time.Time, req *trackedRequest) Decision {
+	if decision := r.findCandidates(now, req); decision.Kind != Dispatch {
+		return decision
+	}
+	return r.dispatch(now, req, &r.candidates[r.policy.Choose(r.candidates, &req.request, r.random)])
+}
+
+// findCandidates fills r.candidates and returns Dispatch when one of them is to be chosen, Wait, or a refusal.
+func (r *Router[P]) findCandidates(now time.Time, req *trackedRequest) Decision {
 	if late := r.lateness(now, req, 0); req.queue != nil && late > 0 {
 		return r.refuseLate(now, req, 0, late)
 	}
@@ -203,7 +225,7 @@
 	if late := now.Add(least).Sub(req.request.Deadline); late > 0 {
 		return r.refuseLate(now, req, least, late)
 	}
-	return r.dispatch(now, req, &r.candidates[r.policy.Choose(r.candidates, &req.request, r.random)])
+	return Decision{Kind: Dispatch}
 }
 
 // dispatch assigns a request to the chosen candidate and updates all counts.
