entry, ctl: explain where a request would go now

GET /v1/explain on the operators' listener and jujubectl route show an instance's decision on a request, each endpoint's cost or exclusion, and the waiting requests by class. Nothing is sent or reserved.

--- a/ctl/cmd/program.go
+++ b/ctl/cmd/program.go
@@ -63,7 +63,7 @@
 		Flags:     append(jujubesetting.Flags[Settings](), &cli.BoolFlag{Name: "json", Usage: "print JSON instead of tables"}),
 		Commands: []*cli.Command{
 			p.newCheck(), p.newDiff(), p.newPublish(), p.newPromote(), p.newRestore(), p.newHistory(),
-			p.newStatus(), p.newDrain(), p.newUndrain(), p.newQuarantine(), p.newReplay(), p.newExplain(), p.newDay(),
+			p.newStatus(), p.newRoute(), p.newDrain(), p.newUndrain(), p.newQuarantine(), p.newReplay(), p.newExplain(), p.newDay(),
 		},
 		EnableShellCompletion:           true,
 		ConfigureShellCompletionCommand: func(command *cli.Command) { command.Hidden = false },
--- a/ctl/cmd/program_test.go
+++ b/ctl/cmd/program_test.go
@@ -50,6 +50,12 @@
 		response = model.LogRead{Records: f.records, Next: int64(len(f.records))}
 	case "GET /v1/status":
 		response = model.Status{Instance: "e1", Ready: true, Endpoints: []model.EndpointStatus{{Endpoint: model.Endpoint{ID: "engine-1", Model: "dan-llm"}, InFlight: 3}}}
+	case "GET /v1/explain":
+		response = model.RouteExplanation{Decision: "Wait", Endpoints: []model.EndpointExplanation{{Endpoint: "engine-1", Excluded: model.ExcludedNoCapacity}}}
+		if r.URL.Query().Get("Model") == "unknown" {
+			w.WriteHeader(http.StatusNotFound)
+			response = model.Refusal{Code: "UnknownModel", Ran: model.RanNo}
+		}
 	case "GET /v1/quarantine":
 		response = []model.QuarantineStatus{{Fingerprint: 0xc0ffee, State: "Quarantined", Crashes: []model.ProcessID{"engine-1/1", "engine-2/1"}}}
 	case "POST /v1/quarantine/lift":
@@ -89,6 +95,10 @@
 		{"", "status", jujubecommand.ExitOK, "engine-1"},
 		{"", "status --operator 127.0.0.1:1", jujubecommand.ExitUnavailable, "no answer"},
 		{"", "drain engine-1", jujubecommand.ExitOK, "endpoint engine-1 is leaving"},
+		{"", "route --model dan-llm --max-tokens 5", jujubecommand.ExitOK, "NoCapacity"},
+		{"", "route --model dan-llm --service s", jujubecommand.ExitUsage, "--model or --service"},
+		{"", "route --model dan-llm --operator 127.0.0.1:1", jujubecommand.ExitUnavailable, "no response"},
+		{"", "route --model unknown", jujubecommand.ExitRefused, "UnknownModel"},
 		{"", "quarantine list", jujubecommand.ExitOK, "0x0000000000c0ffee"},
 		{"", "quarantine lift 0xc0ffee", jujubecommand.ExitOK, "lifted"},
 		{"", "quarantine lift 7", jujubecommand.ExitRefused, "BadRequest"},
--- a/entry/routers/jujubeoperatorapi/router.go
+++ b/entry/routers/jujubeoperatorapi/router.go
@@ -24,6 +24,7 @@
 	mux.HandleFunc(pat.Get("/healthz"), a.getHealth)
 	mux.HandleFunc(pat.Get("/readyz"), a.getReady)
 	mux.HandleFunc(pat.Get("/v1/status"), a.getStatus)
+	mux.HandleFunc(pat.Get("/v1/explain"), a.getExplanation)
 	mux.HandleFunc(pat.Put("/v1/log-level"), a.putLogLevel)
 	mux.HandleFunc(pat.Post("/v1/drain"), a.postDrain)
 	mux.HandleFunc(pat.Get("/v1/quarantine"), a.getQuarantine)
