--- a/entry/routers/jujubeoperatorapi/explain_test.go
+++ b/entry/routers/jujubeoperatorapi/explain_test.go
@@ -16,7 +16,7 @@
 )
 
 // TestExplainQuery guards against bad queries that are explained as another request, and against prompts in messages.
-func TestParseExplained(t *testing.T) {
+func TestExplainQuery(t *testing.T) {
 	logger, err := jujubeevent.NewLogger(io.Discard, "error", "json")
 	assert.NilError(t, err)
 	service, cleanup, err := jujubeentry.New(jujubeentry.DefaultSettings(), logger, time.Unix(1, 0))
