--- a/core/services/jujuberouter/queue.go
+++ b/core/services/jujuberouter/queue.go
@@ -157,17 +157,25 @@
 // not use all endpoints don't keep it from one that is free.
 func (p *pool) mustQueue(req *trackedRequest, isHolding bool) bool {
 	for priority := range p.classes {
-		c := &p.classes[priority]
-		switch own := int(req.request.Priority); {
-		case priority < own && c.hasEligible(), priority > own && c.skips >= maxSkips && c.hasEligible():
-			return true
-		case priority == own && c.length > 0 && (c.queueFor(req).blocks(isHolding) || c.hasEligibleBefore(c.queueFor(req), isHolding)):
+		if p.isAhead(priority, req, isHolding) {
 			return true
 		}
 	}
 	return false
 }
 
+// isAhead reports whether requests of a class go before a new request.
+func (p *pool) isAhead(priority int, req *trackedRequest, isHolding bool) bool {
+	c := &p.classes[priority]
+	switch own := int(req.request.Priority); {
+	case priority < own:
+		return c.hasEligible()
+	case priority > own:
+		return c.skips >= maxSkips && c.hasEligible()
+	}
+	return c.length > 0 && (c.queueFor(req).blocks(isHolding) || c.hasEligibleBefore(c.queueFor(req), isHolding))
+}
+
 // blocks reports whether the queue has a request that a later one has to wait for.
 func (q *flowQueue) blocks(isHolding bool) bool {
 	if !isHolding {
