jujubepeer: refuse writes whose permit has expired

An instance that is cut off from the endpoints sends requests over connections that others carry. The check before the first byte was asked at the origin only: the carrying instance delivered the bytes whenever it ran again, so an item could reach an engine any time after the end of its submission, however strict the check.

Connections that may deliver late implement LimitedConn. A tunnel sends with each write how long after the reply to the previous call it is valid, and the carrier compares that with the time since it sent that reply. The check was made at least the origin's elapsed time after that reply, so the carrier may refuse early and never writes late; no clocks have to agree. Refused data count as not sent, so the request may use another connection, with a new permit. Earlier builds neither send nor enforce a limit.

--- a/core/modules/jujubehttp/sendonce.go
+++ b/core/modules/jujubehttp/sendonce.go
@@ -1,7 +1,6 @@
 package jujubehttp
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jujubepier.example/core/modules/jujubeclock"
 )
 
 // ErrUnsent reports that nothing of a request was sent, although there was a connection.
@@ -40,8 +41,10 @@
 	// abandoned refuses further writes.
 	abandoned bool
 	// check is asked before the next write; nil for none. denied is true once it has refused one.
-	check  SendCheck
+	check  func() SendPermit
 	denied bool
+	// expiresAt is when the permit of the current request expires; zero if it doesn't.
+	expiresAt jujubeclock.Instant
 }
 
 // TrackConn wraps a connection that has just been opened.
@@ -49,14 +52,15 @@
 
 // Write writes to the connection unless it is abandoned.
 func (c *TrackedConn) Write(p []byte) (int, error) {
-	if !c.beginWrite() {
+	expiresAt, ok := c.beginWrite()
+	if !ok {
 		return 0, errConnAbandoned
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.writeBefore(p, expiresAt)
 	if err == nil || n > 0 {
 		return n, err
 	}
-	if _, isSocket := c.Conn.(syscall.Conn); !isSocket {
+	if _, isSocket := c.Conn.(syscall.Conn); !isSocket && !errors.As(err, new(ErrWriteExpired)) {
 		// The outcome of a failed write through another instance isn't known, and net/http takes a count of zero for its outcome.
 		return min(1, len(p)), err
 	}
@@ -66,27 +70,42 @@
 	return 0, err
 }
 
-// beginWrite counts a write, and reports whether it is allowed.
-func (c *TrackedConn) beginWrite() bool {
+// writeBefore writes to the connection. An instant of zero is no limit.
+func (c *TrackedConn) writeBefore(p []byte, expiresAt jujubeclock.Instant) (int, error) {
+	if limited, ok := c.Conn.(LimitedConn); ok && expiresAt != 0 {
+		return limited.WriteBefore(p, expiresAt)
+	}
+	return c.Conn.Write(p)
+}
+
+// beginWrite counts a write, and reports whether it is allowed and until when; zero for no limit.
+func (c *TrackedConn) beginWrite() (expiresAt jujubeclock.Instant, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	check := c.check
 	c.check = nil
-	if check != nil && !c.abandoned && !check() {
-		c.abandoned, c.denied = true, true
+	if check != nil && !c.abandoned {
+		askedAt := jujubeclock.Now()
+		permit := check()
+		switch {
+		case !permit.Allowed || permit.Valid < 0:
+			c.abandoned, c.denied = true, true
+		case permit.Valid > 0:
+			c.expiresAt = askedAt.Add(permit.Valid)
+		}
 	}
 	if c.abandoned {
-		return false
+		return 0, false
 	}
 	c.writes++
-	return true
+	return c.expiresAt, true
 }
 
 // begin prepares the connection for a request, and returns the count of its writes.
-func (c *TrackedConn) begin(check SendCheck) int {
+func (c *TrackedConn) begin(check func() SendPermit) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.check = check
+	c.check, c.expiresAt = check, 0
 	return c.writes
 }
 
@@ -127,21 +146,10 @@
 	return hasInput || err != nil
 }
 
-// sendCheckKey is the context's key of a SendCheck.
-type sendCheckKey struct{}
-
-// SendCheck reports whether a request may still be sent. It is called before the first byte is written.
-type SendCheck func() bool
-
-// WithSendCheck returns a context whose requests SendOnce sends only if the check allows it at the last moment.
-func WithSendCheck(ctx context.Context, check SendCheck) context.Context {
-	return context.WithValue(ctx, sendCheckKey{}, check)
-}
-
 // sendAttempt tracks one request on one connection.
 type sendAttempt struct {
 	// check may be nil.
-	check SendCheck
+	check func() SendPermit
 
 	mu     sync.Mutex
 	conn   *TrackedConn
@@ -176,7 +184,7 @@
 func SendOnce(client *http.Client, request *http.Request) (*http.Response, error) {
 	for {
 		attempt := new(sendAttempt)
-		attempt.check, _ = request.Context().Value(sendCheckKey{}).(SendCheck)
+		attempt.check, _ = request.Context().Value(sendCheckKey{}).(func() SendPermit)
 		ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: attempt.gotConn})
 		sent := request.Clone(ctx)
 		canRepeatBody := isBodyless(request)
--- a/entry/modules/jujubepeer/tunnel.go
+++ b/entry/modules/jujubepeer/tunnel.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jujubepier.example/core/modules/jujubeclock"
+	"jujubepier.example/core/modules/jujubehttp"
 )
 
 const (
@@ -65,11 +68,16 @@
 // WriteArgs is the data to write.
 type WriteArgs struct {
 	Data []byte
+	// Within is how long after the reply to the previous Open or Write the data may be written; zero for no limit. Earlier builds
+	// neither set nor enforce it.
+	Within time.Duration
 }
 
-// WriteReply is empty unless the connection is broken.
+// WriteReply is empty unless the connection is broken or the data came too late.
 type WriteReply struct {
 	Broken string
+	// Expired is true if nothing was written because WriteArgs.Within had passed.
+	Expired bool
 }
 
 // Tunnel serves one connection that a peer has opened through this instance, over a net/rpc connection of its own. The tunnel
@@ -84,6 +92,8 @@
 	mu     sync.Mutex
 	conn   net.Conn
 	closed bool
+	// repliedAt is an instant before the last reply to Open or Write was sent.
+	repliedAt jujubeclock.Instant
 }
 
 // Open opens the connection.
@@ -107,7 +117,7 @@
 		reply.Unable = "the tunnel is closed or in use"
 		return nil
 	}
-	t.conn = conn
+	t.conn, t.repliedAt = conn, jujubeclock.Now()
 	return nil
 }
 
@@ -140,18 +150,36 @@
 	return nil
 }
 
-// Write writes data to the connection.
+// Write writes data to the connection, unless its time has passed. The caller measures that time from when it received the previous
+// reply, which was later than repliedAt, so this instance may refuse data early but never writes it late.
 func (t *Tunnel) Write(args WriteArgs, reply *WriteReply) error {
 	conn, err := t.current()
 	if err != nil {
 		return err
 	}
+	defer t.recordReply()
+	if args.Within != 0 && t.sinceReply() > args.Within {
+		reply.Expired = true
+		return nil
+	}
 	if _, err := conn.Write(args.Data); err != nil {
 		reply.Broken = err.Error()
 	}
 	return nil
 }
 
+func (t *Tunnel) sinceReply() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return jujubeclock.Now().Sub(t.repliedAt)
+}
+
+func (t *Tunnel) recordReply() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.repliedAt = jujubeclock.Now()
+}
+
 func (t *Tunnel) close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,6 +202,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	conn.repliedAt = jujubeclock.Now()
 	switch {
 	case reply.Unable != "":
 		_ = conn.Close()
@@ -190,6 +219,11 @@
 	net.Conn
 	client *rpc.Client
 
+	writeMu sync.Mutex
+	// repliedAt is an instant after the last reply to Open or Write was received. No write follows one without a reply.
+	repliedAt jujubeclock.Instant
+	writeErr  error
+
 	readMu sync.Mutex
 	// unread is data that a Read has received and not returned; err is the error after it.
 	unread []byte
@@ -230,11 +264,21 @@
 	return 0, c.err
 }
 
-func (c *tunnelConn) Write(p []byte) (int, error) {
+func (c *tunnelConn) Write(p []byte) (int, error) { return c.write(p, 0) }
+
+// WriteBefore writes data that the peer mustn't pass on later than an instant. The machines' clocks needn't agree: the peer is told
+// how long after its previous reply that instant is.
+func (c *tunnelConn) WriteBefore(p []byte, expiresAt jujubeclock.Instant) (int, error) {
+	return c.write(p, expiresAt)
+}
+
+func (c *tunnelConn) write(p []byte, expiresAt jujubeclock.Instant) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	written := 0
 	for {
 		part := p[written:min(len(p), written+maxTunnelWrite)]
-		n, err := c.writePart(part)
+		n, err := c.writePart(part, expiresAt)
 		written += n
 		if err != nil || written == len(p) {
 			return written, err
@@ -242,14 +286,28 @@
 	}
 }
 
-func (c *tunnelConn) writePart(p []byte) (int, error) {
+func (c *tunnelConn) writePart(p []byte, expiresAt jujubeclock.Instant) (int, error) {
+	if c.writeErr != nil {
+		return 0, c.writeErr
+	}
+	args := WriteArgs{Data: p}
+	if expiresAt != 0 {
+		if args.Within = expiresAt.Sub(c.repliedAt); args.Within <= 0 {
+			return 0, jujubehttp.ErrWriteExpired{}
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), tunnelWriteTimeout)
 	defer cancel()
 	var reply WriteReply
-	if err := c.call(ctx, "Tunnel.Write", WriteArgs{Data: p}, &reply); err != nil {
+	if err := c.call(ctx, "Tunnel.Write", args, &reply); err != nil {
+		c.writeErr = err
 		return 0, err
 	}
-	if reply.Broken != "" {
+	c.repliedAt = jujubeclock.Now()
+	switch {
+	case reply.Expired:
+		return 0, jujubehttp.ErrWriteExpired{}
+	case reply.Broken != "":
 		return 0, errors.New(reply.Broken)
 	}
 	return len(p), nil
--- a/entry/modules/jujubepeer/tunnel_test.go
+++ b/entry/modules/jujubepeer/tunnel_test.go
@@ -21,8 +21,13 @@
 // startPeer serves tunnels and returns the address.
 func startPeer(t *testing.T, open jujubepeer.OpenFunc) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	listener := listen(t)
+	servePeer(t, listener, open)
+	return listener.Addr().String()
+}
+
+func servePeer(t *testing.T, listener net.Listener, open jujubepeer.OpenFunc) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- jujubepeer.ServeWithTunnels(ctx, listener, Echo{}, open) }()
@@ -30,7 +35,6 @@
 		cancel()
 		assert.NilError(t, <-ended)
 	})
-	return listener.Addr().String()
 }
 
 func dialDirect(ctx context.Context, address string) (net.Conn, error) {
