jujubenode: hold submissions whose records expired unread

An instance that read a partition too late went on at the first retained record. An end among the skipped ones was lost for good: it went on starting items of the ended submission, with a view that counts as recent. Results in the gap left its later ones at other positions than elsewhere, and a submission in the gap was reported as unknown.

Submissions that were read before a gap are in doubt now. The decisions are in jujubebatch, without clock and calls. If nobody can tell, they wait until they expire. A submission that isn't known after a gap gets 503.

TestExpiredEndStartsNothing: "30 ... items started after the end" before, with and without another instance that can tell.

The test's engines don't count a call whose context has ended, as it sends nothing.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -78,6 +78,7 @@
 	SourceSilent      Number = 5114
 	EndpointStale     Number = 5115
 	DesiredCopied     Number = 5116
+	DoubtResolved     Number = 5117
 
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
@@ -173,6 +174,7 @@
 		{SourceSilent, "SourceSilent", warn, "The relay that reads the log for this instance didn't respond; this instance reads the log itself for a while."},
 		{EndpointStale, "EndpointStale", debug, "An entry or a response has an incarnation of an endpoint that isn't, or isn't yet confirmed as, the current one; it is ignored."},
 		{DesiredCopied, "DesiredCopied", warn, "The newest record of the desired state can't be used; the one in force was copied from another instance, Peer."},
+		{DoubtResolved, "DoubtResolved", info, "Another instance, Peer, has told what the records of submissions say that expired before this instance read them."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed over to a successor."},
--- a/core/services/jujubebatch/assign.go
+++ b/core/services/jujubebatch/assign.go
@@ -13,7 +13,7 @@
 // assignItems assigns engines to the items that have none, the longest first: a step ends with its longest items, and right
 // after a new weight version only some engines can run them. An item that finds no engine doesn't hold back those of other services.
 func (s *Scheduler) assignItems(now time.Time, submission *submission, fleet fleetIntervals) {
-	if submission.unassigned == 0 || !s.hasDesired(submission) {
+	if submission.unassigned == 0 || !s.mayDecide(submission) {
 		return
 	}
 	serving := s.servingServices(submission)
--- /dev/null
+++ b/core/services/jujubebatch/gap.go
@@ -0,0 +1,156 @@
+package jujubebatch
+
+import (
+	"slices"
+	"time"
+)
+
+// The log keeps records for a limited time. If some expire before an instance has read them, the end of a submission and results of its
+// items may be among them. Such a submission is in doubt: nothing of it starts here, and its results aren't listed, until an instance
+// that has read those records has told what they say. Without one it stays in doubt until it expires.
+
+// Span is a range of offsets of a partition, without End.
+type Span struct {
+	Begin, End int64
+}
+
+// covers reports whether a span contains another one.
+func (s Span) covers(other Span) bool { return s.Begin <= other.Begin && s.End >= other.End }
+
+// doubt is what was known of a submission before some of its partition's records expired unread.
+type doubt struct {
+	// missing includes all records that expired unread since, and those between them.
+	missing Span
+	// readFrom is an offset before or at the submission's record, from which on all records before missing have been read.
+	readFrom int64
+	// results is the number of results that were read before missing.
+	results int
+}
+
+// Question asks another instance what it knows of a submission that is in doubt here.
+type Question struct {
+	Submission SubmissionID
+	// Results is the number of results that were read before the doubt, and Last the item of the last one of them.
+	Results int
+	Last    ItemID
+}
+
+// Status is what an instance knows of a submission.
+type Status struct {
+	Submission SubmissionID
+	// Known is false for a submission that the instance hasn't read or has deleted.
+	Known, Ended bool
+	// InDoubt is true if the instance can't tell: the submission is in doubt there too, or its results before those asked for differ.
+	InDoubt bool
+	// Results are those after Question.Results.
+	Results []Result
+}
+
+// RecordGap records that records of a partition have expired unread, and that all records of the range read were read before.
+// isAffected reports whether a submission belongs to the partition.
+// It returns the actions that stop runs which may not have been sent yet.
+func (s *Scheduler) RecordGap(read, missing Span, isAffected func(SubmissionID) bool) []Action {
+	for id, submission := range s.submissions.All() {
+		switch {
+		case !isAffected(id):
+		case submission.doubt != nil:
+			submission.doubt.missing.End = missing.End
+		default:
+			submission.doubt = &doubt{missing: missing, readFrom: read.Begin, results: len(submission.results)}
+			s.cancelUnsentRuns(submission)
+		}
+	}
+	actions := s.actions
+	s.actions = nil
+	return actions
+}
+
+// cancelUnsentRuns cancels the runs that may not have been sent yet.
+func (s *Scheduler) cancelUnsentRuns(submission *submission) {
+	for _, item := range submission.order {
+		if item.run != nil && item.run.awaitsFirstEvent {
+			s.cancelRun(item.run, "records of the submission have expired unread")
+		}
+	}
+}
+
+// Questions returns the questions about submissions that are in doubt.
+func (s *Scheduler) Questions(isAffected func(SubmissionID) bool) []Question {
+	var questions []Question
+	for id, submission := range s.submissions.All() {
+		if submission.doubt == nil || !isAffected(id) {
+			continue
+		}
+		question := Question{Submission: id, Results: submission.doubt.results}
+		if question.Results > 0 {
+			question.Last = submission.results[question.Results-1].Item
+		}
+		questions = append(questions, question)
+	}
+	return questions
+}
+
+// Answer returns what this instance knows of a submission.
+func (s *Scheduler) Answer(question Question) Status {
+	submission, ok := s.submissions.Get(question.Submission)
+	if !ok {
+		return Status{Submission: question.Submission}
+	}
+	status := Status{Submission: question.Submission, Known: true, Ended: submission.ended}
+	first := question.Results
+	switch {
+	case submission.doubt != nil || first > len(submission.results) || first > 0 && submission.results[first-1].Item != question.Last:
+		status.InDoubt = true
+	default:
+		status.Results = slices.Clone(submission.results[first:])
+	}
+	return status
+}
+
+// HandleAnswer applies what another instance knows of a submission that is in doubt, and reports whether that ends the doubt. read is
+// the range of offsets that the other instance has read without a gap. What it knows beyond the missing records is read here as well, and
+// has no effect then.
+func (s *Scheduler) HandleAnswer(now time.Time, status Status, read Span) bool {
+	submission, ok := s.submissions.Get(status.Submission)
+	if !ok || submission.doubt == nil {
+		return false
+	}
+	doubt := *submission.doubt
+	// An instance deletes submissions that have ended or expired; one that began to read later never knew them.
+	wasDeleted := !status.Known && read.Begin <= doubt.readFrom
+	if !read.covers(doubt.missing) || status.InDoubt || !status.Known && !wasDeleted {
+		return false
+	}
+	submission.doubt = nil
+	s.insertResults(submission, doubt.results, status.Results)
+	if status.Ended || wasDeleted {
+		s.endSubmission(now, submission.ID)
+	}
+	return true
+}
+
+// insertResults adds results at a position, before those that were read after them.
+func (s *Scheduler) insertResults(submission *submission, at int, results []Result) {
+	later := slices.Clone(submission.results[at:])
+	submission.results = submission.results[:at:at]
+	inserted := make(map[ItemID]bool, len(results))
+	for i := range results {
+		result := &results[i]
+		item, ok := submission.items[result.Item]
+		if !ok || inserted[result.Item] {
+			continue
+		}
+		inserted[result.Item] = true
+		if item.hasResult {
+			item.isErrored = result.State == Errored
+			submission.results = append(submission.results, *result)
+			continue
+		}
+		s.addResult(result)
+	}
+	for _, result := range later {
+		if !inserted[result.Item] {
+			submission.results = append(submission.results, result)
+		}
+	}
+}
--- a/core/services/jujubebatch/giveup.go
+++ b/core/services/jujubebatch/giveup.go
@@ -30,6 +30,11 @@
 	return s.desired.Version >= submission.DesiredVersion
 }
 
+// mayDecide reports whether this instance knows enough of a submission to start its items.
+func (s *Scheduler) mayDecide(submission *submission) bool {
+	return submission.doubt == nil && s.hasDesired(submission)
+}
+
 // mayGiveUp reports whether an item is errored: its route, nil if no route matches it, has ended, its retention has passed, or it has
 // failed as often as the route allows.
 func (s *Scheduler) mayGiveUp(now time.Time, item *item, route *jujubedesired.Route) bool {
--- a/core/services/jujubebatch/pending.go
+++ b/core/services/jujubebatch/pending.go
@@ -49,7 +49,7 @@
 func (s *Scheduler) acceptPendingOffers(now time.Time) {
 	s.pendingOffers = slices.DeleteFunc(s.pendingOffers, func(offer pendingOffer) bool {
 		submission, ok := s.submissions.Get(offer.Submission)
-		if !ok || !s.hasDesired(submission) {
+		if !ok || !s.mayDecide(submission) {
 			return false
 		}
 		if item, ok := submission.items[offer.Item]; ok && !item.delegatedHere && !item.isSettled() {
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -138,7 +138,7 @@
 
 // startItems starts this instance's items on their assigned engines or delegates them to the engines' gateways.
 func (s *Scheduler) startItems(now time.Time, submission *submission) {
-	if !s.hasDesired(submission) {
+	if !s.mayDecide(submission) {
 		return
 	}
 	for _, item := range submission.order {
@@ -305,7 +305,7 @@
 			s.cancelSilentRun(r, "the engine is silent")
 			continue
 		}
-		if moves < maxMovesPerTick && item.delegation == nil && now.Sub(item.movedAt) > minMoveInterval {
+		if moves < maxMovesPerTick && item.delegation == nil && item.submission.doubt == nil && now.Sub(item.movedAt) > minMoveInterval {
 			if to, reason := s.selectMoveTarget(now, r, fleet); to != nil {
 				moves++
 				s.moveRun(now, r, to, reason)
--- a/core/services/jujubebatch/share.go
+++ b/core/services/jujubebatch/share.go
@@ -47,7 +47,7 @@
 	var turns []*turn
 	slots := 0
 	for _, submission := range open {
-		if submission.unassigned == 0 || !s.hasDesired(submission) {
+		if submission.unassigned == 0 || !s.mayDecide(submission) {
 			turns = append(turns, &turn{submission: submission, held: submission.unresolved - submission.unassigned, next: len(submission.order)})
 			continue
 		}
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -25,6 +25,8 @@
 	// longestFirst holds the items in descending order of expected tokens.
 	longestFirst []*item
 	ended        bool
+	// doubt is set while records that may concern the submission are missing; otherwise nil.
+	doubt *doubt
 	// groups holds the items by group, in the order of the groups' first items.
 	groups []itemGroup
 	// acceptedAt is the local time at which the submission was accepted, as far as the clocks agree.
@@ -109,6 +111,8 @@
 	Total   int
 	Results []Result
 	Ended   bool
+	// InDoubt is true if results may be missing or stand at other positions than those that are listed elsewhere.
+	InDoubt bool
 }
 
 // Apply applies the next entry of a partition. It returns false if the entry had no effect.
@@ -274,7 +278,7 @@
 	if !ok {
 		return Page{}, false
 	}
-	page := Page{Total: len(submission.order), Ended: submission.ended}
+	page := Page{Total: len(submission.order), Ended: submission.ended, InDoubt: submission.doubt != nil}
 	size := 0
 	for i := max(after, 0); i < len(submission.results); i++ {
 		size += submission.results[i].responseBytes()
--- a/entry/services/jujubenode/engines_test.go
+++ b/entry/services/jujubenode/engines_test.go
@@ -36,6 +36,9 @@
 }
 
 func (e *fakeEngines) Run(ctx context.Context, start jujubebatch.StartRun, _ jujubebatch.Content, sink jujubenode.RunSink) (jujubebatch.EndKind, error) {
+	if ctx.Err() != nil {
+		return jujubebatch.RunUnsent, ctx.Err()
+	}
 	e.mu.Lock()
 	e.runs[start.Item]++
 	if e.used == nil {
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -9,6 +9,7 @@
 
 	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubebatch"
 )
 
 const (
@@ -58,6 +59,13 @@
 	recent      []Record
 	recentBytes int
 
+	// onGap is called when records have expired unread, with the ranges that were read before and that are missing; the node's lock is
+	// held. It may be nil.
+	onGap func(read, missing jujubebatch.Span)
+
+	// readFrom is the offset from which on all records up to next have been read; guarded by the node's lock.
+	readFrom int64
+
 	// next is the offset of the next record; this field and those below are guarded by the node's lock.
 	next int64
 	// caughtUpAt is a time up to which all records of the partition are known to have been read: that at which the read was
@@ -137,7 +145,13 @@
 			return f.snapshot(ctx)
 		}
 		f.node.mu.Lock()
-		f.next = max(f.next, trimmed.First)
+		if trimmed.First > f.next {
+			read, missing := f.readSpan(), jujubebatch.Span{Begin: f.next, End: trimmed.First}
+			f.next, f.readFrom = trimmed.First, trimmed.First
+			if f.onGap != nil {
+				f.onGap(read, missing)
+			}
+		}
 		f.dropRecent()
 		f.node.mu.Unlock()
 		f.node.log.Write(jujubeevent.RecordsExpired, func() logrus.Fields {
@@ -152,6 +166,11 @@
 	return nil
 }
 
+// readSpan returns the range of offsets whose records have been read; the lock is held.
+func (f *follower) readSpan() jujubebatch.Span {
+	return jujubebatch.Span{Begin: f.readFrom, End: f.next}
+}
+
 // read returns the records from an offset on, and a time at which their end is known to have been that of the partition.
 func (f *follower) read(ctx context.Context, from int64, wait time.Duration) (batch LogBatch, readAt readTime, err error) {
 	if f.isUrgent() {
--- /dev/null
+++ b/entry/services/jujubenode/gap_test.go
@@ -0,0 +1,75 @@
+package jujubenode_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubepier.example/core/modules/jujubeerror"
+)
+
+// TestExpiredEndStartsNothing guards against items of an ended submission that start because the record of its end expired before this
+// instance read it, whether another instance can tell or not.
+func TestExpiredEndStartsNothing(t *testing.T) {
+	for name, hasWitness := range map[string]bool{"with another instance": true, "alone": false} {
+		t.Run(name, func(t *testing.T) {
+			cluster := newTestCluster(t)
+			cluster.engines.hold = make(chan struct{})
+			a, _, stopA := cluster.start("a")
+			b, store, _ := cluster.start("b")
+			waitFor(t, "both instances are alive", func() bool { return len(a.Addresses("dc")) == 2 && len(b.Addresses("dc")) == 2 })
+			submission := newSubmission("s1", 40)
+			assert.NilError(t, b.Submit(t.Context(), route, submission))
+			waitFor(t, "items run", func() bool { return b.RunsInFlight() > 0 })
+			store.hideSubmissions()
+			assert.NilError(t, a.EndSubmission(t.Context(), "s1"))
+			if !hasWitness {
+				stopA()
+			}
+			store.expireSubmissions()
+			for deadline := time.Now().Add(4 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+				if page, err := b.ReadResults(t.Context(), "s1", 0, 0); err == nil && page.Ended || err != nil && !hasWitness {
+					break
+				}
+			}
+			count := func() (runs int) {
+				for _, item := range submission.Items {
+					runs += cluster.engines.count(item.ID)
+				}
+				return runs
+			}
+			before := count()
+			close(cluster.engines.hold)
+			time.Sleep(2 * time.Second)
+			assert.Equal(t, count()-before, 0, "items started after the end")
+			_, err := b.ReadResults(t.Context(), "s1", 0, 0)
+			_, isRefused := jujubeerror.IsErrRefused(err)
+			assert.Equal(t, isRefused, !hasWitness, "%v", err)
+		})
+	}
+}
+
+// TestExpiredResultsAreListed guards against results that one instance lists at other positions than the others, or never, and against
+// a submission that it reports as unknown, as their records expired before it read them.
+func TestExpiredResultsAreListed(t *testing.T) {
+	cluster := newTestCluster(t)
+	cluster.engines.hold = make(chan struct{})
+	a, _, _ := cluster.start("a")
+	b, store, _ := cluster.start("b")
+	waitFor(t, "both instances are alive", func() bool { return len(a.Addresses("dc")) == 2 && len(b.Addresses("dc")) == 2 })
+	assert.NilError(t, a.Submit(t.Context(), route, newSubmission("s1", 20)))
+	waitFor(t, "both instances run items", func() bool { return a.RunsInFlight() > 0 && b.RunsInFlight() > 0 })
+	store.hideSubmissions()
+	assert.NilError(t, a.Submit(t.Context(), route, newSubmission("s2", 1)))
+	close(cluster.engines.hold)
+	waitFor(t, "some results", func() bool {
+		page, err := a.ReadResults(t.Context(), "s1", 0, 0)
+		return err == nil && len(page.Results) > 2
+	})
+	store.expireSubmissions()
+	assert.DeepEqual(t, readAll(t, b, "s1"), readAll(t, a, "s1"))
+	_, err := b.ReadResults(t.Context(), "s2", 0, 0)
+	_, isRefused := jujubeerror.IsErrRefused(err)
+	assert.Assert(t, isRefused, "%v", err)
+}
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -270,6 +270,7 @@
 	n.tomb.Go(func() error { return n.servePeers(background, peers) })
 	n.tomb.Go(func() error { return n.store.probe(background) })
 	n.tomb.Go(func() error { return n.copyDesired(background) })
+	n.tomb.Go(func() error { return n.resolveDoubts(background) })
 	n.tomb.Go(func() error { return n.endpointPath.probe(background) })
 	n.tomb.Go(func() error { return n.schedule(background) })
 	n.tomb.Go(func() error { return n.sendHeartbeats(background) })
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -44,14 +44,14 @@
 	queue    chan jujubebatch.Entry
 	// unwritten is the batch that is being appended; guarded by the node's lock.
 	unwritten []jujubebatch.Entry
+	gap       partitionGap
 	// checkpoints are sampled offsets, trimInterval apart, oldest first.
 	checkpoints []trimCheckpoint
 	// trimmedBefore is the offset before which the records were trimmed.
 	trimmedBefore int64
 	// maxTextOffset is the highest offset in the texts topic that a submission's record has pointed at.
 	maxTextOffset int64
-	// unscoredPointers holds the pointers to the unscored texts that this instance has written; only the writer uses
-	// it.
+	// unscoredPointers holds the pointers to the unscored texts that this instance has written; only the writer uses it.
 	unscoredPointers map[jujubebatch.ItemRef]jujubebatch.Pointer
 }
 
@@ -100,6 +100,7 @@
 		unscoredPointers: make(map[jujubebatch.ItemRef]jujubebatch.Pointer),
 	}
 	p.follower = n.addFollower(topicSubmissions, number, p.apply)
+	p.follower.onGap = p.recordGap
 	return p
 }
 
--- a/entry/services/jujubenode/store_test.go
+++ b/entry/services/jujubenode/store_test.go
@@ -143,6 +143,48 @@
 	hold func(ctx context.Context, call string) error
 	// reads counts the reads of the instance.
 	reads atomic.Int64
+	// hiddenFrom and expiredBefore, unless they are nil, are the offsets of each partition of the submissions from which on the instance
+	// gets no records, and before which those have expired.
+	hiddenFrom, expiredBefore []int64
+}
+
+// submissionsEnd returns the ends of the partitions of the submissions.
+func (s *blockableStore) submissionsEnd() (ends []int64) {
+	for part := range 2 {
+		batch, _ := s.Store.Read(context.Background(), jujubenode.Topic{Name: "submissions"}, part, 0, 0, 0)
+		ends = append(ends, batch.End)
+	}
+	return ends
+}
+
+// hideSubmissions hides the records of submissions from now on.
+func (s *blockableStore) hideSubmissions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hiddenFrom = s.submissionsEnd()
+}
+
+// expireSubmissions lets the hidden records expire, and shows the following ones.
+func (s *blockableStore) expireSubmissions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expiredBefore = s.submissionsEnd()
+}
+
+// hide removes what is hidden from a batch.
+func (s *blockableStore) hide(topic jujubenode.Topic, part int, from int64, batch jujubenode.LogBatch) (jujubenode.LogBatch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case topic.Name != "submissions" || s.hiddenFrom == nil || s.expiredBefore != nil && from >= s.expiredBefore[part]:
+		return batch, nil
+	case from < s.hiddenFrom[part]:
+		batch.Records = batch.Records[:min(int64(len(batch.Records)), s.hiddenFrom[part]-from)]
+		return batch, nil
+	case s.expiredBefore != nil:
+		return jujubenode.LogBatch{}, jujubenode.ErrTrimmed{First: s.expiredBefore[part]}
+	}
+	return jujubenode.LogBatch{End: from}, nil
 }
 
 func (s *blockableStore) setBlocked(blocked bool) {
@@ -202,7 +244,10 @@
 	if err := s.err(); err != nil {
 		return jujubenode.LogBatch{}, err
 	}
-	return batch, err
+	if err != nil {
+		return batch, err
+	}
+	return s.hide(topic, part, from, batch)
 }
 
 func (s *blockableStore) Newest(ctx context.Context, topic jujubenode.Topic, after string) (jujubenode.LogPage, error) {
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -116,6 +116,8 @@
 		switch {
 		case !ok:
 			return page, ErrUnknownSubmission{ID: id}
+		case page.InDoubt:
+			return page, refusal(jujubeerror.CodeStoreFailed, "records of the submission have expired unread")
 		case len(page.Results) > 0:
 			if err := n.partitionOf(id).fetchTexts(ctx, page.Results); err != nil {
 				return page, refusal(jujubeerror.CodeStoreFailed, err.Error())
@@ -168,6 +170,9 @@
 		if time.Since(f.caughtUpAt) > maxReadAge {
 			return refusal(jujubeerror.CodeStoreFailed, "the log is read behind its end")
 		}
+		if n.partitionOf(id).mayHaveMissed(time.Now()) {
+			return refusal(jujubeerror.CodeStoreFailed, "records of submissions have expired unread")
+		}
 		return ErrUnknownSubmission{ID: id}
 	}
 	return nil
