jujubenode: test that nothing starts from an old view of the log

Callers saw items reach an engine up to 7 s after the end of their submission was acknowledged. An instance stops starting items only while it knows of unread records; one whose reads hang, are refused or pass through a silent relay knows of none.

TestNothingStartsFromAnOldView covers direct reads that hang and that are refused, a silent relay, and runs whose connection takes 1.3 s after that. The engines are behind HTTP connections, because a run is checked for the last time when its first byte is written.

--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -31,6 +31,8 @@
 	t       *testing.T
 	store   *fakeStore
 	engines *fakeEngines
+	// wired, unless it is nil, runs the items instead of engines.
+	wired *wiredEngines
 	// callers sends the plain requests of the instances that start; by default these go to engines.
 	callers jujubenode.EndpointCaller
 	// platform receives the reports of usage, which are a duty if it isn't nil.
@@ -39,6 +41,8 @@
 	holdAtStart func(ctx context.Context, call string) error
 	// links are the links of instances to the endpoints; those of other instances work.
 	links map[model.InstanceID]*testLinks
+	// peerLinks are the links of other instances to an instance; those of instances without an entry always work.
+	peerLinks map[model.InstanceID]*testLinks
 	// plainAddresses are the addresses of the plain endpoints, by default ones that nothing listens on.
 	plainAddresses []string
 	// directReaders is the setting DirectReaders; sameDataCentre puts all instances into one data centre.
@@ -108,6 +112,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(c.t, err)
 	c.addresses[id] = listener.Addr().String()
+	if links, ok := c.peerLinks[id]; ok {
+		c.addresses[id] = links.proxy(c.t, listener.Addr().String())
+	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	store := &blockableStore{Store: c.store, hold: c.holdAtStart}
@@ -119,6 +126,10 @@
 	if callers == nil {
 		callers = c.engines
 	}
+	var engineClient jujubenode.EngineClient = c.engines
+	if c.wired != nil {
+		engineClient = c.wired.client(id, c.engines)
+	}
 	var duties []jujubeduty.Duty
 	if c.platform != nil {
 		duties = []jujubeduty.Duty{jujubeduty.UsageReport}
@@ -134,13 +145,13 @@
 		callers, closeIdle = overHTTP, overHTTP.client.CloseIdleConnections
 	}
 	node = jujubenode.New(jujubenode.Options{
-		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: listener.Addr().String()},
+		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: c.addresses[id]},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
 			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
 		},
 		PlatformCaller: c.platformFor(id),
-		Store:          store, EngineClient: c.engines, EndpointCaller: callers, DialEndpoint: links.dial, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
+		Store:          store, EngineClient: engineClient, EndpointCaller: callers, DialEndpoint: links.dial, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
 	}, logger)
 	apply := func(now time.Time, record jujubenode.Record) {
 		if record.Key == "secret" {
--- a/entry/services/jujubenode/links_test.go
+++ b/entry/services/jujubenode/links_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/entry/services/jujubenode"
@@ -75,6 +76,35 @@
 	return linked, nil
 }
 
+// proxy forwards connections to an address over the links until the test ends, and returns its own address.
+func (l *testLinks) proxy(t *testing.T, address string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			inner, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = inner.Close() }()
+				outer, err := l.dial(context.Background(), address)
+				if err != nil {
+					return
+				}
+				defer func() { _ = outer.Close() }()
+				go func() {
+					_, _ = io.Copy(outer, inner)
+					_ = outer.Close()
+				}()
+				_, _ = io.Copy(inner, outer)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // linkedConn loses what is sent and received while its links hang.
 type linkedConn struct {
 	net.Conn
--- /dev/null
+++ b/entry/services/jujubenode/oldview_test.go
@@ -0,0 +1,123 @@
+package jujubenode_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/entry/services/jujubenode"
+)
+
+// testCancelTime is the time after the acknowledgement of a submission's end from which on none of its items may reach an engine.
+const testCancelTime = 3 * time.Second
+
+// TestNothingStartsFromAnOldView guards against an instance that sends items of a submission that has ended long ago, because nothing
+// tells it so: its reads of the submissions hang or fail, and the instances that would read for it are silent.
+func TestNothingStartsFromAnOldView(t *testing.T) {
+	hang := func(ctx context.Context, call string) error {
+		if call != "submissions" {
+			return nil
+		}
+		return loseResponse(ctx, call)
+	}
+	refuse := func(_ context.Context, call string) error {
+		if call != "submissions" {
+			return nil
+		}
+		return jujubenode.ErrStore{Call: call, Status: http.StatusServiceUnavailable, Reason: "refused for this instance only"}
+	}
+	for name, fault := range map[string]struct {
+		directReaders int
+		hold          func(ctx context.Context, call string) error
+		// holdRelay is the hold of the first instance, which is the relay if there are few direct readers.
+		holdRelay func(ctx context.Context, call string) error
+		dialDelay time.Duration
+	}{
+		"direct reads hang":                           {directReaders: jujubenode.DefaultDirectReaders, hold: hang},
+		"direct reads are refused":                    {directReaders: jujubenode.DefaultDirectReaders, hold: refuse},
+		"the relay is silent":                         {directReaders: 1, hold: hang, holdRelay: hang},
+		"a run waits for its connection after that":   {directReaders: jujubenode.DefaultDirectReaders, hold: hang, dialDelay: 1300 * time.Millisecond},
+		"a relayed run waits for its connection, too": {directReaders: 1, hold: hang, holdRelay: hang, dialDelay: 1300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster, nodes, stores := startWired(t, fault.directReaders)
+			if fault.directReaders == 1 {
+				waitForRelay(t, stores[1])
+			}
+			assert.NilError(t, nodes[1].Submit(t.Context(), route, newSubmission("s", 200)))
+			waitFor(t, "items run", func() bool { return nodes[1].RunsInFlight() > 0 })
+			stores[0].setHold(fault.holdRelay)
+			stores[1].setHold(fault.hold)
+			for _, links := range cluster.peerLinks {
+				links.set(linksHang)
+			}
+			cluster.wired.mu.Lock()
+			cluster.wired.delayDial = func(ctx context.Context, from model.InstanceID) {
+				if from == "i1" {
+					sleepOrDone(ctx, fault.dialDelay)
+				}
+			}
+			cluster.wired.mu.Unlock()
+			assert.NilError(t, nodes[2].EndSubmission(t.Context(), "s"))
+			bound := time.Now().Add(testCancelTime)
+			time.Sleep(testCancelTime + 3*time.Second)
+			late := cluster.wired.after("i1", "s", bound)
+			assert.Check(t, len(late) == 0, "%d items reached an engine later than %s after the end of their submission, the first ones: %q", len(late), testCancelTime, late[:min(3, len(late))])
+
+			for _, links := range cluster.peerLinks {
+				links.set(linksWork)
+			}
+			stores[0].setHold(nil)
+			stores[1].setHold(nil)
+			waitFor(t, "a submission is accepted", func() bool { return nodes[1].Submit(t.Context(), route, newSubmission("next", 2)) == nil })
+			assert.Equal(t, len(readAll(t, nodes[1], "next")), 2)
+		})
+	}
+}
+
+// TestItemsStartWhileTheStoreIsAway guards against instances that stop starting items when none of them reaches the store: no
+// submission can end then.
+func TestItemsStartWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	cluster, nodes, stores := startWired(t, jujubenode.DefaultDirectReaders)
+	assert.NilError(t, nodes[1].Submit(t.Context(), route, newSubmission("s", 400)))
+	waitFor(t, "items run", func() bool { return nodes[1].RunsInFlight() > 0 })
+	for _, store := range stores {
+		store.setBlocked(true)
+	}
+	away := time.Now()
+	time.Sleep(2 * testCancelTime)
+	assert.Assert(t, len(cluster.wired.after("i1", "s", away.Add(testCancelTime+time.Second))) > 0)
+}
+
+// startWired starts three instances with wired engines. The links to the first and the last one can be cut.
+func startWired(t *testing.T, directReaders int) (*testCluster, []*jujubenode.Node, []*blockableStore) {
+	cluster := newTestCluster(t)
+	cluster.directReaders, cluster.sameDataCentre, cluster.extraEngines = directReaders, true, 4
+	cluster.wired = newWiredEngines(t, 21, 100*time.Millisecond)
+	cluster.peerLinks = map[model.InstanceID]*testLinks{"i0": {}, "i2": {}}
+	var nodes []*jujubenode.Node
+	var stores []*blockableStore
+	for i := range 3 {
+		node, store, _ := cluster.start(model.InstanceID(fmt.Sprint("i", i)))
+		nodes, stores = append(nodes, node), append(stores, store)
+	}
+	for _, node := range nodes {
+		waitFor(t, "all instances are alive", func() bool { return len(node.Addresses("dc")) == len(nodes) })
+	}
+	return cluster, nodes, stores
+}
+
+// sleepOrDone sleeps until the context ends.
+func sleepOrDone(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
