jujubepeer: take how to connect to a peer as an option

Calls between instances always went over TCP, so that instances couldn't be run over another transport, such as in-memory connections in virtual time. A pool now has a function that opens its connections, which calls on dedicated connections and tunnels use, too; they are methods of the pool. Options.DialPeer of jujubenode sets it; without it nothing changes.

--- a/entry/modules/jujubepeer/pool.go
+++ b/entry/modules/jujubepeer/pool.go
@@ -19,6 +19,9 @@
 // end, and with 370 instances each of them would be used only once in six minutes.
 const maxPooledConnections = 32
 
+// DialFunc opens a connection to the peer at an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // connection is a connection to a peer. Guarded by the pool's mu.
 type connection struct {
 	client *rpc.Client
@@ -29,6 +32,7 @@
 
 // Pool keeps the most recently used connections open, at most one per peer address.
 type Pool struct {
+	dial        DialFunc
 	mu          sync.Mutex
 	connections map[string]*connection
 	// These are the fields of Traffic.
@@ -66,8 +70,13 @@
 	return n, err
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{connections: make(map[string]*connection)} }
+// NewPool returns an empty pool. A nil dial stands for TCP.
+func NewPool(dial DialFunc) *Pool {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &Pool{dial: dial, connections: make(map[string]*connection)}
+}
 
 // Call makes a call over the pooled connection to an address and opens one if there is none.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
@@ -103,7 +112,7 @@
 	if known {
 		return conn, nil
 	}
-	dialed, err := dialPeer(ctx, address)
+	dialed, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -142,7 +151,7 @@
 	}
 }
 
-func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: newKeepAlive()}
 	dialed, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -153,8 +162,8 @@
 
 // CallDedicated makes a call on a dedicated connection: Call closes a connection when a call on it times out, which would abort
 // a long call on the same connection.
-func CallDedicated(ctx context.Context, address, method string, args, reply any) error {
-	dialed, err := dialPeer(ctx, address)
+func (p *Pool) CallDedicated(ctx context.Context, address, method string, args, reply any) error {
+	dialed, err := p.dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/entry/modules/jujubepeer/serve_test.go
+++ b/entry/modules/jujubepeer/serve_test.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- jujubepeer.Serve(ctx, failing, Echo{}) }()
-	pool := jujubepeer.NewPool()
+	pool := jujubepeer.NewPool(nil)
 	var reply string
 	callCtx, cancelCall := context.WithTimeout(ctx, 20*time.Second)
 	defer cancelCall()
--- a/entry/modules/jujubepeer/tunnel.go
+++ b/entry/modules/jujubepeer/tunnel.go
@@ -163,8 +163,8 @@
 
 // OpenTunnel opens a connection through the peer at an address. It returns ErrPeerRefused if the peer couldn't connect; any
 // other error says nothing about the endpoint.
-func OpenTunnel(ctx context.Context, peer string, args OpenArgs) (net.Conn, error) {
-	dialed, err := dialPeer(ctx, peer)
+func (p *Pool) OpenTunnel(ctx context.Context, peer string, args OpenArgs) (net.Conn, error) {
+	dialed, err := p.dial(ctx, peer)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/modules/jujubepeer/tunnel_test.go
+++ b/entry/modules/jujubepeer/tunnel_test.go
@@ -41,7 +41,7 @@
 func newTunnelClient(t *testing.T, peer string) *http.Client {
 	t.Helper()
 	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-		return jujubepeer.OpenTunnel(ctx, peer, jujubepeer.OpenArgs{Address: address, Timeout: time.Second})
+		return jujubepeer.NewPool(nil).OpenTunnel(ctx, peer, jujubepeer.OpenArgs{Address: address, Timeout: time.Second})
 	}}
 	t.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
@@ -160,14 +160,14 @@
 // connections for others, which says nothing about the endpoint.
 func TestTunnelRefusals(t *testing.T) {
 	refused := startPeer(t, func(context.Context, string) (net.Conn, error) { return nil, errors.New("no route") })
-	_, err := jujubepeer.OpenTunnel(t.Context(), refused, jujubepeer.OpenArgs{Address: "x", Timeout: time.Second})
+	_, err := jujubepeer.NewPool(nil).OpenTunnel(t.Context(), refused, jujubepeer.OpenArgs{Address: "x", Timeout: time.Second})
 	var peerRefused jujubepeer.ErrPeerRefused
 	assert.Assert(t, errors.As(err, &peerRefused))
 	assert.Equal(t, peerRefused.Reason, "no route")
 	unable := startPeer(t, func(context.Context, string) (net.Conn, error) {
 		return nil, jujubepeer.ErrPeerUnable{Reason: "leaving"}
 	})
-	_, err = jujubepeer.OpenTunnel(t.Context(), unable, jujubepeer.OpenArgs{Address: "x", Timeout: time.Second})
+	_, err = jujubepeer.NewPool(nil).OpenTunnel(t.Context(), unable, jujubepeer.OpenArgs{Address: "x", Timeout: time.Second})
 	var peerUnable jujubepeer.ErrPeerUnable
 	assert.Assert(t, errors.As(err, &peerUnable))
 }
--- a/entry/services/jujubeentry/idempotency.go
+++ b/entry/services/jujubeentry/idempotency.go
@@ -14,7 +14,6 @@
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubeclaim"
 	"jujubepier.example/core/services/jujubecore"
-	"jujubepier.example/entry/modules/jujubepeer"
 )
 
 // inProgressTable holds, by key, a channel that is closed when a running non-idempotent request ends. Duplicates of the
@@ -215,7 +214,7 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	var reply ForwardReply
-	err := jujubepeer.CallDedicated(ctx, owner.PeerAddress, "Peer.Forward", ForwardArgs{Call: call, Owner: owner.ID, Incarnation: owner.Incarnation}, &reply)
+	err := s.peers.CallDedicated(ctx, owner.PeerAddress, "Peer.Forward", ForwardArgs{Call: call, Owner: owner.ID, Incarnation: owner.Incarnation}, &reply)
 	if err != nil {
 		s.log.Write(jujubeevent.KeyUnknown, func() logrus.Fields {
 			return logrus.Fields{"Key": call.Key, "Owner": owner.ID, "Error": err.Error()}
--- a/entry/services/jujubenode/endpointpath.go
+++ b/entry/services/jujubenode/endpointpath.go
@@ -109,7 +109,7 @@
 		asked++
 		go func() {
 			args := jujubepeer.OpenArgs{Address: address, Timeout: peerDialTimeout}
-			conn, err := jujubepeer.OpenTunnel(ctx, addresses[peer.ID], args)
+			conn, err := n.store.pool.OpenTunnel(ctx, addresses[peer.ID], args)
 			outcomes <- outcome{conn, peer, err}
 		}()
 	}
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -92,6 +92,8 @@
 	CloseIdleStoreConnections func()
 	// DialEndpoint opens a connection to an endpoint directly; ConnectEndpoint uses it.
 	DialEndpoint DialFunc
+	// DialPeer opens a connection to another instance; nil for TCP.
+	DialPeer DialFunc
 	// CloseIdleConnections closes the idle connections to endpoints; may be nil.
 	CloseIdleConnections func()
 	Started              time.Time
@@ -234,7 +236,7 @@
 		n.bootClock = jujubeclock.Now
 	}
 	n.startedAt = n.bootClock()
-	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections)
+	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections, options.DialPeer)
 	n.store.bootClock = n.bootClock
 	n.metrics = newNodeMetrics(n)
 	n.loads = newBatchWriter(loadQueueSize, loadBatchDelay, n.appendLoads)
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -66,13 +66,13 @@
 	part  int
 }
 
-func newRelayedStore(self model.InstanceID, direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string, closeIdle func()) *relayedStore {
+func newRelayedStore(self model.InstanceID, direct Store, log *jujubeevent.Log, peers func() map[model.InstanceID]string, closeIdle func(), dialPeer DialFunc) *relayedStore {
 	if closeIdle == nil {
 		closeIdle = func() {}
 	}
 	return &relayedStore{
 		closeIdle: closeIdle,
-		direct:    direct, pool: jujubepeer.NewPool(), log: log, peers: peers, paths: jujubepath.NewPaths[storePart](self, jujubepath.DefaultSettings()),
+		direct:    direct, pool: jujubepeer.NewPool(jujubepeer.DialFunc(dialPeer)), log: log, peers: peers, paths: jujubepath.NewPaths[storePart](self, jujubepath.DefaultSettings()),
 		catchUpTimeout:  jujubepath.AdaptiveTimeout{Min: minCatchUpTimeout, Max: maxCatchUpTimeout},
 		confirmedDownAt: make(map[storePart]time.Time),
 		restoredCh:      make(chan struct{}),
--- a/entry/services/jujubenode/score_test.go
+++ b/entry/services/jujubenode/score_test.go
@@ -99,7 +99,7 @@
 		Submission: "s1", Item: "s1-0", State: jujubebatch.Completed, Text: "another text", Score: "its score", By: "z",
 		Versions: []model.WeightVersion{1},
 	}}
-	pool := jujubepeer.NewPool()
+	pool := jujubepeer.NewPool(nil)
 	args := jujubenode.HandOverArgs{Entries: []jujubebatch.Entry{handedOver}}
 	assert.NilError(t, pool.Call(t.Context(), cluster.addresses["a"], "Relay.HandOver", args, &jujubenode.Empty{}))
 	result := readAll(t, a, "s1")[0]
