jujubenode: test ends of submissions under faults in virtual time

TestNothingStartsFromAnOldView covers the cases that are known. This property test looks for others: two to five nodes, of which some read through a relay, on machines in memory and in virtual time (testing/synctest), with items on engines behind HTTP connections. Drawn are freezes, cuts in one or both directions, calls to the store that hang, are refused or lose their responses, restarts, machines that are slow (all that they send and receive is delayed by 0.1 to 1.5 s), expiry of records, and runs that break off. From a machine that was free of faults for 4 s no item may reach an engine later than 3 s after the acknowledged end of its submission; slow machines count as free of faults. Submissions that weren't ended have to complete once the faults are over.

--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -33,6 +33,8 @@
 	engines *fakeEngines
 	// wired, unless it is nil, runs the items instead of engines.
 	wired *wiredEngines
+	// network, unless it is nil, connects instances to each other, the store and the wired engines.
+	network *faultyNetwork
 	// callers sends the plain requests of the instances that start; by default these go to engines.
 	callers jujubenode.EndpointCaller
 	// platform receives the reports of usage, which are a duty if it isn't nil.
@@ -109,7 +111,7 @@
 // startUnready runs an instance with two engines, one in the data centre of instance a and one in that of b.
 func (c *testCluster) startUnready(id model.InstanceID) (*jujubenode.Node, *blockableStore, func()) {
 	c.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := c.listen(id)
 	assert.NilError(c.t, err)
 	c.addresses[id] = listener.Addr().String()
 	if links, ok := c.peerLinks[id]; ok {
@@ -118,6 +120,11 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	store := &blockableStore{Store: c.store, hold: c.holdAtStart}
+	var dialPeer jujubenode.DialFunc
+	if c.network != nil {
+		machine := c.network.machines[id]
+		store.Store, dialPeer = machineStore{c.store, machine}, machine.dialPeer
+	}
 	dataCentre := model.DataCentre("dc-" + id)
 	if c.sameDataCentre {
 		dataCentre = "dc-a"
@@ -151,7 +158,7 @@
 			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
 		},
 		PlatformCaller: c.platformFor(id),
-		Store:          store, EngineClient: engineClient, EndpointCaller: callers, DialEndpoint: links.dial, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
+		Store:          store, EngineClient: engineClient, EndpointCaller: callers, DialEndpoint: links.dial, DialPeer: dialPeer, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
 	}, logger)
 	apply := func(now time.Time, record jujubenode.Record) {
 		if record.Key == "secret" {
@@ -219,6 +226,14 @@
 	return node, store, stop
 }
 
+// listen opens the listener for an instance's peers.
+func (c *testCluster) listen(id model.InstanceID) (net.Listener, error) {
+	if c.network != nil {
+		return c.network.listen(id), nil
+	}
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
 // redactSecret redacts the records with the key "secret".
 func redactSecret(record jujubenode.Record) jujubenode.Record {
 	record.Value = bytes.ReplaceAll(record.Value, []byte("secret"), []byte("redacted"))
--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -58,10 +59,11 @@
 				links.set(linksHang)
 			}
 			cluster.wired.mu.Lock()
-			cluster.wired.delayDial = func(ctx context.Context, from model.InstanceID) {
+			cluster.wired.connect = func(ctx context.Context, from model.InstanceID) (net.Conn, error) {
 				if from == "i1" {
 					sleepOrDone(ctx, fault.dialDelay)
 				}
+				return cluster.wired.listener.dial(ctx)
 			}
 			cluster.wired.mu.Unlock()
 			assert.NilError(t, nodes[2].EndSubmission(t.Context(), "s"))
--- a/entry/services/jujubenode/store_test.go
+++ b/entry/services/jujubenode/store_test.go
@@ -16,6 +16,8 @@
 type fakeStore struct {
 	mu   sync.Mutex
 	logs map[string][]jujubenode.Record
+	// firsts are the oldest offsets of logs whose records before have expired.
+	firsts map[string]int64
 	// changedCh is closed and replaced at each append.
 	changedCh chan struct{}
 	// loseResponses is the number of further appends of submissions that take effect without a response.
@@ -35,7 +37,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{logs: map[string][]jujubenode.Record{}, appends: map[string]int{}, changedCh: make(chan struct{}), pageRecords: 500}
+	return &fakeStore{logs: map[string][]jujubenode.Record{}, firsts: map[string]int64{}, appends: map[string]int{}, changedCh: make(chan struct{}), pageRecords: 500}
 }
 
 func logName(topic jujubenode.Topic, part int) string { return fmt.Sprintf("%s/%d", topic.Name, part) }
@@ -63,8 +65,11 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		log, changedCh := s.logs[logName(topic, part)], s.changedCh
+		log, first, changedCh := s.logs[logName(topic, part)], s.firsts[logName(topic, part)], s.changedCh
 		s.mu.Unlock()
+		if from < first {
+			return jujubenode.LogBatch{}, jujubenode.ErrTrimmed{First: first}
+		}
 		if int64(len(log)) > from {
 			return jujubenode.LogBatch{Records: s.cut(topic, log[from:], maxBytes), End: int64(len(log))}, nil
 		}
--- a/entry/services/jujubenode/wire_test.go
+++ b/entry/services/jujubenode/wire_test.go
@@ -32,18 +32,23 @@
 	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
-func (l *pipeListener) dial(ctx context.Context) (net.Conn, error) {
-	client, server := net.Pipe()
+// connect passes the other end of a connection to Accept.
+func (l *pipeListener) connect(ctx context.Context, server net.Conn) error {
 	select {
 	case l.conns <- server:
-		return client, nil
+		return nil
 	case <-l.closed:
-		return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
+		return errors.Wrap(syscall.ECONNREFUSED, "dial")
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 }
 
+func (l *pipeListener) dial(ctx context.Context) (net.Conn, error) {
+	client, server := net.Pipe()
+	return client, l.connect(ctx, server)
+}
+
 func (l *pipeListener) Accept() (net.Conn, error) {
 	select {
 	case conn := <-l.conns:
@@ -77,14 +82,15 @@
 
 	mu       sync.Mutex
 	arrivals []arrival
-	// delayDial, unless it is nil, delays the connections of an instance.
-	delayDial func(ctx context.Context, from model.InstanceID)
+	// connect opens a connection of an instance, by default to the listener.
+	connect func(ctx context.Context, from model.InstanceID) (net.Conn, error)
 	// breakAfter, unless it is nil, returns the number of events after which a run breaks off; 0 for none.
 	breakAfter func() int
 }
 
 func newWiredEngines(t *testing.T, events int, interval time.Duration) *wiredEngines {
 	e := &wiredEngines{events: events, interval: interval, listener: newPipeListener()}
+	e.connect = func(ctx context.Context, _ model.InstanceID) (net.Conn, error) { return e.listener.dial(ctx) }
 	server := &http.Server{Handler: e}
 	ended := make(chan struct{})
 	go func() {
@@ -146,12 +152,9 @@
 func (e *wiredEngines) client(from model.InstanceID, orders jujubenode.EngineClient) jujubenode.EngineClient {
 	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
 		e.mu.Lock()
-		delayDial := e.delayDial
+		connect := e.connect
 		e.mu.Unlock()
-		if delayDial != nil {
-			delayDial(ctx, from)
-		}
-		conn, err := e.listener.dial(ctx)
+		conn, err := connect(ctx, from)
 		if err != nil {
 			return nil, err
 		}
