jujubenode: let items of different lengths wait for connections in tests

A trial fix that asked for the age of the view only when a run is decided passed TestNothingStartsFromAnOldView: all items took the same time, so that no run was decided shortly before the view became too old. Items now take 1.2 to 2.1 s, and a connection 1.4 s instead of 1.3 s. The same trial then failed both cases with connections: "14 items reached an engine later than 3s after the end of their submission" and 3 items. A trial that also asks before the first byte passed three runs of three.

--- a/entry/services/jujubenode/ends_property_test.go
+++ b/entry/services/jujubenode/ends_property_test.go
@@ -136,7 +136,7 @@
 	r.cluster.bootClock = func() jujubeclock.Instant {
 		return jujubeclock.Instant(time.Since(r.cluster.network.start) + time.Hour)
 	}
-	wired := newWiredEngines(t, 12, 100*time.Millisecond)
+	wired := newWiredEngines(t, 16, 100*time.Millisecond)
 	runs := 0
 	wired.breakAfter = func() int {
 		runs++
--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -42,8 +42,8 @@
 		"direct reads hang":                           {directReaders: jujubenode.DefaultDirectReaders, hold: hang},
 		"direct reads are refused":                    {directReaders: jujubenode.DefaultDirectReaders, hold: refuse},
 		"the relay is silent":                         {directReaders: 1, hold: hang, holdRelay: hang},
-		"a run waits for its connection after that":   {directReaders: jujubenode.DefaultDirectReaders, hold: hang, dialDelay: 1300 * time.Millisecond},
-		"a relayed run waits for its connection, too": {directReaders: 1, hold: hang, holdRelay: hang, dialDelay: 1300 * time.Millisecond},
+		"a run waits for its connection after that":   {directReaders: jujubenode.DefaultDirectReaders, hold: hang, dialDelay: 1400 * time.Millisecond},
+		"a relayed run waits for its connection, too": {directReaders: 1, hold: hang, holdRelay: hang, dialDelay: 1400 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/entry/services/jujubenode/wire_test.go
+++ b/entry/services/jujubenode/wire_test.go
@@ -73,9 +73,9 @@
 	at         time.Time
 }
 
-// wiredEngines are engines behind connections, as a run is checked for the last time when its first byte is written. Each item has
-// some events at an interval.
+// wiredEngines are engines behind connections, as a run is checked for the last time when its first byte is written.
 type wiredEngines struct {
+	// events less the last digit of an item's id is the number of its events; interval is the time between them.
 	events   int
 	interval time.Duration
 	listener *pipeListener
@@ -115,7 +115,7 @@
 	}
 	e.mu.Unlock()
 	after, _ := strconv.Atoi(r.Header.Get("After"))
-	for number := after + 1; number <= e.events; number++ {
+	for number := after + 1; number <= e.events-int(item[len(item)-1]-'0'); number++ {
 		_, _ = fmt.Fprintf(w, "%s.%d\n", item, number)
 		_ = http.NewResponseController(w).Flush()
 		if number == after+breakAfter {
