--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -41,8 +42,8 @@
 		"direct reads hang":                           {directReaders: jujubenode.DefaultDirectReaders, hold: hang},
 		"direct reads are refused":                    {directReaders: jujubenode.DefaultDirectReaders, hold: refuse},
 		"the relay is silent":                         {directReaders: 1, hold: hang, holdRelay: hang},
-		"a run waits for its connection after that":   {directReaders: jujubenode.DefaultDirectReaders, hold: hang, dialDelay: 1300 * time.Millisecond},
-		"a relayed run waits for its connection, too": {directReaders: 1, hold: hang, holdRelay: hang, dialDelay: 1300 * time.Millisecond},
+		"a run waits for its connection after that":   {directReaders: jujubenode.DefaultDirectReaders, hold: hang, dialDelay: 1400 * time.Millisecond},
+		"a relayed run waits for its connection, too": {directReaders: 1, hold: hang, holdRelay: hang, dialDelay: 1400 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -58,10 +59,11 @@
 				links.set(linksHang)
 			}
 			cluster.wired.mu.Lock()
-			cluster.wired.delayDial = func(ctx context.Context, from model.InstanceID) {
+			cluster.wired.connect = func(ctx context.Context, from model.InstanceID) (net.Conn, error) {
 				if from == "i1" {
 					sleepOrDone(ctx, fault.dialDelay)
 				}
+				return cluster.wired.listener.dial(ctx)
 			}
 			cluster.wired.mu.Unlock()
 			assert.NilError(t, nodes[2].EndSubmission(t.Context(), "s"))
