--- a/entry/modules/jujubepeer/carrier_test.go
+++ b/entry/modules/jujubepeer/carrier_test.go
@@ -90,7 +90,7 @@
 			servePeer(t, listener, dialDirect)
 			address, received := newReceiver(t)
 			listener.writes.Store(int64(upTo(60 * time.Millisecond)))
-			conn, err := jujubepeer.OpenTunnel(t.Context(), listener.Addr().String(), jujubepeer.OpenArgs{Address: address, Timeout: 10 * time.Second})
+			conn, err := jujubepeer.NewPool(nil).OpenTunnel(t.Context(), listener.Addr().String(), jujubepeer.OpenArgs{Address: address, Timeout: 10 * time.Second})
 			assert.NilError(t, err)
 			defer func() { _ = conn.Close() }()
 			written := 0
@@ -120,7 +120,7 @@
 func TestIdleTunnelWritesInTime(t *testing.T) {
 	t.Parallel()
 	address, received := newReceiver(t)
-	conn, err := jujubepeer.OpenTunnel(t.Context(), startPeer(t, dialDirect), jujubepeer.OpenArgs{Address: address, Timeout: 10 * time.Second})
+	conn, err := jujubepeer.NewPool(nil).OpenTunnel(t.Context(), startPeer(t, dialDirect), jujubepeer.OpenArgs{Address: address, Timeout: 10 * time.Second})
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
 	for i := range 2 {
@@ -154,7 +154,7 @@
 	listener, carrier, server := listen(t), EarlierTunnel{make(chan string, 1)}, rpc.NewServer()
 	assert.NilError(t, server.RegisterName("Tunnel", carrier))
 	go server.Accept(listener)
-	conn, err := jujubepeer.OpenTunnel(t.Context(), listener.Addr().String(), jujubepeer.OpenArgs{Timeout: time.Second})
+	conn, err := jujubepeer.NewPool(nil).OpenTunnel(t.Context(), listener.Addr().String(), jujubepeer.OpenArgs{Timeout: time.Second})
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
 	_, err = conn.(jujubehttp.LimitedConn).WriteBefore([]byte("bytes"), jujubeclock.Now().Add(time.Minute))
