jujubenode: send items only from a recent view of the log

Callers saw items reach engines up to 29 s after the end of their submission was acknowledged, 3 s being allowed; some reached engines that were gone, or ran by an earlier desired state. An instance stopped starting items only while it knew of unread records. One whose reads hang, fail, take seconds or pass through a silent relay knows of none, and went on from a view of any age. Ruled out: ages passed on wrongly by relays, and waits between the decision and the first byte, which add to it only.

The rule is in one place now, jujubeview.Gate, and each path asks it immediately before the first byte: the views of the submission, of the endpoints and of the desired state may each be as old as the time in which a change has to take effect, less 0.5 s, by the clock that runs on during a suspension. A permit also limits how long another instance may pass the bytes on, and a run that was cancelled meanwhile isn't sent. Waiting items cause a read. A gateway with an old view refuses items and returns those that wait. While the store is away for all, nothing can be written to the log, and items go on: another instance has to confirm it whose own view is too old. A run isn't moved while nothing may start here.

Without the views of the endpoints and of the desired state TestNothingStartsByAnOldDesiredState printed "60 (int) != 0 (int)", without the check of moves TestOutdatedViewMovesNothing "2 (int) != 0".

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -42,6 +42,7 @@
 	LoanUnconfirmed    Number = 2114
 	ItemScored         Number = 2115
 	TextDropped        Number = 2116
+	StartsHeld         Number = 2119
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -157,6 +158,7 @@
 		{LoanUnconfirmed, "LoanUnconfirmed", warn, "An instance didn't confirm whether it still has the items that were delegated to it."},
 		{ItemScored, "ItemScored", info, "A scoring call ended. Without a Score it is retried; Failures counts the tries that failed at a server."},
 		{TextDropped, "TextDropped", info, "An item starts anew, because no engine of the software version that began its text can continue it; Reason gives the cause."},
+		{StartsHeld, "StartsHeld", info, "Items begin (Held) or cease to wait, as the view of a partition of the log is too old to start them."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic fail. The records already read stay in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance read them."},
--- a/core/services/jujubebatch/placement_test.go
+++ b/core/services/jujubebatch/placement_test.go
@@ -84,7 +84,20 @@
 
 // TestQueuedRunMoves guards against a run that waits behind the others on its engine while another engine has a free slot.
 func TestQueuedRunMoves(t *testing.T) {
-	ts := newTestScheduler(t, 2)
+	assert.Equal(t, moveQueuedRuns(newTestScheduler(t, 2)), 2, "the third gets the next slot of its own engine as early")
+}
+
+// TestOutdatedViewMovesNothing guards against a run that ends for a move and can't go on, as the view of the log is too old.
+func TestOutdatedViewMovesNothing(t *testing.T) {
+	ts, ticks := newTestScheduler(t, 2), 0
+	ts.SetStartGate(func(jujubebatch.SubmissionID) bool { ticks++; return ticks == 1 })
+	assert.Equal(t, moveQueuedRuns(ts), 0)
+}
+
+// moveQueuedRuns starts 30 runs on two engines of twelve slots, ends those that run on one of them, and returns how many of the queued
+// ones move.
+func moveQueuedRuns(ts *testScheduler) (moves int) {
+	t := ts.t
 	ts.accept(newSubmission("s", 30, "a"))
 	runs := tick[jujubebatch.StartRun](ts)
 	assert.Equal(t, len(runs), 30)
@@ -103,12 +116,11 @@
 	for _, run := range other {
 		ts.HandleRunEnd(ts.now, run.Run, jujubebatch.RunComplete)
 	}
-	moves := 0
 	for _, cancel := range tick[jujubebatch.CancelRun](ts) {
 		assert.Equal(t, cancel.Move, jujubebatch.FreeSlot)
 		moves++
 	}
-	assert.Equal(t, moves, 2, "the third gets the next slot of its own engine as early")
+	return moves
 }
 
 // TestStartNamesExpectations guards against log lines that don't explain why an item has its engine.
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -162,6 +162,13 @@
 	return len(item.events), true
 }
 
+// HasRun reports whether a run or scoring call hasn't ended and isn't cancelled.
+func (s *Scheduler) HasRun(id RunID) bool {
+	_, isRun := s.runs.Get(id)
+	_, isScoring := s.scorings.Get(id)
+	return isRun || isScoring
+}
+
 // HandleRunAccepted handles an engine's acceptance of a run with a weight version. It returns false if the run has to be
 // cancelled.
 func (s *Scheduler) HandleRunAccepted(_ time.Time, id RunID, version model.WeightVersion) bool {
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -59,7 +59,11 @@
 	// isBehindLog is true while records are known to be unread. No run starts in that time, because the next record may
 	// end its submission or be the item's result.
 	isBehindLog bool
-	prompts     prompts
+	// mayStart reports whether the view of the log is recent enough to start items of a submission; nil for always.
+	mayStart func(id SubmissionID) bool
+	// ticks counts the calls of Tick.
+	ticks   int
+	prompts prompts
 }
 
 // New returns a scheduler without submissions or engines.
@@ -93,11 +97,24 @@
 // SetLagging sets whether the submissions' topic is known to have unread records.
 func (s *Scheduler) SetLagging(behind bool) { s.isBehindLog = behind }
 
+// SetStartGate sets the check that is asked before runs and scoring calls of a submission start here. Items are offered to other
+// instances without it, because those check their own views.
+func (s *Scheduler) SetStartGate(mayStart func(id SubmissionID) bool) { s.mayStart = mayStart }
+
+// allowsStart reports whether items of a submission may start here in this tick.
+func (s *Scheduler) allowsStart(submission *submission) bool {
+	if submission.startCheckedIn != s.ticks {
+		submission.startCheckedIn, submission.mayStart = s.ticks, s.mayStart == nil || s.mayStart(submission.ID)
+	}
+	return submission.mayStart
+}
+
 // RunsInFlight returns the number of runs in flight.
 func (s *Scheduler) RunsInFlight() int { return s.runs.Len() }
 
 // Tick advances the scheduler to now and returns the actions to perform.
 func (s *Scheduler) Tick(now time.Time) []Action {
+	s.ticks++
 	s.expireSubmissions(now)
 	s.acceptPendingOffers(now)
 	fleet := s.measureFleet(now)
@@ -152,7 +169,9 @@
 			continue
 		}
 		if item.unscored != nil {
-			s.startScoring(item)
+			if s.allowsStart(submission) {
+				s.startScoring(item)
+			}
 			continue
 		}
 		if !ok || item.assignedEngine == "" || item.hasUsedAttempts(route) {
@@ -167,7 +186,9 @@
 			s.delegate(now, item, e)
 			continue
 		}
-		s.startRun(now, item, e, route)
+		if s.allowsStart(submission) {
+			s.startRun(now, item, e, route)
+		}
 	}
 }
 
@@ -305,7 +326,7 @@
 			s.cancelSilentRun(r, "the engine is silent")
 			continue
 		}
-		if moves < maxMovesPerTick && item.delegation == nil && now.Sub(item.movedAt) > minMoveInterval {
+		if moves < maxMovesPerTick && item.delegation == nil && now.Sub(item.movedAt) > minMoveInterval && s.allowsStart(item.submission) {
 			if to, reason := s.selectMoveTarget(now, r, fleet); to != nil {
 				moves++
 				s.moveRun(now, r, to, reason)
--- /dev/null
+++ b/core/services/jujubebatch/startgate_test.go
@@ -0,0 +1,96 @@
+package jujubebatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubepier.example/core/services/jujubebatch"
+)
+
+// TestOutdatedViewStartsNothing guards against runs and scoring calls that rest on a view of the log in which the end of their
+// submission may be missing, whichever way the item came to this instance.
+func TestOutdatedViewStartsNothing(t *testing.T) {
+	offer := jujubebatch.Offer{Submission: "s", Item: "s-0", Engine: "e0"}
+	breakRun := func(ts *testScheduler) {
+		runs := tick[jujubebatch.StartRun](ts)
+		assert.Equal(ts.t, len(runs), 1)
+		ts.HandleRunEnd(ts.now, runs[0].Run, jujubebatch.RunBroken)
+		ts.now = ts.now.Add(5 * time.Second)
+	}
+	for name, prepare := range map[string]func(ts *testScheduler){
+		"own item":          func(ts *testScheduler) { ts.accept(newSubmission("s", 1, "a")) },
+		"run that broke":    func(ts *testScheduler) { ts.accept(newSubmission("s", 1, "a")); breakRun(ts) },
+		"item of an offer":  func(ts *testScheduler) { ts.accept(newSubmission("s", 1, "b")); ts.AcceptOffer(ts.now, offer) },
+		"pending offer":     func(ts *testScheduler) { ts.AcceptOffer(ts.now, offer); ts.accept(newSubmission("s", 1, "b")) },
+		"lost instance":     func(ts *testScheduler) { ts.accept(newSubmission("s", 1, "b")); ts.SetLiveMembers(members("a")) },
+		"silent gateway":    func(ts *testScheduler) { ts.accept(newSubmission("s", 1, "a")); ts.BypassGateway(ts.now, "b") },
+		"checkpointed item": checkpointedItem,
+		"scoring call": func(ts *testScheduler) {
+			ts.SetDesired(scoringDesired())
+			ts.PutEngine(plainServer(0))
+			ts.accept(newScoredSubmission("s", 1, "a"))
+			assert.Equal(ts.t, ts.completeRuns(), 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestScheduler(t, 1)
+			mayStart := true
+			ts.SetStartGate(func(jujubebatch.SubmissionID) bool { return mayStart })
+			if name != "own item" && name != "run that broke" && name != "scoring call" {
+				ts.SetLiveMembers(members("a", "b"))
+			}
+			prepare(ts)
+			mayStart = false
+			assert.Equal(t, countStarts(ts), 0)
+			mayStart = true
+			assert.Equal(t, countStarts(ts), 1)
+		})
+	}
+}
+
+func checkpointedItem(ts *testScheduler) {
+	ts.SetLiveMembers(members("a"))
+	ts.accept(newSubmission("s", 1, "b"))
+	ts.Apply(ts.now, &jujubebatch.Entry{Progress: &jujubebatch.Progress{Submission: "s", Item: "s-0", Count: 2, SoftwareVersion: "v1", By: "b"}})
+}
+
+// countStarts returns how many runs and scoring calls a tick starts.
+func countStarts(ts *testScheduler) int {
+	ts.SetDesiredRead(ts.now)
+	count := 0
+	for _, action := range ts.Tick(ts.now) {
+		switch action.(type) {
+		case jujubebatch.StartRun, jujubebatch.StartScoring:
+			count++
+		}
+	}
+	return count
+}
+
+// TestEndedRunIsUnwanted guards against a run that is sent after the end of its submission was read, as its context hasn't ended yet.
+func TestEndedRunIsUnwanted(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	ts.accept(newSubmission("s", 1, "a"))
+	run := tick[jujubebatch.StartRun](ts)[0].Run
+	assert.Assert(t, ts.HasRun(run))
+	ts.Apply(ts.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s"}})
+	assert.Assert(t, !ts.HasRun(run))
+}
+
+// TestOutdatedGatewayReturnsItems guards against items that wait at a gateway which starts nothing.
+func TestOutdatedGatewayReturnsItems(t *testing.T) {
+	ts := newTestScheduler(t, 1)
+	ts.SetLiveMembers(members("a", "b"))
+	ts.SetStartGate(func(jujubebatch.SubmissionID) bool { return false })
+	ref := jujubebatch.ItemRef{Submission: "s", Item: "s-0"}
+	ts.accept(newSubmission("s", 1, "b"))
+	assert.Assert(t, ts.AcceptOffer(ts.now, jujubebatch.Offer{Submission: "s", Item: "s-0", Engine: "e0"}))
+	assert.Assert(t, ts.HasItem(ref))
+	ts.ReturnWaitingItem(ref)
+	assert.Assert(t, !ts.HasItem(ref))
+	assert.Equal(t, ts.EngineLoad("e0"), 0)
+	ts.SetStartGate(nil)
+	assert.Equal(t, countStarts(ts), 0)
+}
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -35,6 +35,9 @@
 	// unresolved counts the items without a result, unassigned those of them without an engine, and delegatedHere those
 	// that other instances delegated to this one.
 	unresolved, unassigned, delegatedHere int
+	// mayStart is whether the start gate allowed items of the submission to start in the tick startCheckedIn.
+	mayStart       bool
+	startCheckedIn int
 }
 
 // item is an item of a submission together with its scheduling state.
--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -155,7 +155,7 @@
 		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: c.addresses[id]},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
-			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
+			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, CancelTime: testCancelTime, DesiredTime: testCancelTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
 		},
 		PlatformCaller: c.platformFor(id),
 		Store:          store, EngineClient: engineClient, EndpointCaller: callers, DialEndpoint: links.dial, DialPeer: dialPeer, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
--- a/entry/services/jujubenode/delegation.go
+++ b/entry/services/jujubenode/delegation.go
@@ -29,6 +29,8 @@
 	Loads map[model.EndpointID]int
 	// Throttled is how long the rate of an engine allows no further request; engines that it allows one aren't listed.
 	Throttled map[model.EndpointID]time.Duration
+	// IsOutdated is true if the instance starts no items because of the age of its view of the log.
+	IsOutdated bool
 }
 
 // ConfirmArgs lists items of which the called instance reports whether it still has them.
@@ -50,7 +52,9 @@
 	reply.Loads, reply.Throttled = make(map[model.EndpointID]int), make(map[model.EndpointID]time.Duration)
 	acceptedCount := 0
 	for _, offer := range args.Offers {
-		accepted := n.ready && n.state == jujuberegistry.Ready && n.scheduler.AcceptOffer(now, offer)
+		isOutdated := !n.mayStart(offer.Submission)
+		accepted := n.ready && n.state == jujuberegistry.Ready && !isOutdated && n.scheduler.AcceptOffer(now, offer)
+		reply.IsOutdated = reply.IsOutdated || isOutdated
 		reply.Taken = append(reply.Taken, accepted)
 		reply.Loads[offer.Engine] = 0
 		if accepted {
@@ -76,6 +80,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, ref := range args.Items {
+		if !n.mayStart(ref.Submission) {
+			n.scheduler.ReturnWaitingItem(ref)
+		}
 		reply.Has = append(reply.Has, n.scheduler.HasItem(ref))
 	}
 	return nil
@@ -116,6 +123,9 @@
 		for id, remaining := range reply.Throttled {
 			n.scheduler.Throttle(id, now.Add(remaining))
 		}
+		if reply.IsOutdated {
+			n.scheduler.BypassGateway(now, action.To)
+		}
 	}
 	n.notifyChange()
 }
--- a/entry/services/jujubenode/feed.go
+++ b/entry/services/jujubenode/feed.go
@@ -1,6 +1,10 @@
 package jujubenode
 
-import "time"
+import (
+	"time"
+
+	"jujubepier.example/core/services/jujubeview"
+)
 
 // Feed is a keyed topic of the platform that operators or endpoints write to.
 type Feed struct {
@@ -25,10 +29,12 @@
 	f.reset, f.redact = feed.Reset, feed.Redact
 	if feed.HasDesired {
 		f.urgent, n.desiredFollower = true, f
+		f.gate = jujubeview.Gate{Bound: n.settings.DesiredTime}
 		f.onCaughtUp = n.scheduler.SetDesiredRead
 	}
 	if feed.HasEndpoints {
 		n.endpointFollower = f
+		f.gate = jujubeview.Gate{Bound: n.settings.EndpointLeaveTime}
 		f.onCaughtUp = func(readAt time.Time) {
 			n.endpoints.RecordRead(readAt)
 			n.scheduler.SetRegistryRead(readAt)
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -9,6 +9,7 @@
 
 	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/services/jujubeview"
 )
 
 const (
@@ -67,6 +68,13 @@
 	viewTime jujubeclock.ReadTime
 	// hasUnread is true while the partition's end, as of the latest read, hasn't been reached.
 	hasUnread bool
+	// gate bounds the age of the view from which items start; isHeld is true while items wait because of it.
+	gate   jujubeview.Gate
+	isHeld bool
+	// needsRefresh is true if work asked for the view since the last tick while it was old. isRefreshing is true while a read for that
+	// is in progress, refreshedAt is when the last one began.
+	needsRefresh, isRefreshing bool
+	refreshedAt                jujubeclock.Instant
 	// readCh is closed and replaced after each read up to the end of the partition.
 	readCh chan struct{}
 	// reads, records and bytes count the reads, and the records and bytes they returned.
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -10,6 +10,7 @@
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubeorganisation"
 	"jujubepier.example/core/services/jujubequarantine"
+	"jujubepier.example/core/services/jujubeview"
 )
 
 // nodeMetrics holds the metrics of one node. They are listed in docs/metrics.md.
@@ -53,6 +54,13 @@
 		}
 		return 0
 	})
+	for part := range numPartitions {
+		set.NewGauge(fmt.Sprintf("jujube_node_view_age_seconds{partition=\"%d\"}", part), func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.partitions[part].follower.view().Age(n.bootClock()).Seconds()
+		})
+	}
 	for _, state := range []jujubequarantine.Status{jujubequarantine.Suspect, jujubequarantine.Quarantined} {
 		set.NewGauge(fmt.Sprintf("jujube_node_suspects{state=%q}", state), func() float64 {
 			n.mu.Lock()
@@ -73,6 +81,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_runs_total{outcome=%q}", kind)).Inc()
 }
 
+// countSendCheck counts the checks immediately before the first byte of a run or scoring call.
+func (m *nodeMetrics) countSendCheck(verdict jujubeview.Verdict) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_send_checks_total{verdict=%q}", verdict)).Inc()
+}
+
 // countPrompt counts the prompt tokens of a run, and those of them that the engine was assumed to keep.
 func (m *nodeMetrics) countPrompt(tokens, kept int) {
 	m.set.GetOrCreateCounter("jujube_node_prompt_tokens_total").Add(tokens)
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -238,6 +238,7 @@
 	n.startedAt = n.bootClock()
 	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections, options.DialPeer)
 	n.store.bootClock = n.bootClock
+	n.scheduler.SetStartGate(n.allowsStart)
 	n.metrics = newNodeMetrics(n)
 	n.loads = newBatchWriter(loadQueueSize, loadBatchDelay, n.appendLoads)
 	n.streams = newBatchWriter(streamQueueSize, streamBatchDelay, n.appendStreams)
@@ -339,6 +340,7 @@
 	}
 	n.scheduler.SetLagging(unread)
 	n.executeActions(n.scheduler.Tick(now))
+	n.refreshOldViews()
 	n.updateReady(now)
 }
 
--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// TestNothingStartsByAnOldDesiredState guards against an instance that sends items by a desired state that may have been replaced long
+// ago, as its reads of that alone hang.
+func TestNothingStartsByAnOldDesiredState(t *testing.T) {
+	t.Parallel()
+	cluster, nodes, stores := startWired(t, jujubenode.DefaultDirectReaders)
+	assert.NilError(t, nodes[1].Submit(t.Context(), route, newSubmission("s", 400)))
+	waitFor(t, "items run", func() bool { return nodes[1].RunsInFlight() > 0 })
+	stores[1].setHold(func(ctx context.Context, call string) error {
+		if call != topicDesired.Name {
+			return nil
+		}
+		return loseResponse(ctx, call)
+	})
+	for _, links := range cluster.peerLinks {
+		links.set(linksHang)
+	}
+	bound := time.Now().Add(testCancelTime)
+	time.Sleep(testCancelTime + 2*time.Second)
+	assert.Equal(t, len(cluster.wired.after("i1", "s", bound)), 0)
+	stores[1].setHold(nil)
+	waitFor(t, "items start again", func() bool { return len(cluster.wired.after("i1", "s", bound)) > 0 })
+}
+
 // TestItemsStartWhileTheStoreIsAway guards against instances that stop starting items when none of them reaches the store: no
 // submission can end then.
 func TestItemsStartWhileTheStoreIsAway(t *testing.T) {
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -11,6 +11,7 @@
 
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubeview"
 )
 
 const (
@@ -100,6 +101,7 @@
 		unscoredPointers: make(map[jujubebatch.ItemRef]jujubebatch.Pointer),
 	}
 	p.follower = n.addFollower(topicSubmissions, number, p.apply)
+	p.follower.gate = jujubeview.Gate{Bound: n.settings.CancelTime}
 	return p
 }
 
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -14,6 +14,7 @@
 	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubepath"
+	"jujubepier.example/core/services/jujubeview"
 	"jujubepier.example/entry/modules/jujubepeer"
 )
 
@@ -56,6 +57,8 @@
 	catchUpTimeout jujubepath.AdaptiveTimeout
 	// confirmedDownAt is when another instance last replied that it can't reach a partition either; a success deletes the entry.
 	confirmedDownAt map[storePart]time.Time
+	// outages holds the outages of partitions that other instances have confirmed; a success deletes the entry.
+	outages map[storePart]jujubeview.Outage
 	// restoredCh is closed and replaced when a partition is directly reachable again.
 	restoredCh chan struct{}
 }
@@ -75,6 +78,7 @@
 		direct:    direct, pool: jujubepeer.NewPool(jujubepeer.DialFunc(dialPeer)), log: log, peers: peers, paths: jujubepath.NewPaths[storePart](self, jujubepath.DefaultSettings()),
 		catchUpTimeout:  jujubepath.AdaptiveTimeout{Min: minCatchUpTimeout, Max: maxCatchUpTimeout},
 		confirmedDownAt: make(map[storePart]time.Time),
+		outages:         make(map[storePart]jujubeview.Outage),
 		restoredCh:      make(chan struct{}),
 	}
 }
@@ -199,7 +203,7 @@
 	s.mu.Lock()
 	pathChanged := s.paths.RecordDirect(time.Now(), part, ok)
 	if ok {
-		delete(s.confirmedDownAt, part)
+		s.clearOutage(part)
 	}
 	if ok && pathChanged {
 		close(s.restoredCh)
@@ -247,9 +251,10 @@
 	s.paths.Of(part).RecordPeer(time.Now(), id, ok)
 	switch {
 	case ok:
-		delete(s.confirmedDownAt, part)
+		s.clearOutage(part)
 	case hasReplied:
 		s.confirmedDownAt[part] = time.Now()
+		s.confirmOutage(part, reply)
 	}
 	s.mu.Unlock()
 	return reply, true, err
@@ -259,6 +264,28 @@
 // down, another instance is queried about once a second.
 const confirmedDownTTL = 2 * time.Second
 
+// clearOutage records that the store has responded for a partition. The caller must hold s.mu.
+func (s *relayedStore) clearOutage(part storePart) {
+	delete(s.confirmedDownAt, part)
+	delete(s.outages, part)
+}
+
+// confirmOutage records another instance's reply that it can't reach a partition. The caller must hold s.mu.
+func (s *relayedStore) confirmOutage(part storePart, reply RelayReply) {
+	if reply.IsOutdated {
+		outage := s.outages[part]
+		outage.Confirm(s.bootClock())
+		s.outages[part] = outage
+	}
+}
+
+// outageOf returns the outage of a partition; the zero value if there is none.
+func (s *relayedStore) outageOf(topic Topic, part int) jujubeview.Outage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outages[storePart{topic, part}]
+}
+
 // isConfirmedDown reports whether another instance recently replied that it can't reach a partition either.
 func (s *relayedStore) isConfirmedDown(now time.Time, topic Topic, part int) bool {
 	s.mu.Lock()
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -71,6 +70,7 @@
 			"KnownVersion": start.KnownVersion, "InFlight": start.InFlight, "Planned": start.Assigned, "Pace": start.EventInterval.String(),
 			"SoftwareVersion": start.SoftwareVersion, "TextSoftware": start.TextSoftware, "Checkpoint": start.Progress != nil,
 			"PromptTokens": start.PromptTokens, "KeptTokens": start.KeptTokens,
+			"ViewAge":        n.partitionOf(start.Submission).follower.view().Age(n.bootClock()).String(),
 			"ExpectedEvents": start.ExpectedEvents, "ExpectedFinish": start.ExpectedFinish.String(), "Placement": start.Placement,
 		}
 	})
@@ -153,12 +153,12 @@
 	if verdict := n.acquirePermit(ctx, start.Engine, jujubethrottle.Interactive); verdict.Decision != jujubethrottle.Permitted {
 		return jujubebatch.RunThrottled, nil
 	}
-	// The submission may have ended during a pause. The item is decided on again once the log has been read.
-	check := func() bool { return !n.wasPausedSince(decidedAt) }
-	if !check() {
-		return jujubebatch.RunUnsent, errors.New("the process was paused before the run was sent")
+	// The submission may have ended meanwhile. The item is decided on again once the log has been read.
+	permit := func() jujubehttp.SendPermit { return n.permitSend(start.Submission, start.Run, decidedAt) }
+	if !permit().Allowed {
+		return jujubebatch.RunUnsent, ErrOutdatedView{Submission: start.Submission}
 	}
-	return n.engineClient.Run(jujubehttp.WithSendCheck(ctx, check), start, content, runSink{ctx, n, start})
+	return n.engineClient.Run(jujubehttp.WithSendPermit(ctx, permit), start, content, runSink{ctx, n, start})
 }
 
 // runSink passes a run's events to the scheduler.
--- a/entry/services/jujubenode/score.go
+++ b/entry/services/jujubenode/score.go
@@ -10,6 +10,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/modules/jujubehttp"
 	"jujubepier.example/core/services/jujubebatch"
 )
 
@@ -19,6 +20,8 @@
 func (n *Node) startScoring(start jujubebatch.StartScoring) {
 	ctx, cancel := context.WithCancel(n.tomb.Context(nil))
 	n.activeRuns[start.Run] = activeRun{cancel: cancel}
+	decidedAt := time.Now()
+	ctx = jujubehttp.WithSendPermit(ctx, func() jujubehttp.SendPermit { return n.permitSend(start.Submission, start.Run, decidedAt) })
 	n.tomb.Go(func() error {
 		defer cancel()
 		n.runScoring(ctx, start)
--- a/entry/services/jujubenode/settings.go
+++ b/entry/services/jujubenode/settings.go
@@ -17,6 +17,13 @@
 	AddressValidity time.Duration `validate:"min=500ms,max=1m" usage:"how long callers may cache an address response"`
 	// RevokeTime is the time after which no instance accepts a revoked API key; zero for no bound.
 	RevokeTime time.Duration `validate:"omitempty,min=1ms,max=24h" usage:"time after which no instance accepts a revoked API key; 0 for no bound"`
+	// CancelTime is the time after which no item of an ended submission may reach an engine; zero for no bound.
+	CancelTime time.Duration `validate:"omitempty,min=1s,max=1h" usage:"time after the end of a submission from which on none of its items may reach an engine; 0s for no bound"`
+	// EndpointLeaveTime is the time after an endpoint's entry says that it is leaving, or is removed, after which no item may reach it;
+	// zero for no bound.
+	EndpointLeaveTime time.Duration `validate:"omitempty,min=1s,max=1h" usage:"time after an endpoint announces that it leaves from which on no item may reach it; 0s for no bound"`
+	// DesiredTime is the time after which no item may run by an earlier desired state; zero for no bound.
+	DesiredTime time.Duration `validate:"omitempty,min=1s,max=1h" usage:"time after the acknowledgement of a desired state from which on no item may run by an earlier one; 0s for no bound"`
 	// ReadsPerSecond and WritesPerSecond are the store's rate limits for all instances together.
 	ReadsPerSecond  int `validate:"min=1" usage:"read limit of the store for all instances together, per second"`
 	WritesPerSecond int `validate:"min=1" usage:"write limit of the store for all instances together, per second"`
--- a/entry/services/jujubenode/urgent.go
+++ b/entry/services/jujubenode/urgent.go
@@ -153,7 +153,13 @@
 	}
 	var storeErr ErrStore
 	s.mu.Lock()
-	s.paths.Of(part).RecordPeer(time.Now(), try.peer, !errors.As(outcome.err, &storeErr))
+	isReached := !errors.As(outcome.err, &storeErr)
+	s.paths.Of(part).RecordPeer(time.Now(), try.peer, isReached)
+	if isReached {
+		s.clearOutage(part)
+	} else {
+		s.confirmOutage(part, outcome.reply)
+	}
 	s.mu.Unlock()
 	return outcome
 }
