jujubebatch: reuse the coders of compressed entries

Each text of more than 1 KB was compressed with a new writer, which takes 1.2 MB: allocating and clearing it took longer than compressing the text, and a few texts were enough for a collection. One writer and one reader are kept for the next entry now.

--- a/core/services/jujubebatch/codec.go
+++ b/core/services/jujubebatch/codec.go
@@ -146,9 +146,15 @@
 	}
 	var buffer bytes.Buffer
 	buffer.WriteByte(compressedMarker)
-	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress entry")
+	var writer *flate.Writer
+	select {
+	case writer = <-spareWriters:
+		writer.Reset(&buffer)
+	default:
+		var err error
+		if writer, err = flate.NewWriter(&buffer, flate.BestSpeed); err != nil {
+			return nil, errors.Wrap(err, "compress entry")
+		}
 	}
 	if _, err := writer.Write(data); err != nil {
 		return nil, errors.Wrap(err, "compress entry")
@@ -156,15 +162,41 @@
 	if err := writer.Close(); err != nil {
 		return nil, errors.Wrap(err, "compress entry")
 	}
+	writer.Reset(nil)
+	select {
+	case spareWriters <- writer:
+	default:
+	}
 	return buffer.Bytes(), nil
 }
 
+// spareWriters and spareReaders keep one of each for the next entry: a writer takes 1.2 MB, and allocating it takes longer than
+// compressing a text.
+var (
+	spareWriters = make(chan *flate.Writer, 1)
+	spareReaders = make(chan io.ReadCloser, 1)
+)
+
 const compressedMarker byte = 'Z'
 
 func decompress(data []byte) ([]byte, error) {
 	if len(data) == 0 || data[0] != compressedMarker {
 		return data, nil
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data[1:])), maxEntryBytes))
+	source := bytes.NewReader(data[1:])
+	var reader io.ReadCloser
+	select {
+	case reader = <-spareReaders:
+		if err := reader.(flate.Resetter).Reset(source, nil); err != nil {
+			return nil, errors.Wrap(err, "decompress entry")
+		}
+	default:
+		reader = flate.NewReader(source)
+	}
+	plain, err := io.ReadAll(io.LimitReader(reader, maxEntryBytes))
+	select {
+	case spareReaders <- reader:
+	default:
+	}
 	return plain, errors.Wrap(err, "decompress entry")
 }
