--- a/core/models/jujubetable/table_test.go
+++ b/core/models/jujubetable/table_test.go
@@ -24,3 +24,47 @@
 	assert.DeepEqual(t, visited, []string{"a", "c"})
 	assert.Equal(t, table.Len(), 2)
 }
+
+// TestChangesDuringIterations guards against an iteration that skips or repeats keys because the table is changed meanwhile, also by
+// an iteration within it.
+func TestChangesDuringIterations(t *testing.T) {
+	table := jujubetable.New[int, int]()
+	for key := range 20 {
+		table.Put(10*key, key)
+	}
+	var outer []int
+	for key := range table.All() {
+		outer = append(outer, key)
+		table.Put(key+1, 0) // isn't visited
+		table.Delete(key - 10)
+		inner := 0
+		for range table.All() {
+			table.Put(-1, 0)
+			table.Delete(-1)
+			inner++
+		}
+		assert.Equal(t, inner, table.Len())
+	}
+	assert.Equal(t, len(outer), 20)
+	for i, key := range outer {
+		assert.Equal(t, key, 10*i)
+	}
+	previous := -1
+	for key := range table.All() {
+		assert.Assert(t, key > previous)
+		previous = key
+	}
+	assert.Equal(t, table.Len(), 21)
+}
+
+func BenchmarkAll(b *testing.B) {
+	table := jujubetable.New[int, int]()
+	for key := range 100 {
+		table.Put(key, key)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for range table.All() {
+		}
+	}
+}
