jujuberegistry: list the live instances only when they may have changed

Each tick listed and sorted all instances, 86 heartbeats of 190 bytes. A tick lists them now only after a heartbeat, a removal, a read up to the end, or the end of the grace period.

--- a/core/services/jujuberegistry/registry.go
+++ b/core/services/jujuberegistry/registry.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -76,6 +75,9 @@
 	lastRead time.Time
 	// graceUntil is set when the log becomes available after an outage; no instance expires before it.
 	graceUntil time.Time
+	// isListed is true if nothing that Live depends on has been recorded since its latest call, and wasInGrace is whether that call
+	// was before graceUntil.
+	isListed, wasInGrace bool
 }
 
 // New returns an empty registry.
@@ -85,6 +87,7 @@
 
 // Apply stores a heartbeat. One with an older incarnation or number has no effect.
 func (r *Registry) Apply(now time.Time, heartbeat Heartbeat) {
+	r.isListed = false
 	known, ok := r.registrations.Get(heartbeat.Instance)
 	if !ok {
 		r.registrations.Put(heartbeat.Instance, &registration{heartbeat: heartbeat, receivedAt: now})
@@ -97,10 +100,14 @@
 }
 
 // Remove removes an instance that has left.
-func (r *Registry) Remove(id model.InstanceID) { r.registrations.Delete(id) }
+func (r *Registry) Remove(id model.InstanceID) {
+	r.isListed = false
+	r.registrations.Delete(id)
+}
 
 // RecordRead records that the log was read up to its end. After an outage it starts the grace period.
 func (r *Registry) RecordRead(now time.Time) {
+	r.isListed = false
 	if !r.lastRead.IsZero() && now.Sub(r.lastRead) > r.settings.TTL/2 {
 		r.graceUntil = now.Add(r.settings.Grace)
 	}
@@ -119,17 +126,22 @@
 	return recent
 }
 
+// IsListed reports whether the latest result of Live is still that of a call now.
+func (r *Registry) IsListed(now time.Time) bool {
+	return r.isListed && r.wasInGrace == now.Before(r.graceUntil)
+}
+
 // Live returns the instances that are alive, sorted by name.
 func (r *Registry) Live(now time.Time) []Heartbeat {
-	var live []Heartbeat
+	r.isListed, r.wasInGrace = true, now.Before(r.graceUntil)
+	live := make([]Heartbeat, 0, r.registrations.Len())
 	for _, registration := range r.registrations.All() {
 		expiry := registration.receivedAt.Add(r.settings.TTL)
 		// While the log is unavailable, no heartbeats of any instance arrive, so the time of the last read is used instead
 		// of the current time.
-		if r.lastRead.Before(expiry) || now.Before(r.graceUntil) {
+		if r.lastRead.Before(expiry) || r.wasInGrace {
 			live = append(live, registration.heartbeat)
 		}
 	}
-	slices.SortFunc(live, func(a, b Heartbeat) int { return cmp.Compare(a.Instance, b.Instance) })
 	return live
 }
--- a/entry/services/jujubenode/heartbeat.go
+++ b/entry/services/jujubenode/heartbeat.go
@@ -119,6 +119,9 @@
 
 // refreshMembership updates the list of live instances; the lock is held.
 func (n *Node) refreshMembership(now time.Time) {
+	if n.registry.IsListed(now) {
+		return
+	}
 	live := n.registry.Live(now)
 	members := make([]jujubebatch.Member, 0, len(live))
 	membershipChanged := len(live) != len(n.liveInstances)
