jujubenode: collect the claimants of the lease only without the log

Every instance listed, every 40 ms, all instances that may claim the lease, although their promises matter only to a holder that can't reach the log.

CPU profiles of 72 processes on one machine with four trainers and 48 engines had 4.8% of their samples there, of 23.7 s in 20 s.

--- a/entry/services/jujubenode/outage.go
+++ b/entry/services/jujubenode/outage.go
@@ -20,6 +20,9 @@
 // leadsWithoutLog reports whether this instance still holds the lease although it can't reach the log: all other instances that may
 // claim it have promised not to. Those that are cut off together can't know whether others have claimed it. The lock is held.
 func (n *Node) leadsWithoutLog(now time.Time) bool {
+	if !n.lease.State(now).Degraded {
+		return false
+	}
 	addresses := n.claimants()
 	others := make([]model.InstanceID, 0, len(addresses))
 	for id := range addresses {
