jujubenode: decode a chunk of contents once

The instance that accepted a submission decoded whole chunks, up to all contents of a submission, for each gateway to which it offered items and again at each repeated offer.

--- a/entry/services/jujubenode/blob.go
+++ b/entry/services/jujubenode/blob.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// maxCacheBytes bounds the records cached in memory. Trainers read results soon after they are listed, and the
-	// largest site lists 1 MB a second.
-	maxCacheBytes = 8 << 20
 	// fetchTimeout bounds fetching the texts of one response or the content of an item, including a second attempt
 	// through another instance.
 	fetchTimeout = 1500 * time.Millisecond
@@ -31,46 +28,6 @@
 	parallelReads = 8
 )
 
-// blobKey identifies a blob by its partition of the texts topic and its position there.
-type blobKey struct {
-	part    int
-	pointer jujubebatch.Pointer
-}
-
-// blobCache caches the records of the blobs that were written or read last.
-type blobCache struct {
-	mu      sync.Mutex
-	records map[blobKey][][]byte
-	// order holds the keys, oldest first; bytes is the total size.
-	order []blobKey
-	bytes int
-}
-
-func newBlobCache() *blobCache { return &blobCache{records: make(map[blobKey][][]byte)} }
-
-func (c *blobCache) get(key blobKey) ([][]byte, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	records, ok := c.records[key]
-	return records, ok
-}
-
-func (c *blobCache) put(key blobKey, records [][]byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if _, ok := c.records[key]; ok {
-		return
-	}
-	c.records[key] = records
-	c.order = append(c.order, key)
-	c.bytes += key.pointer.Size
-	for c.bytes > maxCacheBytes && len(c.order) > 1 {
-		c.bytes -= c.order[0].pointer.Size
-		delete(c.records, c.order[0])
-		c.order = c.order[1:]
-	}
-}
-
 // blobBatch collects encoded values to be appended to the log.
 type blobBatch struct {
 	records []Record
@@ -321,9 +278,20 @@
 	return jujubebatch.DecodeBlob(found[ref.pointer], value)
 }
 
+// fetchChunk reads a chunk. Others may have the same one, so it mustn't be changed.
 func (p *partition) fetchChunk(ctx context.Context, location jujubebatch.Place) (chunk jujubebatch.Chunk, err error) {
-	err = p.fetchBlob(ctx, blobRef{location.Chunk, location.By}, &chunk)
-	return chunk, err
+	found, err := p.fetchBlobs(ctx, []blobRef{{location.Chunk, location.By}})
+	if err != nil {
+		return chunk, err
+	}
+	decode := sync.OnceValues(func() (chunk jujubebatch.Chunk, err error) {
+		err = jujubebatch.DecodeBlob(found[location.Chunk], &chunk)
+		return chunk, err
+	})
+	if location.Chunk.Size > maxDecodedBytes {
+		return decode()
+	}
+	return p.node.chunkCache.put(blobKey{p.number, location.Chunk}, decode)()
 }
 
 // fetchContent reads the part of an item's request that is sent to the engine.
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -125,9 +125,11 @@
 	endServing context.CancelFunc
 	// wakeCh wakes the scheduler; its capacity is one.
 	wakeCh    chan struct{}
-	blobCache *blobCache
-	loads     *batchWriter[LoadRecord]
-	streams   *batchWriter[jujubebatch.StreamOrigin]
+	blobCache *blobCache[[][]byte]
+	// chunkCache holds functions that decode a chunk when they are first called.
+	chunkCache *blobCache[func() (jujubebatch.Chunk, error)]
+	loads      *batchWriter[LoadRecord]
+	streams    *batchWriter[jujubebatch.StreamOrigin]
 
 	// mu guards the fields below. Decisions are made with it held; network calls aren't.
 	mu           sync.Mutex
@@ -209,7 +211,8 @@
 		serving:        serving,
 		endServing:     endServing,
 		wakeCh:         make(chan struct{}, 1),
-		blobCache:      newBlobCache(),
+		blobCache:      newBlobCache[[][]byte](maxCacheBytes),
+		chunkCache:     newBlobCache[func() (jujubebatch.Chunk, error)](maxDecodedBytes),
 		scheduler:      jujubebatch.New(id, batchSettings),
 		fleet:          jujubefleet.New(id, fleetSettings),
 		lease:          jujubelease.New("rollout", id, incarnation, lease),
