jujubenode: wake up only for what is due

An instance with nothing to do woke up over 120 times a second. The checks whether a probe of the store or of the endpoints is due run only while some path isn't direct. The wait for the next heartbeat ends when it is due, or when the state changes. The delay after a tick, which joins events that arrive together, is waited for only if an event arrives within it.

--- a/entry/services/jujubenode/endpointpath.go
+++ b/entry/services/jujubenode/endpointpath.go
@@ -42,6 +42,8 @@
 	// path and lastCheck are guarded by the node's lock.
 	path      *jujubepath.EndpointPath
 	lastCheck time.Time
+	// cutOffCh gets a value when this instance is cut off; its capacity is one.
+	cutOffCh chan struct{}
 }
 
 // ConnectEndpoint opens a connection to an endpoint. If this instance can't reach it, another one that can carries the connection.
@@ -189,11 +191,17 @@
 // nothing about the endpoints.
 func (p *endpointPath) handleChange(cutOff bool, address string) {
 	n := p.node
+	if cutOff {
+		select {
+		case p.cutOffCh <- struct{}{}:
+		default:
+		}
+	}
 	n.log.Write(jujubeevent.EndpointPathChanged, func() logrus.Fields {
 		return logrus.Fields{"Direct": !cutOff, "Address": address}
 	})
 	n.mu.Lock()
-	n.lastHeartbeat = time.Time{}
+	n.requestHeartbeat()
 	n.scheduler.ForgetFailures()
 	n.router.ForgetFailures()
 	n.notifyChange()
@@ -276,7 +284,7 @@
 	address := ""
 	for ctx.Err() == nil {
 		n.mu.Lock()
-		due := p.path.ProbeDue(time.Now())
+		due, isCutOff := p.path.ProbeDue(time.Now()), p.path.IsCutOff()
 		if due {
 			// The endpoints in turn: one of them may be down.
 			addresses := n.scheduler.EngineAddressesAfter(address, checkedEndpoints)
@@ -290,7 +298,14 @@
 				_ = conn.Close()
 			}
 		}
-		sleep(ctx, probePollInterval)
+		if isCutOff {
+			sleep(ctx, probePollInterval)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-p.cutOffCh:
+		}
 	}
 	return nil
 }
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -316,7 +316,11 @@
 	f.failingSince, f.recoveredAt = time.Time{}, now
 }
 
+// sleep waits for a delay, unless it is over already.
 func sleep(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
--- a/entry/services/jujubenode/heartbeat.go
+++ b/entry/services/jujubenode/heartbeat.go
@@ -18,7 +18,7 @@
 	// heartbeatInterval is the time between two heartbeats. Up to three may be lost before an instance counts as dead
 	// (see jujuberegistry).
 	heartbeatInterval = 800 * time.Millisecond
-	// heartbeatPollInterval bounds the delay until a change of this instance's state is written.
+	// heartbeatPollInterval is the time between two checks whether the first heartbeat may be written.
 	heartbeatPollInterval = 50 * time.Millisecond
 )
 
@@ -45,11 +45,34 @@
 		if due {
 			n.writeHeartbeat(ctx, heartbeat)
 		}
-		sleep(ctx, heartbeatPollInterval)
+		n.awaitHeartbeat(ctx)
 	}
 	return nil
 }
 
+// awaitHeartbeat waits until the next heartbeat may be due.
+func (n *Node) awaitHeartbeat(ctx context.Context) {
+	n.mu.Lock()
+	delay := heartbeatInterval - time.Since(n.lastHeartbeat)
+	n.mu.Unlock()
+	timer := time.NewTimer(max(delay, heartbeatPollInterval))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-n.heartbeatCh:
+	}
+}
+
+// requestHeartbeat makes the next heartbeat due at once; the lock is held.
+func (n *Node) requestHeartbeat() {
+	n.lastHeartbeat = time.Time{}
+	select {
+	case n.heartbeatCh <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Node) writeHeartbeat(ctx context.Context, heartbeat jujuberegistry.Heartbeat) {
 	value, err := json.Marshal(heartbeat)
 	if err == nil {
@@ -91,7 +114,7 @@
 		// The clock was set back since the last start. Without a higher incarnation the other instances would ignore
 		// these heartbeats as outdated.
 		n.incarnation = heartbeat.Incarnation + 1
-		n.lastHeartbeat = time.Time{}
+		n.requestHeartbeat()
 	}
 	n.registry.Apply(now, heartbeat)
 	n.applyUsage(now, heartbeat, offset != snapshotOffset && n.instancesFollower.wasReadRecently())
--- a/entry/services/jujubenode/leave.go
+++ b/entry/services/jujubenode/leave.go
@@ -34,7 +34,8 @@
 func (n *Node) leave() {
 	n.mu.Lock()
 	startedAt := time.Now()
-	n.state, n.lastHeartbeat = jujuberegistry.Leaving, time.Time{}
+	n.state = jujuberegistry.Leaving
+	n.requestHeartbeat()
 	n.leaveDeadline = startedAt.Add(n.settings.DrainTime - exitMargin)
 	runs := n.scheduler.RunsInFlight()
 	n.mu.Unlock()
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -160,7 +160,9 @@
 	state               jujuberegistry.State
 	heartbeatNumber     int64
 	lastHeartbeat       time.Time
-	ready               bool
+	// heartbeatCh gets a value when a heartbeat is due at once; its capacity is one.
+	heartbeatCh chan struct{}
+	ready       bool
 	// leaveDeadline is when a leaving instance exits; zero before it leaves.
 	leaveDeadline time.Time
 	stopServing   func(ctx context.Context)
@@ -226,12 +228,13 @@
 		routeWaiters:   make(map[model.RequestID]chan jujuberouter.Decision),
 		activeRuns:     make(map[jujubebatch.RunID]activeRun),
 		stateChangedCh: make(chan struct{}),
+		heartbeatCh:    make(chan struct{}, 1),
 		state:          jujuberegistry.Starting,
 	}
 	n.duties = newDuties(options, incarnation)
 	n.endpointPath = &endpointPath{
 		node: n, dial: options.DialEndpoint, closeIdle: options.CloseIdleConnections,
-		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()),
+		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()), cutOffCh: make(chan struct{}, 1),
 	}
 	if n.bootClock == nil {
 		n.bootClock = jujubeclock.Now
@@ -310,6 +313,7 @@
 func (n *Node) schedule(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var earliest time.Time // of the next tick
 	for {
 		select {
 		case <-ctx.Done():
@@ -317,8 +321,9 @@
 		case <-ticker.C:
 		case <-n.wakeCh:
 		}
+		sleep(ctx, time.Until(earliest))
 		n.tick()
-		sleep(ctx, wakeCoalesceDelay)
+		earliest = time.Now().Add(wakeCoalesceDelay)
 	}
 }
 
@@ -355,7 +360,7 @@
 		}
 	}
 	n.ready, n.state = true, jujuberegistry.Ready
-	n.lastHeartbeat = time.Time{}
+	n.requestHeartbeat()
 	n.log.Write(jujubeevent.InstanceReady, func() logrus.Fields {
 		reads, records, bytes := 0, 0, 0
 		for _, f := range n.followers {
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -58,6 +58,8 @@
 	confirmedDownAt map[storePart]time.Time
 	// restoredCh is closed and replaced when a partition is directly reachable again.
 	restoredCh chan struct{}
+	// indirectCh gets a value when a partition isn't directly reachable any more; its capacity is one.
+	indirectCh chan struct{}
 }
 
 // storePart is a partition of the store's log. Each may be away while others are reachable.
@@ -76,6 +78,7 @@
 		catchUpTimeout:  jujubepath.AdaptiveTimeout{Min: minCatchUpTimeout, Max: maxCatchUpTimeout},
 		confirmedDownAt: make(map[storePart]time.Time),
 		restoredCh:      make(chan struct{}),
+		indirectCh:      make(chan struct{}, 1),
 	}
 }
 
@@ -207,6 +210,10 @@
 	}
 	s.mu.Unlock()
 	if pathChanged {
+		select {
+		case s.indirectCh <- struct{}{}:
+		default:
+		}
 		s.log.Write(jujubeevent.StorePathChanged, func() logrus.Fields {
 			return logrus.Fields{
 				"Topic": part.topic.Name, "Partition": part.part, "Direct": ok, "Call": method, "Error": errorText(err),
@@ -272,8 +279,16 @@
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		part, due := s.paths.ProbeDue(time.Now())
+		isDirect := len(s.paths.IndirectParts()) == 0
 		s.mu.Unlock()
-		if !due {
+		switch {
+		case isDirect:
+			select {
+			case <-ctx.Done():
+			case <-s.indirectCh:
+			}
+			continue
+		case !due:
 			sleep(ctx, probePollInterval)
 			continue
 		}
