jujubetable: iterate over the values in order

An iteration looked up each key. The values are kept in the order of the keys too; keys are looked up only after a change during the iteration.

--- a/core/models/jujubetable/table.go
+++ b/core/models/jujubetable/table.go
@@ -11,6 +11,10 @@
 	values map[K]V
 	// keys holds each key of values once, sorted.
 	keys []K
+	// ordered holds the values in the order of their keys.
+	ordered []V
+	// changes counts the changes, so that an iteration notices those made meanwhile.
+	changes int
 	// isIterated is true if an iteration may still use keys; a change replaces them then.
 	isIterated bool
 }
@@ -28,12 +32,15 @@
 
 // Put sets the value of a key.
 func (t *Table[K, V]) Put(key K, value V) {
-	if _, ok := t.values[key]; !ok {
+	index, ok := slices.BinarySearch(t.keys, key)
+	if ok {
+		t.ordered[index] = value
+	} else {
 		t.ownKeys()
-		index, _ := slices.BinarySearch(t.keys, key)
-		t.keys = slices.Insert(t.keys, index, key)
+		t.keys, t.ordered = slices.Insert(t.keys, index, key), slices.Insert(t.ordered, index, value)
 	}
 	t.values[key] = value
+	t.changes++
 }
 
 // Delete removes a key and reports whether it existed.
@@ -44,7 +51,8 @@
 	delete(t.values, key)
 	t.ownKeys()
 	index, _ := slices.BinarySearch(t.keys, key)
-	t.keys = slices.Delete(t.keys, index, index+1)
+	t.keys, t.ordered = slices.Delete(t.keys, index, index+1), slices.Delete(t.ordered, index, index+1)
+	t.changes++
 	return true
 }
 
@@ -60,10 +68,17 @@
 
 // All iterates over a snapshot of the keys in order and skips keys that were deleted during the iteration.
 func (t *Table[K, V]) All() func(yield func(K, V) bool) {
+	var zero V
 	return func(yield func(K, V) bool) {
 		t.isIterated = true
-		for _, key := range t.keys {
-			value, ok := t.values[key]
+		ordered, changes := t.ordered, t.changes
+		for i, key := range t.keys {
+			value, ok := zero, true
+			if t.changes == changes {
+				value = ordered[i]
+			} else {
+				value, ok = t.values[key]
+			}
 			if ok && !yield(key, value) {
 				return
 			}
--- a/core/models/jujubetable/table_test.go
+++ b/core/models/jujubetable/table_test.go
@@ -57,6 +57,33 @@
 	assert.Equal(t, table.Len(), 21)
 }
 
+// TestValuesChangedDuringIteration guards against an iteration that visits an earlier value of a key, or that of another key.
+func TestValuesChangedDuringIteration(t *testing.T) {
+	table := jujubetable.New[int, int]()
+	for key := range 10 {
+		table.Put(key, key)
+	}
+	visited := 0
+	for key, value := range table.All() {
+		if key == 3 {
+			table.Delete(0)
+			table.Put(-5, -5)
+			table.Put(7, 70)
+		}
+		if key == 7 {
+			assert.Equal(t, value, 70)
+		} else {
+			assert.Equal(t, value, key)
+		}
+		visited++
+	}
+	assert.Equal(t, visited, 10)
+	for key, value := range table.All() {
+		known, ok := table.Get(key)
+		assert.Assert(t, ok && known == value)
+	}
+}
+
 func BenchmarkAll(b *testing.B) {
 	table := jujubetable.New[int, int]()
 	for key := range 100 {
