--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -8,6 +8,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujubeplacement"
 	"jujubepier.example/core/services/jujubeprompt"
 )
@@ -38,6 +39,14 @@
 	// mayStart is whether the start gate allowed items of the submission to start in the tick startCheckedIn.
 	mayStart       bool
 	startCheckedIn int
+	// isAcceptorLive is true while the instance By is live.
+	isAcceptorLive bool
+}
+
+// routeMatch is the route of an item under a desired state; route is nil if it has none.
+type routeMatch struct {
+	desired *jujubedesired.State
+	route   *jujubedesired.Route
 }
 
 // item is an item of a submission together with its scheduling state.
@@ -45,6 +54,8 @@
 	Item
 	submission *submission
 	index      int
+	// match is the item's route as of its latest use.
+	match routeMatch
 	// hasResult is true once the log has a result of the item, isErrored if that is an error.
 	hasResult, isErrored bool
 	// choice is why the item's engine was selected; assignedAt is when.
@@ -137,7 +148,9 @@
 	if _, ok := s.submissions.Get(record.ID); ok {
 		return false
 	}
-	submission := &submission{Submission: *record, readAt: now, items: make(map[ItemID]*item, len(record.Items))}
+	submission := &submission{
+		Submission: *record, readAt: now, items: make(map[ItemID]*item, len(record.Items)), isAcceptorLive: s.isLive(record.By),
+	}
 	for i := range record.Items {
 		item := &item{Item: record.Items[i], submission: submission, index: i}
 		if _, duplicate := submission.items[item.ID]; duplicate {
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -127,9 +127,11 @@
 	endServing context.CancelFunc
 	// wakeCh wakes the scheduler; its capacity is one.
 	wakeCh    chan struct{}
-	blobCache *blobCache
-	loads     *batchWriter[LoadRecord]
-	streams   *batchWriter[jujubebatch.StreamOrigin]
+	blobCache *blobCache[[][]byte]
+	// chunkCache holds functions that decode a chunk when they are first called.
+	chunkCache *blobCache[func() (jujubebatch.Chunk, error)]
+	loads      *batchWriter[LoadRecord]
+	streams    *batchWriter[jujubebatch.StreamOrigin]
 
 	// mu guards the fields below. Decisions are made with it held; network calls aren't.
 	mu           sync.Mutex
@@ -160,7 +162,9 @@
 	state               jujuberegistry.State
 	heartbeatNumber     int64
 	lastHeartbeat       time.Time
-	ready               bool
+	// heartbeatCh gets a value when a heartbeat is due at once; its capacity is one.
+	heartbeatCh chan struct{}
+	ready       bool
 	// leaveDeadline is when a leaving instance exits; zero before it leaves.
 	leaveDeadline time.Time
 	stopServing   func(ctx context.Context)
@@ -211,7 +215,8 @@
 		serving:        serving,
 		endServing:     endServing,
 		wakeCh:         make(chan struct{}, 1),
-		blobCache:      newBlobCache(),
+		blobCache:      newBlobCache[[][]byte](maxCacheBytes),
+		chunkCache:     newBlobCache[func() (jujubebatch.Chunk, error)](maxDecodedBytes),
 		scheduler:      jujubebatch.New(id, batchSettings),
 		fleet:          jujubefleet.New(id, fleetSettings),
 		lease:          jujubelease.New("rollout", id, incarnation, lease),
@@ -225,12 +230,13 @@
 		routeWaiters:   make(map[model.RequestID]chan jujuberouter.Decision),
 		activeRuns:     make(map[jujubebatch.RunID]activeRun),
 		stateChangedCh: make(chan struct{}),
+		heartbeatCh:    make(chan struct{}, 1),
 		state:          jujuberegistry.Starting,
 	}
 	n.duties = newDuties(options, incarnation)
 	n.endpointPath = &endpointPath{
 		node: n, dial: options.DialEndpoint, closeIdle: options.CloseIdleConnections,
-		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()),
+		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()), cutOffCh: make(chan struct{}, 1),
 	}
 	if n.bootClock == nil {
 		n.bootClock = jujubeclock.Now
@@ -310,6 +316,7 @@
 func (n *Node) schedule(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var earliest time.Time // of the next tick
 	for {
 		select {
 		case <-ctx.Done():
@@ -317,8 +324,9 @@
 		case <-ticker.C:
 		case <-n.wakeCh:
 		}
+		sleep(ctx, time.Until(earliest))
 		n.tick()
-		sleep(ctx, wakeCoalesceDelay)
+		earliest = time.Now().Add(wakeCoalesceDelay)
 	}
 }
 
@@ -356,7 +364,7 @@
 		}
 	}
 	n.ready, n.state = true, jujuberegistry.Ready
-	n.lastHeartbeat = time.Time{}
+	n.requestHeartbeat()
 	n.log.Write(jujubeevent.InstanceReady, func() logrus.Fields {
 		reads, records, bytes := 0, 0, 0
 		for _, f := range n.followers {
