jujubenode: log the age of the view of the log on which runs start

No line said how old the instance's view of the log was, how long a run or a read took, or who acknowledged an end.

ItemStarted has ViewAge, By and Source. New events: RunSentLate (2117), EndAcknowledged (2118), ReadSlow (5117), InstancePaused (8010). New histograms: the age of the view and the delay when a run is sent. No decision changes.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -42,6 +42,8 @@
 	LoanUnconfirmed    Number = 2114
 	ItemScored         Number = 2115
 	TextDropped        Number = 2116
+	RunSentLate        Number = 2117
+	EndAcknowledged    Number = 2118
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -78,6 +80,7 @@
 	SourceSilent      Number = 5114
 	EndpointStale     Number = 5115
 	DesiredCopied     Number = 5116
+	ReadSlow          Number = 5117
 
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
@@ -107,6 +110,7 @@
 	ServerFailed     Number = 8007
 	InstanceReplaced Number = 8008
 	ClientsRefused   Number = 8009
+	InstancePaused   Number = 8010
 
 	DutyChanged    Number = 9001
 	DutyCalled     Number = 9002
@@ -157,6 +161,8 @@
 		{LoanUnconfirmed, "LoanUnconfirmed", warn, "An instance didn't confirm whether it still has the items that were delegated to it."},
 		{ItemScored, "ItemScored", info, "A scoring call ended. Without a Score it is retried; Failures counts the tries that failed at a server."},
 		{TextDropped, "TextDropped", info, "An item starts anew, because no engine of the software version that began its text can continue it; Reason gives the cause."},
+		{RunSentLate, "RunSentLate", warn, "A run was sent over a second after its start was decided, or after the last complete read of its submission's partition."},
+		{EndAcknowledged, "EndAcknowledged", info, "A caller's request to end a submission was answered; the end is on the log unless Error is set. Known is true if this instance knew of it."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic fail. The records already read stay in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance read them."},
@@ -173,6 +179,7 @@
 		{SourceSilent, "SourceSilent", warn, "The relay that reads the log for this instance didn't respond; this instance reads the log itself for a while."},
 		{EndpointStale, "EndpointStale", debug, "An entry or a response has an incarnation of an endpoint that isn't, or isn't yet confirmed as, the current one; it is ignored."},
 		{DesiredCopied, "DesiredCopied", warn, "The newest record of the desired state can't be used; the one in force was copied from another instance, Peer."},
+		{ReadSlow, "ReadSlow", warn, "A read of a partition took over a second longer than it was to wait for records."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed over to a successor."},
@@ -213,6 +220,7 @@
 		{RequestAfterExit, "RequestAfterExit", info, "A request that arrived after the start of the shutdown was refused, with the addresses of other instances."},
 		{InstanceReplaced, "InstanceReplaced", warn, "Another process with this instance's name and a later start time is running, or this machine's clock is behind; the process exits."},
 		{ClientsRefused, "ClientsRefused", warn, "Clients were refused, or their connections closed, because they exceed a limit or to make room for others. The line counts those since the last one, by cause."},
+		{InstancePaused, "InstancePaused", warn, "The process wasn't run for over a second; nothing starts until the log has been read since then."},
 		{DutyChanged, "DutyChanged", info, "This instance may make duty calls to the platform's API from now on, or (Allowed false) no longer may; Reason gives the cause."},
 		{DutyCalled, "DutyCalled", info, "A duty call to the platform's API ended; Outcome and Error describe the result."},
 		{UsageFixed, "UsageFixed", info, "The usage report of a window was read from the log; its content doesn't change any more. NotFinal holds the live instances whose counts may be incomplete."},
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -22,9 +22,11 @@
 	Incarnation model.Incarnation
 	Address     string
 	Submission  SubmissionID
-	Item        ItemID
-	Host        string
-	Path        string
+	// By is the instance that accepted the submission.
+	By   model.InstanceID
+	Item ItemID
+	Host string
+	Path string
 	// Organisation is that of the submission. IsEnforced is true if the desired state has organisations.
 	Organisation model.OrganisationName
 	IsEnforced   bool
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -183,7 +183,7 @@
 	}
 	s.runs.Put(r.id, r)
 	start := StartRun{
-		Run: r.id, Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Submission: item.submission.ID, Item: item.ID,
+		Run: r.id, Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Submission: item.submission.ID, By: item.submission.By, Item: item.ID,
 		Host: item.submission.Host, Path: item.Path, Organisation: item.submission.Organisation, IsEnforced: s.desired.Organisations != nil, InlineContent: item.Content, Progress: item.progress, After: len(item.events),
 		KnownVersion: e.Versions[item.submission.Model], InFlight: e.inFlight, Assigned: e.assigned, EventInterval: e.intervals.recent,
 		SoftwareVersion: e.SoftwareVersion, PromptTokens: item.Prompt.Tokens(),
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -69,6 +69,8 @@
 	hasUnread bool
 	// readCh is closed and replaced after each read up to the end of the partition.
 	readCh chan struct{}
+	// readSince is when run's read in progress, or its latest one, began, and respondedAt when the latest response arrived.
+	readSince, respondedAt time.Time
 	// reads, records and bytes count the reads, and the records and bytes they returned.
 	reads, records, bytes int
 	// failingSince is when reads began to fail; zero while they succeed.
@@ -82,12 +84,14 @@
 	retryDelay := minReadRetryDelay
 	needsSnapshot := true
 	for ctx.Err() == nil {
+		timing := f.beginRead()
 		var err error
 		if needsSnapshot && f.topic.Keyed {
 			err = f.snapshot(ctx)
 		} else {
 			err = f.readNext(ctx)
 		}
+		f.recordRead(timing, err)
 		switch {
 		case err == nil:
 			needsSnapshot, retryDelay = false, minReadRetryDelay
@@ -164,9 +168,11 @@
 
 // applyBatch applies records. readAt is a time at which batch.End was the end of the partition.
 func (f *follower) applyBatch(from int64, batch LogBatch, readAt readTime) {
+	respondedAt := time.Now()
 	f.node.mu.Lock()
 	defer f.node.mu.Unlock()
 	now := time.Now()
+	f.respondedAt = respondedAt
 	f.recordSuccess(now)
 	f.reads++
 	for i, record := range batch.Records {
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -18,6 +18,9 @@
 	runs     *metrics.Histogram
 	forwards *metrics.Histogram
 	scorings *metrics.Histogram
+	// sendDelays and viewAges are observed when a run is sent.
+	sendDelays *metrics.Histogram
+	viewAges   *metrics.Histogram
 }
 
 func newNodeMetrics(n *Node) *nodeMetrics {
@@ -66,6 +69,9 @@
 		runs:     set.NewHistogram("jujube_node_run_duration_seconds"),
 		forwards: set.NewHistogram("jujube_node_forward_duration_seconds"),
 		scorings: set.NewHistogram("jujube_node_scoring_duration_seconds"),
+
+		sendDelays: set.NewHistogram("jujube_node_run_send_delay_seconds"),
+		viewAges:   set.NewHistogram("jujube_node_run_view_age_seconds"),
 	}
 }
 
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -329,7 +329,7 @@
 	}
 	n.setHolding()
 	n.deliverDecisions(n.router.Tick(now))
-	n.pauses.recordTick(now, n.bootClock())
+	n.recordTick(now)
 	n.scheduler.SetResumed(n.pauses.resumedAt)
 	unread := false
 	for _, p := range n.partitions {
--- a/entry/services/jujubenode/pause.go
+++ b/entry/services/jujubenode/pause.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"jujubepier.example/core/modules/jujubeclock"
+	"jujubepier.example/core/modules/jujubeevent"
 )
 
 // maxPause is the time between two ticks from which on the process counts as having been paused.
@@ -33,6 +36,15 @@
 	return now.Sub(d.lastTick) > maxPause || boot.Sub(d.lastBootTick) > maxPause
 }
 
+// recordTick records a tick, and logs a pause before it. The lock is held.
+func (n *Node) recordTick(now time.Time) {
+	lastTick := n.pauses.lastTick
+	n.pauses.recordTick(now, n.bootClock())
+	if !lastTick.IsZero() && n.pauses.resumedAt.Equal(now) {
+		n.log.Write(jujubeevent.InstancePaused, func() logrus.Fields { return logrus.Fields{"SinceTick": now.Sub(lastTick).String()} })
+	}
+}
+
 // wasPausedSince reports whether the process was paused after a time.
 func (n *Node) wasPausedSince(at time.Time) bool {
 	n.mu.Lock()
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -72,6 +72,7 @@
 			"SoftwareVersion": start.SoftwareVersion, "TextSoftware": start.TextSoftware, "Checkpoint": start.Progress != nil,
 			"PromptTokens": start.PromptTokens, "KeptTokens": start.KeptTokens,
 			"ExpectedEvents": start.ExpectedEvents, "ExpectedFinish": start.ExpectedFinish.String(), "Placement": start.Placement,
+			"By": start.By, "ViewAge": n.viewAge(start.Submission).String(), "Source": n.relay.address,
 		}
 	})
 	n.metrics.countPrompt(start.PromptTokens, start.KeptTokens)
@@ -127,6 +128,7 @@
 // callEngine fetches the content and the earlier progress of a run and calls the engine.
 func (n *Node) callEngine(ctx context.Context, start jujubebatch.StartRun, decidedAt time.Time) (jujubebatch.EndKind, error) {
 	p := n.partitionOf(start.Submission)
+	timing := sendTiming{decidedAt: decidedAt, preparedAt: time.Now()}
 	content := start.InlineContent
 	if content.Headers == nil {
 		var err error
@@ -150,14 +152,22 @@
 		}
 		start.After = after
 	}
+	timing.contentAt = time.Now()
 	if verdict := n.acquirePermit(ctx, start.Engine, jujubethrottle.Interactive); verdict.Decision != jujubethrottle.Permitted {
 		return jujubebatch.RunThrottled, nil
 	}
 	// The submission may have ended during a pause. The item is decided on again once the log has been read.
-	check := func() bool { return !n.wasPausedSince(decidedAt) }
-	if !check() {
+	if n.wasPausedSince(decidedAt) {
 		return jujubebatch.RunUnsent, errors.New("the process was paused before the run was sent")
 	}
+	timing.permitAt = time.Now()
+	check := func() bool {
+		if n.wasPausedSince(decidedAt) {
+			return false
+		}
+		n.recordSend(start, timing)
+		return true
+	}
 	return n.engineClient.Run(jujubehttp.WithSendCheck(ctx, check), start, content, runSink{ctx, n, start})
 }
 
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -201,6 +201,7 @@
 	_, ended := n.scheduler.SubmissionStatus(id)
 	n.mu.Unlock()
 	if ended {
+		n.logEnd(id, true, nil)
 		return nil
 	}
 	err := n.appendEntry(ctx, id, jujubebatch.Entry{End: &jujubebatch.End{Submission: id}})
@@ -211,5 +212,12 @@
 		n.notifyChange()
 		n.mu.Unlock()
 	}
+	n.logEnd(id, false, err)
 	return err
 }
+
+func (n *Node) logEnd(id jujubebatch.SubmissionID, known bool, err error) {
+	n.log.Write(jujubeevent.EndAcknowledged, func() logrus.Fields {
+		return logrus.Fields{"Submission": id, "Known": known, "Error": errorText(err)}
+	})
+}
