--- a/core/modules/jujubeevent/async.go
+++ b/core/modules/jujubeevent/async.go
@@ -48,8 +48,8 @@
 	return len(line), nil
 }
 
-// maxBatchBytes is the size at which a write to the output gets no further lines.
-const maxBatchBytes = 64 << 10
+// maxBatchBytes is the size at which a write to the output gets no further lines. Collectors may cut larger ones off.
+const maxBatchBytes = 4 << 10
 
 func (w *AsyncWriter) run() {
 	defer close(w.done)
