--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -19,6 +19,9 @@
 	runs     *metrics.Histogram
 	forwards *metrics.Histogram
 	scorings *metrics.Histogram
+	// sendDelays and viewAges are observed when a run is sent.
+	sendDelays *metrics.Histogram
+	viewAges   *metrics.Histogram
 }
 
 func newNodeMetrics(n *Node) *nodeMetrics {
@@ -58,7 +61,7 @@
 		set.NewGauge(fmt.Sprintf("jujube_node_view_age_seconds{partition=\"%d\"}", part), func() float64 {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			return n.partitions[part].follower.view().Age(n.bootClock()).Seconds()
+			return n.partitions[part].follower.viewAge().Seconds()
 		})
 	}
 	for _, state := range []jujubequarantine.Status{jujubequarantine.Suspect, jujubequarantine.Quarantined} {
@@ -74,6 +77,9 @@
 		runs:     set.NewHistogram("jujube_node_run_duration_seconds"),
 		forwards: set.NewHistogram("jujube_node_forward_duration_seconds"),
 		scorings: set.NewHistogram("jujube_node_scoring_duration_seconds"),
+
+		sendDelays: set.NewHistogram("jujube_node_run_send_delay_seconds"),
+		viewAges:   set.NewHistogram("jujube_node_run_view_age_seconds"),
 	}
 }
 
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -70,8 +70,8 @@
 			"KnownVersion": start.KnownVersion, "InFlight": start.InFlight, "Planned": start.Assigned, "Pace": start.EventInterval.String(),
 			"SoftwareVersion": start.SoftwareVersion, "TextSoftware": start.TextSoftware, "Checkpoint": start.Progress != nil,
 			"PromptTokens": start.PromptTokens, "KeptTokens": start.KeptTokens,
-			"ViewAge":        n.partitionOf(start.Submission).follower.view().Age(n.bootClock()).String(),
 			"ExpectedEvents": start.ExpectedEvents, "ExpectedFinish": start.ExpectedFinish.String(), "Placement": start.Placement,
+			"By": start.By, "ViewAge": n.partitionOf(start.Submission).follower.viewAge().String(), "Source": n.relay.address,
 		}
 	})
 	n.metrics.countPrompt(start.PromptTokens, start.KeptTokens)
@@ -127,6 +127,7 @@
 // callEngine fetches the content and the earlier progress of a run and calls the engine.
 func (n *Node) callEngine(ctx context.Context, start jujubebatch.StartRun, decidedAt time.Time) (jujubebatch.EndKind, error) {
 	p := n.partitionOf(start.Submission)
+	timing := sendTiming{decidedAt: decidedAt, preparedAt: time.Now()}
 	content := start.InlineContent
 	if content.Headers == nil {
 		var err error
@@ -150,14 +151,22 @@
 		}
 		start.After = after
 	}
+	timing.contentAt = time.Now()
 	if verdict := n.acquirePermit(ctx, start.Engine, jujubethrottle.Interactive); verdict.Decision != jujubethrottle.Permitted {
 		return jujubebatch.RunThrottled, nil
 	}
 	// The submission may have ended meanwhile. The item is decided on again once the log has been read.
-	permit := func() jujubehttp.SendPermit { return n.permitSend(start.Submission, start.Run, decidedAt) }
-	if !permit().Allowed {
+	if !n.permitSend(start.Submission, start.Run, decidedAt).Allowed {
 		return jujubebatch.RunUnsent, ErrOutdatedView{Submission: start.Submission}
 	}
+	timing.permitAt = time.Now()
+	permit := func() jujubehttp.SendPermit {
+		permit := n.permitSend(start.Submission, start.Run, decidedAt)
+		if permit.Allowed {
+			n.recordSend(start, timing)
+		}
+		return permit
+	}
 	return n.engineClient.Run(jujubehttp.WithSendPermit(ctx, permit), start, content, runSink{ctx, n, start})
 }
 
