--- a/core/models/jujubetable/table_test.go
+++ b/core/models/jujubetable/table_test.go
@@ -91,7 +91,10 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
+		count := 0
 		for range table.All() {
+			count++
 		}
+		assert.Equal(b, count, 100)
 	}
 }
