jujubenode: draw slow responses of the store in the property test

A machine whose store alone responds slowly still reaches other instances, which may reply that they can't read either.

--- a/entry/services/jujubenode/ends_property_test.go
+++ b/entry/services/jujubenode/ends_property_test.go
@@ -62,14 +62,14 @@
 	}
 	for i := range rapid.IntRange(1, 8).Draw(t, "faults") {
 		name := fmt.Sprint("fault ", i)
-		f := fault{Kind: rapid.SampledFrom([]faultKind{slow, frozen, storeHangs, storeRefuses, storeSilent, peersCut, peersMute, down, slow}).Draw(t, name)}
+		f := fault{Kind: rapid.SampledFrom([]faultKind{slow, frozen, storeHangs, storeRefuses, storeSilent, peersCut, peersMute, down, slow, storeSlow}).Draw(t, name)}
 		// The whole store may be away, but no other fault affects all machines.
 		if machine := rapid.IntRange(-1, c.Machines-1).Draw(t, name+" at"); machine >= 0 || f.Kind != storeHangs && f.Kind != storeRefuses {
 			f.Machine = model.InstanceID(fmt.Sprint("i", max(0, machine)))
 		}
 		f.From = drawTime(t, name+" from", faultsFrom, faultsTo-5*time.Second)
 		f.To = f.From + rapid.SampledFrom([]time.Duration{time.Second / 2, 2 * time.Second, 5 * time.Second}).Draw(t, name+" for")
-		if f.Kind == slow {
+		if f.Kind == slow || f.Kind == storeSlow {
 			f.To = min(f.To+10*time.Second, faultsTo)
 			f.Delay = rapid.SampledFrom([]time.Duration{time.Second / 10, time.Second / 2, time.Second, 3 * time.Second / 2}).Draw(t, name+" delay")
 		}
--- a/entry/services/jujubenode/faulty_test.go
+++ b/entry/services/jujubenode/faulty_test.go
@@ -30,8 +30,9 @@
 	peersCut  faultKind = "peers cut"
 	peersMute faultKind = "peers mute"
 	down      faultKind = "down"
-	// slow machines are free of faults, but all that they send and receive is delayed.
-	slow faultKind = "slow"
+	// Slow machines are free of faults, but all that they send and receive is delayed, or all responses of the store.
+	slow      faultKind = "slow"
+	storeSlow faultKind = "store slow"
 )
 
 // fault is a fault of a machine, from a time after the start of the case to another one.
@@ -39,7 +40,7 @@
 	Machine  model.InstanceID
 	Kind     faultKind
 	From, To time.Duration
-	// Delay is that of a slow machine.
+	// Delay is that of a slow machine; zero for faults.
 	Delay time.Duration
 }
 
@@ -75,9 +76,9 @@
 	}
 }
 
-// delay waits for as long as what a slow machine sends or receives is delayed, and reports whether the context goes on.
-func (m *machine) delay(ctx context.Context) bool {
-	if f, ok := m.current(slow); ok {
+// delay waits for the delay of a slow machine, and reports whether the context goes on.
+func (m *machine) delay(ctx context.Context, kinds ...faultKind) bool {
+	if f, ok := m.current(kinds...); ok {
 		sleepOrDone(ctx, f.Delay)
 	}
 	return m.wait(ctx, frozen)
@@ -86,7 +87,7 @@
 // wasFree reports whether the machine was free of faults for a time before another one.
 func (m *machine) wasFree(at time.Time, before time.Duration) bool {
 	to := at.Sub(m.network.start)
-	return !slices.ContainsFunc(m.faults, func(f fault) bool { return f.Kind != slow && f.From <= to && to-before < f.To })
+	return !slices.ContainsFunc(m.faults, func(f fault) bool { return f.Delay == 0 && f.From <= to && to-before < f.To })
 }
 
 // dialPeer opens a connection to another machine.
@@ -113,7 +114,7 @@
 	if _, ok := s.machine.current(storeSilent); ok {
 		<-ctx.Done()
 	}
-	if !s.machine.delay(ctx) {
+	if !s.machine.delay(ctx, slow, storeSlow) {
 		return lost
 	}
 	return err
@@ -286,7 +287,7 @@
 
 // connectEngine opens a connection to the engines.
 func (m *machine) connectEngine(ctx context.Context, engines *pipeListener) (net.Conn, error) {
-	if !m.wait(ctx, frozen) || !m.delay(ctx) {
+	if !m.wait(ctx, frozen) || !m.delay(ctx, slow) {
 		return nil, ctx.Err()
 	}
 	conn, err := engines.dial(ctx)
