jujubebatch: compare the engines only when an interval has changed

Each tick collected and sorted the intervals of all engines, on all instances. The result is kept until an engine emits an event, a gateway publishes an observation, an engine comes or goes, or an interval expires.

--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -75,6 +75,7 @@
 		}
 		known = &engine{loadingUntil: map[model.ModelName]time.Time{}, memory: jujubeprompt.NewMemory(s.prompts.memory)}
 		s.engines.Put(e.ID, known)
+		s.isFleetMeasured = false
 	} else if e.Incarnation < known.Incarnation {
 		return
 	}
@@ -150,6 +151,7 @@
 // RemoveEngine removes an engine. Its runs continue on other engines once their connections break.
 func (s *Scheduler) RemoveEngine(id model.EndpointID) {
 	s.engines.Delete(id)
+	s.isFleetMeasured = false
 	s.unassignAll(id)
 }
 
--- a/core/services/jujubebatch/enginenote.go
+++ b/core/services/jujubebatch/enginenote.go
@@ -25,6 +25,7 @@
 	if !ok || e.gateway == s.self {
 		return
 	}
+	s.isFleetMeasured = false
 	if note.Recent > 0 {
 		e.intervals.recent, e.intervals.recentAt = note.Recent.Std(), now
 	}
--- a/core/services/jujubebatch/interval.go
+++ b/core/services/jujubebatch/interval.go
@@ -80,7 +80,12 @@
 // minMeasuredEngines is how many engines need samples before they are compared.
 const minMeasuredEngines = 3
 
+// measureFleet compares the engines. The result stays the same until an interval changes or expires.
 func (s *Scheduler) measureFleet(now time.Time) fleetIntervals {
+	if s.isFleetMeasured && (s.measuredUntil.IsZero() || !now.After(s.measuredUntil)) {
+		return s.measuredFleet
+	}
+	s.isFleetMeasured, s.measuredUntil = true, time.Time{}
 	var recent, baselines []time.Duration
 	for _, e := range s.engines.All() {
 		if now.Sub(e.intervals.recentAt) > recentTTL {
@@ -88,6 +93,9 @@
 		}
 		if e.intervals.recent > 0 {
 			recent = append(recent, e.intervals.recent)
+			if expiry := e.intervals.recentAt.Add(recentTTL); s.measuredUntil.IsZero() || expiry.Before(s.measuredUntil) {
+				s.measuredUntil = expiry
+			}
 		}
 		if e.intervals.hasBaseline() {
 			baselines = append(baselines, e.intervals.baseline)
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -223,6 +223,7 @@
 		e.lastEventAt, e.stalls = now, 0
 		if !r.awaitsFirstEvent {
 			e.intervals.observe(now, now.Sub(r.lastEventAt))
+			s.isFleetMeasured = false
 			if e.intervals.hasBaseline() {
 				e.minSilenceLimit = 0
 			}
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -50,8 +50,11 @@
 	// unreachableUntil holds the time until which an instance that didn't respond is bypassed.
 	unreachableUntil map[model.InstanceID]time.Time
 	lastRunID        RunID
-	// measuredFleet are the intervals at the latest tick.
-	measuredFleet fleetIntervals
+	// measuredFleet are the intervals at the latest tick. isFleetMeasured is true if none of the engines' intervals has changed since,
+	// and measuredUntil is when the first of them expires; zero for none.
+	measuredFleet   fleetIntervals
+	isFleetMeasured bool
+	measuredUntil   time.Time
 	// lengths are estimated from the results of each model's submissions.
 	lengths map[model.ModelName]*jujubeplacement.Lengths
 	// candidates and candidateEngines are reused by place.
