--- a/core/services/jujubebatch/gap.go
+++ b/core/services/jujubebatch/gap.go
@@ -7,7 +7,8 @@
 
 // The log keeps records for a limited time. If some expire before an instance has read them, the end of a submission and results of its
 // items may be among them. Such a submission is in doubt: nothing of it starts here, and its results aren't listed, until an instance
-// that has read those records has told what they say. Without one it stays in doubt until it expires.
+// that has read those records has told what they say. If no live instance has read them, nobody can: the instances then go on together
+// with what they know. An end is known at least to the instance that wrote it.
 
 // Span is a range of offsets of a partition, without End.
 type Span struct {
@@ -116,6 +117,9 @@
 		return false
 	}
 	doubt := *submission.doubt
+	if status.Known && status.Ended {
+		s.endSubmission(now, submission.ID)
+	}
 	// An instance deletes submissions that have ended or expired; one that began to read later never knew them.
 	wasDeleted := !status.Known && read.Begin <= doubt.readFrom
 	if !read.covers(doubt.missing) || status.InDoubt || !status.Known && !wasDeleted {
@@ -129,6 +133,15 @@
 	return true
 }
 
+// AbandonDoubts ends all doubts, because no live instance has read the missing records.
+func (s *Scheduler) AbandonDoubts(isAffected func(SubmissionID) bool) {
+	for id, submission := range s.submissions.All() {
+		if isAffected(id) {
+			submission.doubt = nil
+		}
+	}
+}
+
 // insertResults adds results at a position, before those that were read after them.
 func (s *Scheduler) insertResults(submission *submission, at int, results []Result) {
 	later := slices.Clone(submission.results[at:])
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -22,9 +22,11 @@
 	Incarnation model.Incarnation
 	Address     string
 	Submission  SubmissionID
-	Item        ItemID
-	Host        string
-	Path        string
+	// By is the instance that accepted the submission.
+	By   model.InstanceID
+	Item ItemID
+	Host string
+	Path string
 	// Organisation is that of the submission. IsEnforced is true if the desired state has organisations.
 	Organisation model.OrganisationName
 	IsEnforced   bool
@@ -162,6 +164,13 @@
 	return len(item.events), true
 }
 
+// HasRun reports whether a run or scoring call hasn't ended and isn't cancelled.
+func (s *Scheduler) HasRun(id RunID) bool {
+	_, isRun := s.runs.Get(id)
+	_, isScoring := s.scorings.Get(id)
+	return isRun || isScoring
+}
+
 // HandleRunAccepted handles an engine's acceptance of a run with a weight version. It returns false if the run has to be
 // cancelled.
 func (s *Scheduler) HandleRunAccepted(_ time.Time, id RunID, version model.WeightVersion) bool {
@@ -223,6 +232,7 @@
 		e.lastEventAt, e.stalls = now, 0
 		if !r.awaitsFirstEvent {
 			e.intervals.observe(now, now.Sub(r.lastEventAt))
+			s.isFleetMeasured = false
 			if e.intervals.hasBaseline() {
 				e.minSilenceLimit = 0
 			}
@@ -241,7 +251,7 @@
 
 // requiresSingleVersion reports whether an item's whole text has to come from one weight version.
 func (s *Scheduler) requiresSingleVersion(item *item) bool {
-	route, ok := s.desired.Match(item.submission.Host, item.Path)
+	route, ok := s.matchRoute(item)
 	return ok && route.SingleVersion
 }
 
@@ -287,7 +297,7 @@
 		} else {
 			item.failures++
 		}
-		if route, ok := s.desired.Match(item.submission.Host, item.Path); ok && s.mayGiveUp(now, item, route) {
+		if route, ok := s.matchRoute(item); ok && s.mayGiveUp(now, item, route) {
 			s.queueResult(item, Errored)
 		}
 	case RunUnsent:
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -12,10 +12,12 @@
 
 // Scheduler assigns the items of submissions to engines, for one instance. It isn't safe for concurrent use.
 type Scheduler struct {
-	settings    Settings
-	self        model.InstanceID
-	desired     *jujubedesired.State
-	live        []Member
+	settings Settings
+	self     model.InstanceID
+	desired  *jujubedesired.State
+	live     []Member
+	// liveIDs has the ids of live.
+	liveIDs     map[model.InstanceID]bool
 	submissions *jujubetable.Table[SubmissionID, *submission]
 	engines     *jujubetable.Table[model.EndpointID, *engine]
 	runs        *jujubetable.Table[RunID, *run]
@@ -48,8 +50,11 @@
 	// unreachableUntil holds the time until which an instance that didn't respond is bypassed.
 	unreachableUntil map[model.InstanceID]time.Time
 	lastRunID        RunID
-	// measuredFleet are the intervals at the latest tick.
-	measuredFleet fleetIntervals
+	// measuredFleet are the intervals at the latest tick. isFleetMeasured is true if none of the engines' intervals has changed since,
+	// and measuredUntil is when the first of them expires; zero for none.
+	measuredFleet   fleetIntervals
+	isFleetMeasured bool
+	measuredUntil   time.Time
 	// lengths are estimated from the results of each model's submissions.
 	lengths map[model.ModelName]*jujubeplacement.Lengths
 	// candidates and candidateEngines are reused by place.
@@ -59,13 +64,17 @@
 	// isBehindLog is true while records are known to be unread. No run starts in that time, because the next record may
 	// end its submission or be the item's result.
 	isBehindLog bool
-	prompts     prompts
+	// mayStart reports whether the view of the log is recent enough to start items of a submission; nil for always.
+	mayStart func(id SubmissionID) bool
+	// ticks counts the calls of Tick.
+	ticks   int
+	prompts prompts
 }
 
 // New returns a scheduler without submissions or engines.
 func New(self model.InstanceID, settings Settings) *Scheduler {
 	return &Scheduler{
-		settings: settings, self: self, desired: &jujubedesired.State{},
+		settings: settings, self: self, desired: &jujubedesired.State{}, liveIDs: make(map[model.InstanceID]bool),
 		submissions:       jujubetable.New[SubmissionID, *submission](),
 		engines:           jujubetable.New[model.EndpointID, *engine](),
 		runs:              jujubetable.New[RunID, *run](),
@@ -93,11 +102,24 @@
 // SetLagging sets whether the submissions' topic is known to have unread records.
 func (s *Scheduler) SetLagging(behind bool) { s.isBehindLog = behind }
 
+// SetStartGate sets the check that is asked before runs and scoring calls of a submission start here. Items are offered to other
+// instances without it, because those check their own views.
+func (s *Scheduler) SetStartGate(mayStart func(id SubmissionID) bool) { s.mayStart = mayStart }
+
+// allowsStart reports whether items of a submission may start here in this tick.
+func (s *Scheduler) allowsStart(submission *submission) bool {
+	if submission.startCheckedIn != s.ticks {
+		submission.startCheckedIn, submission.mayStart = s.ticks, s.mayStart == nil || s.mayStart(submission.ID)
+	}
+	return submission.mayStart
+}
+
 // RunsInFlight returns the number of runs in flight.
 func (s *Scheduler) RunsInFlight() int { return s.runs.Len() }
 
 // Tick advances the scheduler to now and returns the actions to perform.
 func (s *Scheduler) Tick(now time.Time) []Action {
+	s.ticks++
 	s.expireSubmissions(now)
 	s.acceptPendingOffers(now)
 	fleet := s.measureFleet(now)
@@ -145,14 +167,16 @@
 		if item.hasResult || item.resultQueued || item.run != nil || now.Before(item.notBefore) || !s.isResponsible(now, item) {
 			continue
 		}
-		route, ok := s.desired.Match(submission.Host, item.Path)
+		route, ok := s.matchRoute(item)
 		if s.mayGiveUp(now, item, route) {
 			s.cancelScoring(item, "the item is given up")
 			s.queueResult(item, Errored)
 			continue
 		}
 		if item.unscored != nil {
-			s.startScoring(item)
+			if s.allowsStart(submission) {
+				s.startScoring(item)
+			}
 			continue
 		}
 		if !ok || item.assignedEngine == "" || item.hasUsedAttempts(route) {
@@ -167,7 +191,9 @@
 			s.delegate(now, item, e)
 			continue
 		}
-		s.startRun(now, item, e, route)
+		if s.allowsStart(submission) {
+			s.startRun(now, item, e, route)
+		}
 	}
 }
 
@@ -183,7 +209,7 @@
 	}
 	s.runs.Put(r.id, r)
 	start := StartRun{
-		Run: r.id, Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Submission: item.submission.ID, Item: item.ID,
+		Run: r.id, Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Submission: item.submission.ID, By: item.submission.By, Item: item.ID,
 		Host: item.submission.Host, Path: item.Path, Organisation: item.submission.Organisation, IsEnforced: s.desired.Organisations != nil, InlineContent: item.Content, Progress: item.progress, After: len(item.events),
 		KnownVersion: e.Versions[item.submission.Model], InFlight: e.inFlight, Assigned: e.assigned, EventInterval: e.intervals.recent,
 		SoftwareVersion: e.SoftwareVersion, PromptTokens: item.Prompt.Tokens(),
@@ -305,7 +331,7 @@
 			s.cancelSilentRun(r, "the engine is silent")
 			continue
 		}
-		if moves < maxMovesPerTick && item.delegation == nil && item.submission.doubt == nil && now.Sub(item.movedAt) > minMoveInterval {
+		if moves < maxMovesPerTick && item.delegation == nil && item.submission.doubt == nil && now.Sub(item.movedAt) > minMoveInterval && s.allowsStart(item.submission) {
 			if to, reason := s.selectMoveTarget(now, r, fleet); to != nil {
 				moves++
 				s.moveRun(now, r, to, reason)
@@ -347,7 +373,7 @@
 	if !isSlow && !isLong {
 		return nil, ""
 	}
-	route, found := s.desired.Match(r.item.submission.Host, r.item.Path)
+	route, found := s.matchRoute(r.item)
 	if !found || route.SingleVersion {
 		return nil, ""
 	}
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -8,6 +8,7 @@
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujubeplacement"
 	"jujubepier.example/core/services/jujubeprompt"
 )
@@ -37,6 +38,17 @@
 	// unresolved counts the items without a result, unassigned those of them without an engine, and delegatedHere those
 	// that other instances delegated to this one.
 	unresolved, unassigned, delegatedHere int
+	// mayStart is whether the start gate allowed items of the submission to start in the tick startCheckedIn.
+	mayStart       bool
+	startCheckedIn int
+	// isAcceptorLive is true while the instance By is live.
+	isAcceptorLive bool
+}
+
+// routeMatch is the route of an item under a desired state; route is nil if it has none.
+type routeMatch struct {
+	desired *jujubedesired.State
+	route   *jujubedesired.Route
 }
 
 // item is an item of a submission together with its scheduling state.
@@ -44,6 +56,8 @@
 	Item
 	submission *submission
 	index      int
+	// match is the item's route as of its latest use.
+	match routeMatch
 	// hasResult is true once the log has a result of the item, isErrored if that is an error.
 	hasResult, isErrored bool
 	// choice is why the item's engine was selected; assignedAt is when.
@@ -138,7 +152,9 @@
 	if _, ok := s.submissions.Get(record.ID); ok {
 		return false
 	}
-	submission := &submission{Submission: *record, readAt: now, items: make(map[ItemID]*item, len(record.Items))}
+	submission := &submission{
+		Submission: *record, readAt: now, items: make(map[ItemID]*item, len(record.Items)), isAcceptorLive: s.isLive(record.By),
+	}
 	for i := range record.Items {
 		item := &item{Item: record.Items[i], submission: submission, index: i}
 		if _, duplicate := submission.items[item.ID]; duplicate {
--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -31,6 +31,10 @@
 	t       *testing.T
 	store   *fakeStore
 	engines *fakeEngines
+	// wired, unless it is nil, runs the items instead of engines.
+	wired *wiredEngines
+	// network, unless it is nil, connects instances to each other, the store and the wired engines.
+	network *faultyNetwork
 	// callers sends the plain requests of the instances that start; by default these go to engines.
 	callers jujubenode.EndpointCaller
 	// platform receives the reports of usage, which are a duty if it isn't nil.
@@ -39,6 +43,8 @@
 	holdAtStart func(ctx context.Context, call string) error
 	// links are the links of instances to the endpoints; those of other instances work.
 	links map[model.InstanceID]*testLinks
+	// peerLinks are the links of other instances to an instance; those of instances without an entry always work.
+	peerLinks map[model.InstanceID]*testLinks
 	// plainAddresses are the addresses of the plain endpoints, by default ones that nothing listens on.
 	plainAddresses []string
 	// directReaders is the setting DirectReaders; sameDataCentre puts all instances into one data centre.
@@ -105,12 +111,20 @@
 // startUnready runs an instance with two engines, one in the data centre of instance a and one in that of b.
 func (c *testCluster) startUnready(id model.InstanceID) (*jujubenode.Node, *blockableStore, func()) {
 	c.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := c.listen(id)
 	assert.NilError(c.t, err)
 	c.addresses[id] = listener.Addr().String()
+	if links, ok := c.peerLinks[id]; ok {
+		c.addresses[id] = links.proxy(c.t, listener.Addr().String())
+	}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	store := &blockableStore{Store: c.store, hold: c.holdAtStart}
+	var dialPeer jujubenode.DialFunc
+	if c.network != nil {
+		machine := c.network.machines[id]
+		store.Store, dialPeer = machineStore{c.store, machine}, machine.dialPeer
+	}
 	dataCentre := model.DataCentre("dc-" + id)
 	if c.sameDataCentre {
 		dataCentre = "dc-a"
@@ -119,6 +133,10 @@
 	if callers == nil {
 		callers = c.engines
 	}
+	var engineClient jujubenode.EngineClient = c.engines
+	if c.wired != nil {
+		engineClient = c.wired.client(id, c.engines)
+	}
 	var duties []jujubeduty.Duty
 	if c.platform != nil {
 		duties = []jujubeduty.Duty{jujubeduty.UsageReport}
@@ -134,13 +152,13 @@
 		callers, closeIdle = overHTTP, overHTTP.client.CloseIdleConnections
 	}
 	node = jujubenode.New(jujubenode.Options{
-		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: listener.Addr().String()},
+		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: c.addresses[id]},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
-			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
+			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, CancelTime: testCancelTime, DesiredTime: testCancelTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
 		},
 		PlatformCaller: c.platformFor(id),
-		Store:          store, EngineClient: c.engines, EndpointCaller: callers, DialEndpoint: links.dial, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
+		Store:          store, EngineClient: engineClient, EndpointCaller: callers, DialEndpoint: links.dial, DialPeer: dialPeer, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
 	}, logger)
 	apply := func(now time.Time, record jujubenode.Record) {
 		if record.Key == "secret" {
@@ -208,6 +226,14 @@
 	return node, store, stop
 }
 
+// listen opens the listener for an instance's peers.
+func (c *testCluster) listen(id model.InstanceID) (net.Listener, error) {
+	if c.network != nil {
+		return c.network.listen(id), nil
+	}
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
 // redactSecret redacts the records with the key "secret".
 func redactSecret(record jujubenode.Record) jujubenode.Record {
 	record.Value = bytes.ReplaceAll(record.Value, []byte("secret"), []byte("redacted"))
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -10,6 +10,7 @@
 	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubeview"
 )
 
 const (
@@ -75,8 +76,17 @@
 	viewTime jujubeclock.ReadTime
 	// hasUnread is true while the partition's end, as of the latest read, hasn't been reached.
 	hasUnread bool
+	// gate bounds the age of the view from which items start; isHeld is true while items wait because of it.
+	gate   jujubeview.Gate
+	isHeld bool
+	// needsRefresh is true if work asked for the view since the last tick while it was old. isRefreshing is true while a read for that
+	// is in progress, refreshedAt is when the last one began.
+	needsRefresh, isRefreshing bool
+	refreshedAt                jujubeclock.Instant
 	// readCh is closed and replaced after each read up to the end of the partition.
 	readCh chan struct{}
+	// readSince is when run's read in progress, or its latest one, began, and respondedAt when the latest response arrived.
+	readSince, respondedAt time.Time
 	// reads, records and bytes count the reads, and the records and bytes they returned.
 	reads, records, bytes int
 	// failingSince is when reads began to fail; zero while they succeed.
@@ -90,12 +100,14 @@
 	retryDelay := minReadRetryDelay
 	needsSnapshot := true
 	for ctx.Err() == nil {
+		timing := f.beginRead()
 		var err error
 		if needsSnapshot && f.topic.Keyed {
 			err = f.snapshot(ctx)
 		} else {
 			err = f.readNext(ctx)
 		}
+		f.recordRead(timing, err)
 		switch {
 		case err == nil:
 			needsSnapshot, retryDelay = false, minReadRetryDelay
@@ -183,9 +195,11 @@
 
 // applyBatch applies records. readAt is a time at which batch.End was the end of the partition.
 func (f *follower) applyBatch(from int64, batch LogBatch, readAt readTime) {
+	respondedAt := time.Now()
 	f.node.mu.Lock()
 	defer f.node.mu.Unlock()
 	now := time.Now()
+	f.respondedAt = respondedAt
 	f.recordSuccess(now)
 	f.reads++
 	for i, record := range batch.Records {
@@ -335,7 +349,11 @@
 	f.failingSince, f.recoveredAt = time.Time{}, now
 }
 
+// sleep waits for a delay, unless it is over already.
 func sleep(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
--- a/entry/services/jujubenode/gap.go
+++ b/entry/services/jujubenode/gap.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
 )
@@ -29,6 +30,8 @@
 	missedAt time.Time
 	// nextPeer is the index of the instance that is asked next about submissions in doubt; only resolveDoubts uses it.
 	nextPeer int
+	// repliedAt is when each instance last replied without ending all doubts; only resolveDoubts uses it.
+	repliedAt map[model.InstanceID]time.Time
 }
 
 // mayHaveMissed reports whether a submission that this instance hasn't read may still be readable elsewhere; the lock is held.
@@ -99,42 +102,66 @@
 func (p *partition) askAboutDoubts(ctx context.Context) (inDoubt, resolved int) {
 	n := p.node
 	n.mu.Lock()
-	questions := n.scheduler.Questions(p.holds)
+	questions, missedAt := n.scheduler.Questions(p.holds), p.gap.missedAt
 	n.mu.Unlock()
 	if inDoubt = len(questions); inDoubt == 0 {
+		clear(p.gap.repliedAt)
 		return 0, 0
 	}
+	if p.gap.repliedAt == nil {
+		p.gap.repliedAt = make(map[model.InstanceID]time.Time)
+	}
 	addresses := n.peerAddresses()
 	peers := slices.Sorted(maps.Keys(addresses))
 	for range min(askedPerRound, len(peers)) {
 		peer := peers[p.gap.nextPeer%len(peers)]
 		p.gap.nextPeer++
-		known := p.askPeer(ctx, addresses[peer], questions)
+		known, replied := p.askPeer(ctx, addresses[peer], questions)
+		if replied {
+			p.gap.repliedAt[peer] = time.Now()
+		}
 		if resolved += known; known > 0 {
 			n.log.Write(jujubeevent.DoubtResolved, func() logrus.Fields {
 				return logrus.Fields{"Peer": peer, "Partition": p.number, "Submissions": known}
 			})
 		}
 		if resolved == inDoubt {
-			break
+			return inDoubt, resolved
 		}
 	}
+	hasAsked := func(peer model.InstanceID) bool { return p.gap.repliedAt[peer].After(missedAt) }
+	if len(peers) > 0 && !slices.ContainsFunc(peers, func(peer model.InstanceID) bool { return !hasAsked(peer) }) {
+		p.abandonDoubts(inDoubt - resolved)
+		resolved = inDoubt
+	}
 	return inDoubt, resolved
 }
 
-// askPeer asks one instance and returns how many submissions are no longer in doubt.
-func (p *partition) askPeer(ctx context.Context, address string, questions []jujubebatch.Question) (resolved int) {
+// abandonDoubts ends the doubts that no live instance could end.
+func (p *partition) abandonDoubts(submissions int) {
+	n := p.node
+	n.log.Write(jujubeevent.DoubtAbandoned, func() logrus.Fields {
+		return logrus.Fields{"Partition": p.number, "Submissions": submissions}
+	})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.scheduler.AbandonDoubts(p.holds)
+	n.notifyChange()
+}
+
+// askPeer asks one instance and returns how many submissions are no longer in doubt, and whether it has replied to all questions.
+func (p *partition) askPeer(ctx context.Context, address string, questions []jujubebatch.Question) (resolved int, replied bool) {
 	for part := range slices.Chunk(questions, questionsPerCall) {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		var reply StatusesReply
 		err := p.node.store.pool.Call(callCtx, address, "Relay.Statuses", StatusesArgs{p.number, part}, &reply)
 		cancel()
 		if err != nil {
-			break
+			return resolved, false
 		}
 		resolved += p.handleStatuses(reply)
 	}
-	return resolved
+	return resolved, true
 }
 
 // handleStatuses applies the answers and returns how many submissions are no longer in doubt.
--- a/entry/services/jujubenode/gap_test.go
+++ b/entry/services/jujubenode/gap_test.go
@@ -1,6 +1,7 @@
 package jujubenode_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,3 +74,26 @@
 	_, isRefused := jujubeerror.IsErrRefused(err)
 	assert.Assert(t, isRefused, "%v", err)
 }
+
+// TestRecordsThatNobodyHasRead guards against submissions that are never run or read again, as all instances have missed the same
+// records.
+func TestRecordsThatNobodyHasRead(t *testing.T) {
+	cluster := newTestCluster(t)
+	cluster.engines.hold = make(chan struct{})
+	a, storeA, _ := cluster.start("a")
+	b, storeB, _ := cluster.start("b")
+	waitFor(t, "both instances are alive", func() bool { return len(a.Addresses("dc")) == 2 && len(b.Addresses("dc")) == 2 })
+	assert.NilError(t, a.Submit(t.Context(), route, newSubmission("s1", 20)))
+	waitFor(t, "both instances run items", func() bool { return a.RunsInFlight() > 0 && b.RunsInFlight() > 0 })
+	for _, store := range []*blockableStore{storeA, storeB} {
+		store.hideSubmissions()
+	}
+	for i := range 16 { // in both partitions
+		assert.NilError(t, a.Submit(t.Context(), route, newSubmission(fmt.Sprint("missed", i), 1)))
+	}
+	for _, store := range []*blockableStore{storeA, storeB} {
+		store.expireSubmissions()
+	}
+	close(cluster.engines.hold)
+	assert.DeepEqual(t, readAll(t, b, "s1"), readAll(t, a, "s1"))
+}
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -10,6 +10,7 @@
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubeorganisation"
 	"jujubepier.example/core/services/jujubequarantine"
+	"jujubepier.example/core/services/jujubeview"
 )
 
 // nodeMetrics holds the metrics of one node. They are listed in docs/metrics.md.
@@ -18,6 +19,9 @@
 	runs     *metrics.Histogram
 	forwards *metrics.Histogram
 	scorings *metrics.Histogram
+	// sendDelays and viewAges are observed when a run is sent.
+	sendDelays *metrics.Histogram
+	viewAges   *metrics.Histogram
 }
 
 func newNodeMetrics(n *Node) *nodeMetrics {
@@ -53,6 +57,13 @@
 		}
 		return 0
 	})
+	for part := range numPartitions {
+		set.NewGauge(fmt.Sprintf("jujube_node_view_age_seconds{partition=\"%d\"}", part), func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return n.partitions[part].follower.viewAge().Seconds()
+		})
+	}
 	for _, state := range []jujubequarantine.Status{jujubequarantine.Suspect, jujubequarantine.Quarantined} {
 		set.NewGauge(fmt.Sprintf("jujube_node_suspects{state=%q}", state), func() float64 {
 			n.mu.Lock()
@@ -66,6 +77,9 @@
 		runs:     set.NewHistogram("jujube_node_run_duration_seconds"),
 		forwards: set.NewHistogram("jujube_node_forward_duration_seconds"),
 		scorings: set.NewHistogram("jujube_node_scoring_duration_seconds"),
+
+		sendDelays: set.NewHistogram("jujube_node_run_send_delay_seconds"),
+		viewAges:   set.NewHistogram("jujube_node_run_view_age_seconds"),
 	}
 }
 
@@ -73,6 +87,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_runs_total{outcome=%q}", kind)).Inc()
 }
 
+// countSendCheck counts the checks immediately before the first byte of a run or scoring call.
+func (m *nodeMetrics) countSendCheck(verdict jujubeview.Verdict) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_send_checks_total{verdict=%q}", verdict)).Inc()
+}
+
 // countPrompt counts the prompt tokens of a run, and those of them that the engine was assumed to keep.
 func (m *nodeMetrics) countPrompt(tokens, kept int) {
 	m.set.GetOrCreateCounter("jujube_node_prompt_tokens_total").Add(tokens)
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -92,6 +92,8 @@
 	CloseIdleStoreConnections func()
 	// DialEndpoint opens a connection to an endpoint directly; ConnectEndpoint uses it.
 	DialEndpoint DialFunc
+	// DialPeer opens a connection to another instance; nil for TCP.
+	DialPeer DialFunc
 	// CloseIdleConnections closes the idle connections to endpoints; may be nil.
 	CloseIdleConnections func()
 	Started              time.Time
@@ -125,9 +127,11 @@
 	endServing context.CancelFunc
 	// wakeCh wakes the scheduler; its capacity is one.
 	wakeCh    chan struct{}
-	blobCache *blobCache
-	loads     *batchWriter[LoadRecord]
-	streams   *batchWriter[jujubebatch.StreamOrigin]
+	blobCache *blobCache[[][]byte]
+	// chunkCache holds functions that decode a chunk when they are first called.
+	chunkCache *blobCache[func() (jujubebatch.Chunk, error)]
+	loads      *batchWriter[LoadRecord]
+	streams    *batchWriter[jujubebatch.StreamOrigin]
 
 	// mu guards the fields below. Decisions are made with it held; network calls aren't.
 	mu           sync.Mutex
@@ -158,7 +162,9 @@
 	state               jujuberegistry.State
 	heartbeatNumber     int64
 	lastHeartbeat       time.Time
-	ready               bool
+	// heartbeatCh gets a value when a heartbeat is due at once; its capacity is one.
+	heartbeatCh chan struct{}
+	ready       bool
 	// leaveDeadline is when a leaving instance exits; zero before it leaves.
 	leaveDeadline time.Time
 	stopServing   func(ctx context.Context)
@@ -209,7 +215,8 @@
 		serving:        serving,
 		endServing:     endServing,
 		wakeCh:         make(chan struct{}, 1),
-		blobCache:      newBlobCache(),
+		blobCache:      newBlobCache[[][]byte](maxCacheBytes),
+		chunkCache:     newBlobCache[func() (jujubebatch.Chunk, error)](maxDecodedBytes),
 		scheduler:      jujubebatch.New(id, batchSettings),
 		fleet:          jujubefleet.New(id, fleetSettings),
 		lease:          jujubelease.New("rollout", id, incarnation, lease),
@@ -223,19 +230,21 @@
 		routeWaiters:   make(map[model.RequestID]chan jujuberouter.Decision),
 		activeRuns:     make(map[jujubebatch.RunID]activeRun),
 		stateChangedCh: make(chan struct{}),
+		heartbeatCh:    make(chan struct{}, 1),
 		state:          jujuberegistry.Starting,
 	}
 	n.duties = newDuties(options, incarnation)
 	n.endpointPath = &endpointPath{
 		node: n, dial: options.DialEndpoint, closeIdle: options.CloseIdleConnections,
-		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()),
+		path: jujubepath.NewEndpointPath(jujubepath.DefaultEndpointSettings()), cutOffCh: make(chan struct{}, 1),
 	}
 	if n.bootClock == nil {
 		n.bootClock = jujubeclock.Now
 	}
 	n.startedAt = n.bootClock()
-	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections)
+	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections, options.DialPeer)
 	n.store.bootClock = n.bootClock
+	n.scheduler.SetStartGate(n.allowsStart)
 	n.metrics = newNodeMetrics(n)
 	n.loads = newBatchWriter(loadQueueSize, loadBatchDelay, n.appendLoads)
 	n.streams = newBatchWriter(streamQueueSize, streamBatchDelay, n.appendStreams)
@@ -308,6 +317,7 @@
 func (n *Node) schedule(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	var earliest time.Time // of the next tick
 	for {
 		select {
 		case <-ctx.Done():
@@ -315,8 +325,9 @@
 		case <-ticker.C:
 		case <-n.wakeCh:
 		}
+		sleep(ctx, time.Until(earliest))
 		n.tick()
-		sleep(ctx, wakeCoalesceDelay)
+		earliest = time.Now().Add(wakeCoalesceDelay)
 	}
 }
 
@@ -330,7 +341,7 @@
 	}
 	n.setHolding()
 	n.deliverDecisions(n.router.Tick(now))
-	n.pauses.recordTick(now, n.bootClock())
+	n.recordTick(now)
 	n.scheduler.SetResumed(n.pauses.resumedAt)
 	unread := false
 	for _, p := range n.partitions {
@@ -338,6 +349,7 @@
 	}
 	n.scheduler.SetLagging(unread)
 	n.executeActions(n.scheduler.Tick(now))
+	n.refreshOldViews()
 	n.updateReady(now)
 }
 
@@ -353,7 +365,7 @@
 		}
 	}
 	n.ready, n.state = true, jujuberegistry.Ready
-	n.lastHeartbeat = time.Time{}
+	n.requestHeartbeat()
 	n.log.Write(jujubeevent.InstanceReady, func() logrus.Fields {
 		reads, records, bytes := 0, 0, 0
 		for _, f := range n.followers {
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -11,6 +11,7 @@
 
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubeview"
 )
 
 const (
@@ -101,6 +102,7 @@
 	}
 	p.follower = n.addFollower(topicSubmissions, number, p.apply)
 	p.follower.onGap = p.recordGap
+	p.follower.gate = jujubeview.Gate{Bound: n.settings.CancelTime}
 	return p
 }
 
