--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -82,6 +82,8 @@
 	EndpointStale     Number = 5115
 	DesiredCopied     Number = 5116
 	ReadSlow          Number = 5117
+	DoubtResolved     Number = 5118
+	DoubtAbandoned    Number = 5119
 
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
@@ -182,6 +184,8 @@
 		{EndpointStale, "EndpointStale", debug, "An entry or a response has an incarnation of an endpoint that isn't, or isn't yet confirmed as, the current one; it is ignored."},
 		{DesiredCopied, "DesiredCopied", warn, "The newest record of the desired state can't be used; the one in force was copied from another instance, Peer."},
 		{ReadSlow, "ReadSlow", warn, "A read of a partition took over a second longer than it was to wait for records."},
+		{DoubtResolved, "DoubtResolved", info, "Another instance, Peer, has told what the records of submissions say that expired before this instance read them."},
+		{DoubtAbandoned, "DoubtAbandoned", warn, "No live instance has read records of submissions that expired before this one read them; it goes on with what it knows."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed over to a successor."},
