jujubepeer: leave the reply alone once a call has ended

A call that timed out returned while net/rpc might still decode its response into the reply, which the callers read: a data race, reported by the race detector in TestNothingStartsLongAfterItsEnd, and a failed call whose reply looked like a response. The response is decoded into a value of its own now, which is copied on success.

--- a/entry/modules/jujubepeer/pool.go
+++ b/entry/modules/jujubepeer/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,8 @@
 	return &Pool{dial: dial, connections: make(map[string]*connection)}
 }
 
-// Call makes a call over the pooled connection to an address and opens one if there is none.
+// Call makes a call over the pooled connection to an address and opens one if there is none. The reply is set only if the call succeeds: a
+// response may still be decoded when Call has returned because its context has ended.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	conn, err := p.acquire(ctx, address)
 	if err != nil {
@@ -86,13 +88,17 @@
 	}
 	defer p.release(conn)
 	p.calls.Add(1)
-	call := conn.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	received := reflect.New(reflect.TypeOf(reply).Elem())
+	call := conn.client.Go(method, args, received.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case done := <-call.Done:
 		var serverErr rpc.ServerError
 		if done.Error != nil && !errors.As(done.Error, &serverErr) {
 			p.remove(address, conn)
 		}
+		if done.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(received.Elem())
+		}
 		return errors.Wrap(done.Error, method)
 	case <-ctx.Done():
 		// The connection may be dead, so it is removed and the next call opens a new one.
