jujubebatch: select the gateway of an engine only when it may change

The gateway was selected again, by hashes with all instances, at each entry of an engine, which is written every 1.2 s. It depends only on the engine's name and data centre and the live instances. The names that are hashed are joined in one buffer now.

--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -119,12 +119,15 @@
 	var best Member
 	var bestIsLocal bool
 	var bestHash uint64
+	key := append([]byte(e.ID), '/')
+	prefix := len(key)
 	for _, m := range s.live {
 		if !m.Ready {
 			continue
 		}
 		isLocal := m.DataCentre == e.DataCentre
-		hash := xxhash.Sum64String(string(e.ID) + "/" + string(m.ID))
+		key = append(key[:prefix], m.ID...)
+		hash := xxhash.Sum64(key)
 		if best.ID == "" || isLocal && !bestIsLocal || isLocal == bestIsLocal && hash > bestHash {
 			best, bestIsLocal, bestHash = m, isLocal, hash
 		}
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -84,8 +84,11 @@
 			e.Versions[name] = version // a run reported a newer version before the instance list did
 		}
 	}
+	hasMoved := known.ID == "" || known.DataCentre != e.DataCentre
 	known.Engine = e
-	s.selectGateway(known)
+	if hasMoved {
+		s.selectGateway(known)
+	}
 	s.trackEngine(known)
 }
 
--- a/core/services/jujubebatch/schedule_bench_test.go
+++ b/core/services/jujubebatch/schedule_bench_test.go
@@ -93,3 +93,26 @@
 		})
 	}
 }
+
+// BenchmarkGateways measures how the gateways of engines are selected in a large fleet: when an engine's entry is read again, and when
+// an instance comes or goes.
+func BenchmarkGateways(b *testing.B) {
+	s, _ := newBenchScheduler("i85")
+	entry, _ := s.EngineState("e00")
+	var live []jujubebatch.Member
+	for i := range benchInstances {
+		live = append(live, jujubebatch.Member{ID: model.InstanceID(fmt.Sprintf("i%02d", i)), Ready: true})
+	}
+	b.Run("Entry", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.PutEngine(entry)
+		}
+	})
+	b.Run("Members", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			s.SetLiveMembers(live)
+		}
+	})
+}
