--- a/core/models/jujubetable/table_test.go
+++ b/core/models/jujubetable/table_test.go
@@ -91,10 +91,12 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		count := 0
-		for range table.All() {
-			count++
+		sum := 0
+		for _, value := range table.All() {
+			sum += value
+		}
+		if sum != 99*100/2 {
+			b.Fatal("a value is missing")
 		}
-		assert.Equal(b, count, 100)
 	}
 }
