jujubeview: take the store for away only on the word of several

Items of an ended submission could go on at two instances that were only slow: each asked the other, which replied that its view was old as well, and one reply sufficed. Three instances, or all others if there are fewer, have to confirm an outage within 2 s now; a reply that the store refuses an instance because of its rate doesn't count, and one that doesn't confirm the outage withdraws an earlier one.

The new case of TestNothingStartsFromAnOldView printed "40 items reached an engine later than 3s after the end of their submission" with a single witness.

--- a/core/services/jujubeview/view.go
+++ b/core/services/jujubeview/view.go
@@ -3,8 +3,10 @@
 package jujubeview
 
 import (
+	"maps"
 	"time"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeclock"
 )
 
@@ -12,9 +14,11 @@
 	// SendMargin is the part of a promised time that remains for the way of a request to its endpoint once its first byte may be
 	// written: some milliseconds on the network, and the delays of a busy process.
 	SendMargin = 500 * time.Millisecond
-	// outageTTL is how long the store counts as away after another instance has confirmed it. An instance asks about once a second
-	// while its reads fail.
+	// outageTTL is how long the store counts as away after other instances have confirmed it. An instance asks one of them at least
+	// every second while its reads fail.
 	outageTTL = 2 * time.Second
+	// maxWitnesses is how many instances have to confirm an outage where there are as many: some may only be slow themselves.
+	maxWitnesses = 3
 	// maxOutageStartAge is the greatest age, as a multiple of the bound, that a view may have when an outage is first confirmed. An
 	// instance whose view was older didn't read before the outage, so that records may have been written that it doesn't know.
 	maxOutageStartAge = 2
@@ -22,21 +26,40 @@
 
 // Outage is what is known of the times in which the store is away for all instances. The zero value stands for no outage.
 type Outage struct {
-	// Since is when another instance first confirmed the outage, and ConfirmedAt when one last did. Confirmations less than outageTTL
-	// apart belong to the same outage.
+	// Since is when the outage was first confirmed, and ConfirmedAt when it was last. Confirmations at most outageTTL apart belong to
+	// the same outage.
 	Since, ConfirmedAt jujubeclock.Instant
 }
 
-// Confirm records that another instance can't read the log either.
-func (o *Outage) Confirm(now jujubeclock.Instant) {
-	if o.ConfirmedAt == 0 || now.Sub(o.ConfirmedAt) > outageTTL {
-		o.Since = now
+// Witnesses are the other instances that can't read a partition either.
+type Witnesses struct {
+	// confirmedAt holds the times of the confirmations that are at most outageTTL old.
+	confirmedAt map[model.InstanceID]jujubeclock.Instant
+	outage      Outage
+}
+
+// Outage returns the outage that the instances have confirmed.
+func (w *Witnesses) Outage() Outage { return w.outage }
+
+// Confirm records that one of a number of other instances can't read the partition either. The outage is confirmed once maxWitnesses of
+// them, or all if there are fewer, have replied so within outageTTL.
+func (w *Witnesses) Confirm(now jujubeclock.Instant, from model.InstanceID, others int) {
+	if w.confirmedAt == nil {
+		w.confirmedAt = make(map[model.InstanceID]jujubeclock.Instant)
+	}
+	w.confirmedAt[from] = now
+	maps.DeleteFunc(w.confirmedAt, func(_ model.InstanceID, at jujubeclock.Instant) bool { return now.Sub(at) > outageTTL })
+	if len(w.confirmedAt) < min(maxWitnesses, others) {
+		return
+	}
+	if w.outage.ConfirmedAt == 0 || now.Sub(w.outage.ConfirmedAt) > outageTTL {
+		w.outage.Since = now
 	}
-	o.ConfirmedAt = now
+	w.outage.ConfirmedAt = now
 }
 
-// Clear records a read of the log.
-func (o *Outage) Clear() { *o = Outage{} }
+// Withdraw records that an instance doesn't confirm the outage, or no longer.
+func (w *Witnesses) Withdraw(from model.InstanceID) { delete(w.confirmedAt, from) }
 
 // View is an instance's knowledge of one partition of the log.
 type View struct {
--- a/core/services/jujubeview/view_test.go
+++ b/core/services/jujubeview/view_test.go
@@ -18,11 +18,12 @@
 // TestCheck guards against work that is sent from a view which is too old, and against instances that idle while nothing can be
 // written to the log.
 func TestCheck(t *testing.T) {
-	confirmed := func(times ...time.Duration) (o jujubeview.Outage) {
+	confirmed := func(times ...time.Duration) jujubeview.Outage {
+		var w jujubeview.Witnesses
 		for _, d := range times {
-			o.Confirm(at(d))
+			w.Confirm(at(d), "b", 1)
 		}
-		return o
+		return w.Outage()
 	}
 	for name, c := range map[string]struct {
 		requestedAt, now time.Duration
@@ -51,6 +52,29 @@
 	}
 }
 
+// TestFewWitnesses guards against an instance that takes the store for away because one or two others are as slow as it is.
+func TestFewWitnesses(t *testing.T) {
+	var w jujubeview.Witnesses
+	isConfirmed := func() bool { return w.Outage().ConfirmedAt != 0 }
+	w.Confirm(at(0), "b", 8)
+	w.Confirm(at(time.Second), "b", 8)
+	w.Confirm(at(time.Second), "c", 8)
+	assert.Assert(t, !isConfirmed())
+	w.Withdraw("b")
+	w.Confirm(at(1500*time.Millisecond), "d", 8)
+	assert.Assert(t, !isConfirmed())
+	w.Confirm(at(4*time.Second), "b", 8)
+	assert.Assert(t, !isConfirmed(), "the other two are too old")
+	w.Confirm(at(4*time.Second), "c", 8)
+	w.Confirm(at(5*time.Second), "d", 8)
+	assert.Equal(t, w.Outage(), jujubeview.Outage{Since: at(5 * time.Second), ConfirmedAt: at(5 * time.Second)})
+	var few jujubeview.Witnesses
+	few.Confirm(at(0), "b", 2)
+	assert.Equal(t, few.Outage(), jujubeview.Outage{})
+	few.Confirm(at(0), "c", 2)
+	assert.Equal(t, few.Outage().ConfirmedAt, at(0))
+}
+
 // TestNoWorkLongAfterARecord guards against work that is sent against a record which was acknowledged longer ago than the bound, with
 // any delays of the reads, while the store is not away.
 func TestNoWorkLongAfterARecord(t *testing.T) {
--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -37,11 +37,14 @@
 		hold          func(ctx context.Context, call string) error
 		// holdRelay is the hold of the first instance, which is the relay if there are few direct readers.
 		holdRelay func(ctx context.Context, call string) error
+		// reachable is the instance that replies to the others.
+		reachable model.InstanceID
 		dialDelay time.Duration
 	}{
 		"direct reads hang":                           {directReaders: jujubenode.DefaultDirectReaders, hold: hang},
 		"direct reads are refused":                    {directReaders: jujubenode.DefaultDirectReaders, hold: refuse},
 		"the relay is silent":                         {directReaders: 1, hold: hang, holdRelay: hang},
+		"another one is as slow, and replies":         {directReaders: jujubenode.DefaultDirectReaders, hold: hang, holdRelay: hang, reachable: "i0"},
 		"a run waits for its connection after that":   {directReaders: jujubenode.DefaultDirectReaders, hold: hang, dialDelay: 1400 * time.Millisecond},
 		"a relayed run waits for its connection, too": {directReaders: 1, hold: hang, holdRelay: hang, dialDelay: 1400 * time.Millisecond},
 	} {
@@ -55,8 +58,10 @@
 			waitFor(t, "items run", func() bool { return nodes[1].RunsInFlight() > 0 })
 			stores[0].setHold(fault.holdRelay)
 			stores[1].setHold(fault.hold)
-			for _, links := range cluster.peerLinks {
-				links.set(linksHang)
+			for id, links := range cluster.peerLinks {
+				if id != fault.reachable {
+					links.set(linksHang)
+				}
 			}
 			cluster.wired.mu.Lock()
 			cluster.wired.connect = func(ctx context.Context, from model.InstanceID) (net.Conn, error) {
@@ -69,7 +74,7 @@
 			assert.NilError(t, nodes[2].EndSubmission(t.Context(), "s"))
 			bound := time.Now().Add(testCancelTime)
 			time.Sleep(testCancelTime + 3*time.Second)
-			late := cluster.wired.after("i1", "s", bound)
+			late := append(cluster.wired.after("i1", "s", bound), cluster.wired.after("i0", "s", bound)...)
 			assert.Check(t, len(late) == 0, "%d items reached an engine later than %s after the end of their submission, the first ones: %q", len(late), testCancelTime, late[:min(3, len(late))])
 
 			for _, links := range cluster.peerLinks {
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -57,8 +57,8 @@
 	catchUpTimeout jujubepath.AdaptiveTimeout
 	// confirmedDownAt is when another instance last replied that it can't reach a partition either; a success deletes the entry.
 	confirmedDownAt map[storePart]time.Time
-	// outages holds the outages of partitions that other instances have confirmed; a success deletes the entry.
-	outages map[storePart]jujubeview.Outage
+	// witnesses holds the instances that can't read a partition either; a success deletes the entry.
+	witnesses map[storePart]*jujubeview.Witnesses
 	// restoredCh is closed and replaced when a partition is directly reachable again.
 	restoredCh chan struct{}
 	// indirectCh gets a value when a partition isn't directly reachable any more; its capacity is one.
@@ -80,7 +80,7 @@
 		direct:    direct, pool: jujubepeer.NewPool(jujubepeer.DialFunc(dialPeer)), log: log, peers: peers, paths: jujubepath.NewPaths[storePart](self, jujubepath.DefaultSettings()),
 		catchUpTimeout:  jujubepath.AdaptiveTimeout{Min: minCatchUpTimeout, Max: maxCatchUpTimeout},
 		confirmedDownAt: make(map[storePart]time.Time),
-		outages:         make(map[storePart]jujubeview.Outage),
+		witnesses:       make(map[storePart]*jujubeview.Witnesses),
 		restoredCh:      make(chan struct{}),
 		indirectCh:      make(chan struct{}, 1),
 	}
@@ -261,7 +261,7 @@
 		s.clearOutage(part)
 	case hasReplied:
 		s.confirmedDownAt[part] = time.Now()
-		s.confirmOutage(part, reply)
+		s.recordWitness(part, id, len(addresses), reply)
 	}
 	s.mu.Unlock()
 	return reply, true, err
@@ -274,15 +274,21 @@
 // clearOutage records that the store has responded for a partition. The caller must hold s.mu.
 func (s *relayedStore) clearOutage(part storePart) {
 	delete(s.confirmedDownAt, part)
-	delete(s.outages, part)
+	delete(s.witnesses, part)
 }
 
-// confirmOutage records another instance's reply that it can't reach a partition. The caller must hold s.mu.
-func (s *relayedStore) confirmOutage(part storePart, reply RelayReply) {
-	if reply.IsOutdated {
-		outage := s.outages[part]
-		outage.Confirm(s.bootClock())
-		s.outages[part] = outage
+// recordWitness records the reply of one of a number of instances that it can't reach a partition. That the store refuses it because of
+// its rate says nothing. The caller must hold s.mu.
+func (s *relayedStore) recordWitness(part storePart, id model.InstanceID, others int, reply RelayReply) {
+	witnesses := s.witnesses[part]
+	if witnesses == nil {
+		witnesses = new(jujubeview.Witnesses)
+		s.witnesses[part] = witnesses
+	}
+	if reply.IsOutdated && (reply.Failed == nil || reply.Failed.Status != http.StatusTooManyRequests) {
+		witnesses.Confirm(s.bootClock(), id, others)
+	} else {
+		witnesses.Withdraw(id)
 	}
 }
 
@@ -290,7 +296,10 @@
 func (s *relayedStore) outageOf(topic Topic, part int) jujubeview.Outage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outages[storePart{topic, part}]
+	if witnesses := s.witnesses[storePart{topic, part}]; witnesses != nil {
+		return witnesses.Outage()
+	}
+	return jujubeview.Outage{}
 }
 
 // isConfirmedDown reports whether another instance recently replied that it can't reach a partition either.
