--- a/entry/services/jujubenode/feed.go
+++ b/entry/services/jujubenode/feed.go
@@ -43,7 +43,7 @@
 }
 
 func (n *Node) addFollower(topic Topic, part int, apply func(time.Time, int64, Record)) *follower {
-	f := &follower{node: n, topic: topic, part: part, apply: apply, readCh: make(chan struct{})}
+	f := &follower{node: n, topic: topic, part: part, apply: apply, readCh: make(chan struct{}), snapshotSlot: make(chan struct{}, 1)}
 	n.followers = append(n.followers, f)
 	return f
 }
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -51,8 +51,9 @@
 	// urgent is true for a topic whose changes must arrive in time although the path to the store is at fault.
 	urgent bool
 
-	// pages holds the pages of an incomplete snapshot, so that a failure doesn't restart it from the beginning. Only
-	// run uses it.
+	// snapshotSlot holds a value during a snapshot: run and requests that need recent records may begin one at the same time.
+	snapshotSlot chan struct{}
+	// pages holds the pages of an incomplete snapshot, so that a failure doesn't restart it from the beginning; guarded by snapshotSlot.
 	pages snapshotPages
 
 	// recent holds the latest records before next for other instances, recentBytes is their size; guarded by the node's
@@ -248,6 +249,12 @@
 
 // snapshot reads the newest record of each key of a keyed topic; reading continues after them.
 func (f *follower) snapshot(ctx context.Context) error {
+	select {
+	case f.snapshotSlot <- struct{}{}:
+		defer func() { <-f.snapshotSlot }()
+	case <-ctx.Done():
+		return ErrStore{Call: "Newest", Reason: ctx.Err().Error()}
+	}
 	for more := true; more; {
 		after := ""
 		if len(f.pages.records) > 0 {
@@ -272,7 +279,10 @@
 	defer f.node.mu.Unlock()
 	now := time.Now()
 	f.recordSuccess(now)
-	f.next = max(f.next, complete.end)
+	if complete.end < f.next {
+		return nil // records that were read meanwhile are newer
+	}
+	f.next = complete.end
 	f.dropRecent()
 	f.applySnapshot(f.next, func() { f.reset(now, complete.records) })
 	f.recordCaughtUp(complete.requestedAt)
