jujubebatch: send a run only while its decision holds

A run that waits for its connection was sent although its engine had begun to leave, or its route had moved, since it was decided: only the age of the views was asked again, and they were recent. The permit before the first byte asks now whether the engine isn't leaving and the route still leads there. Scoring calls of submissions in doubt are cancelled like runs. A run that may move asks for recent views only once it has a target, so that running items alone cause no reads.

--- a/core/services/jujubebatch/gap.go
+++ b/core/services/jujubebatch/gap.go
@@ -66,9 +66,10 @@
 	return actions
 }
 
-// cancelUnsentRuns cancels the runs that may not have been sent yet.
+// cancelUnsentRuns cancels the runs and scoring calls that may not have been sent yet.
 func (s *Scheduler) cancelUnsentRuns(submission *submission) {
 	for _, item := range submission.order {
+		s.cancelScoring(item, "records of the submission have expired unread")
 		if item.run != nil && item.run.awaitsFirstEvent {
 			s.cancelRun(item.run, "records of the submission have expired unread")
 		}
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -331,8 +331,8 @@
 			s.cancelSilentRun(r, "the engine is silent")
 			continue
 		}
-		if moves < maxMovesPerTick && item.delegation == nil && item.submission.doubt == nil && now.Sub(item.movedAt) > minMoveInterval && s.allowsStart(item.submission) {
-			if to, reason := s.selectMoveTarget(now, r, fleet); to != nil {
+		if moves < maxMovesPerTick && item.delegation == nil && item.submission.doubt == nil && now.Sub(item.movedAt) > minMoveInterval {
+			if to, reason := s.selectMoveTarget(now, r, fleet); to != nil && s.allowsStart(item.submission) {
 				moves++
 				s.moveRun(now, r, to, reason)
 				continue
--- a/core/services/jujubebatch/startgate_test.go
+++ b/core/services/jujubebatch/startgate_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/core/services/jujubedesired"
 )
 
 // TestOutdatedViewStartsNothing guards against runs and scoring calls that rest on a view of the log in which the end of their
@@ -69,14 +70,48 @@
 	return count
 }
 
-// TestEndedRunIsUnwanted guards against a run that is sent after the end of its submission was read, as its context hasn't ended yet.
-func TestEndedRunIsUnwanted(t *testing.T) {
-	ts := newTestScheduler(t, 1)
-	ts.accept(newSubmission("s", 1, "a"))
-	run := tick[jujubebatch.StartRun](ts)[0].Run
-	assert.Assert(t, ts.HasRun(run))
-	ts.Apply(ts.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s"}})
-	assert.Assert(t, !ts.HasRun(run))
+// TestUnwantedRunIsntSent guards against a run that is sent, after it waited for its connection, although what its start rested on has
+// changed meanwhile.
+func TestUnwantedRunIsntSent(t *testing.T) {
+	moved := testDesired()
+	moved.Routes[0].Targets = []jujubedesired.Target{{Service: "other", Weight: 1}}
+	for name, change := range map[string]func(ts *testScheduler){
+		"submission ended": func(ts *testScheduler) {
+			ts.Apply(ts.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s"}})
+		},
+		"records expired": func(ts *testScheduler) {
+			ts.RecordGap(jujubebatch.Span{End: 1}, jujubebatch.Span{Begin: 1, End: 2}, everySubmission)
+		},
+		"engine leaving": func(ts *testScheduler) {
+			e, _ := ts.EngineState("e0")
+			e.Leaving = true
+			ts.PutEngine(e)
+		},
+		"engine restarted": func(ts *testScheduler) { ts.putEngine(0, 2, 1) },
+		"engine removed":   func(ts *testScheduler) { ts.RemoveEngine("e0") },
+		"route moved":      func(ts *testScheduler) { ts.SetDesired(moved) },
+		"route dropped":    func(ts *testScheduler) { ts.SetDesired(&jujubedesired.State{Version: 2}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestScheduler(t, 1)
+			ts.accept(newSubmission("s", 1, "a"))
+			run := tick[jujubebatch.StartRun](ts)[0].Run
+			assert.Assert(t, ts.MaySend(run))
+			change(ts)
+			assert.Assert(t, !ts.MaySend(run))
+		})
+	}
+}
+
+// TestScoringOfDoubtIsntSent guards against a scoring call for a submission whose end may be among records that expired unread.
+func TestScoringOfDoubtIsntSent(t *testing.T) {
+	ts := newScoringTestScheduler(t, 1, 1)
+	ts.accept(newScoredSubmission("s", 1, "a"))
+	assert.Equal(t, ts.completeRuns(), 1)
+	call := tick[jujubebatch.StartScoring](ts)[0].Run
+	assert.Assert(t, ts.MaySend(call))
+	ts.RecordGap(jujubebatch.Span{End: 3}, jujubebatch.Span{Begin: 3, End: 9}, everySubmission)
+	assert.Assert(t, !ts.MaySend(call))
 }
 
 // TestOutdatedGatewayReturnsItems guards against items that wait at a gateway which starts nothing.
--- a/entry/services/jujubenode/startgate.go
+++ b/entry/services/jujubenode/startgate.go
@@ -90,13 +90,13 @@
 }
 
 // permitSend decides whether and for how long a run or scoring call that was decided on at a time may still be sent. It is asked
-// immediately before the first byte. One that the scheduler has cancelled isn't sent, although its context ends a little later.
+// immediately before the first byte, also whether the decision still holds: a run that is cancelled has a context that ends a little later.
 func (n *Node) permitSend(id jujubebatch.SubmissionID, run jujubebatch.RunID, decidedAt time.Time) jujubehttp.SendPermit {
 	if n.wasPausedSince(decidedAt) {
 		return jujubehttp.SendPermit{}
 	}
 	n.mu.Lock()
-	isWanted := n.scheduler.HasRun(run)
+	isWanted := n.scheduler.MaySend(run)
 	verdict, valid := n.checkStart(n.bootClock(), id)
 	n.mu.Unlock()
 	if !isWanted {
