--- a/core/modules/jujubehttp/sendcheck.go
+++ b/core/modules/jujubehttp/sendcheck.go
@@ -15,7 +15,7 @@
 type SendPermit struct {
 	Allowed bool
 	// Valid is how long after the call of the check bytes of the request may reach the server; zero for no limit, and a negative one
-	// allows nothing. Only a LimitedConn enforces it: bytes written to a socket leave the machine at once.
+	// allows nothing. Only a LimitedConn enforces it: what is written to a socket can't be taken back.
 	Valid time.Duration
 }
 
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -328,7 +328,8 @@
 	}
 }
 
-// unsentRetryDelay is the delay before an item is started again whose content couldn't be read, as the log is unavailable.
+// unsentRetryDelay is the delay before an item is started again whose run wasn't sent: its content couldn't be read, or what its start rested
+// on has changed or is too old.
 const unsentRetryDelay = 200 * time.Millisecond
 
 // maxEarlyBreakDelay limits the delay of an item whose runs break off before their first event, again and again. The cause is
--- a/entry/services/jujubenode/route.go
+++ b/entry/services/jujubenode/route.go
@@ -28,8 +28,8 @@
 func (e ErrNoRoute) Error() string { return "no route for " + e.Host + e.Path }
 
 // MatchRoute returns the route of a request. Without one it returns ErrNoRoute, or a refusal if the desired state was read too long
-// ago to tell: a route may have been added since. A request that has a route is served whatever the age, because reads are urgent,
-// so that an old state means that neither this instance nor those it asks can reach the store.
+// ago to tell: a route may have been added since. A request that has a route is served whatever the age: reads are urgent, so an old
+// state mostly means that neither this instance nor those it asks can reach the store.
 func (n *Node) MatchRoute(ctx context.Context, host, path string) (*jujubedesired.Route, error) {
 	timer := time.NewTimer(maxDesiredWait)
 	defer timer.Stop()
