jujubenode: refuse requests whose desired state may be replaced

A request that has a route was served from a view of any age, on the ground that an instance reads urgently and so can't be alone with an old view.

--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -111,6 +112,37 @@
 	waitFor(t, "items start again", func() bool { return len(cluster.wired.after("i1", "s", bound)) > 0 })
 }
 
+// TestNoRequestByAnOldDesiredState guards against a caller's request that an instance serves by a desired state which may have been
+// replaced long ago, as its reads of that hang, and against refusals while no instance reaches the store.
+func TestNoRequestByAnOldDesiredState(t *testing.T) {
+	t.Parallel()
+	cluster, nodes, stores := startWired(t, jujubenode.DefaultDirectReaders)
+	serves := func() error {
+		_, err := nodes[1].MatchRoute(t.Context(), "h", "/score/x")
+		return err
+	}
+	assert.NilError(t, serves())
+	stores[1].setHold(loseResponse)
+	for _, links := range cluster.peerLinks {
+		links.set(linksHang)
+	}
+	time.Sleep(testCancelTime + 500*time.Millisecond)
+	refused, ok := jujubeerror.IsErrRefused(serves())
+	assert.Assert(t, ok && refused.Ran == model.RanNo && refused.RetryAfter > 0)
+	for _, links := range cluster.peerLinks {
+		links.set(linksWork)
+	}
+	stores[1].setHold(nil)
+	waitFor(t, "requests are served again", func() bool { return serves() == nil })
+	for _, store := range stores {
+		store.setBlocked(true)
+	}
+	time.Sleep(testCancelTime + time.Second)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		assert.NilError(t, serves())
+	}
+}
+
 // TestItemsStartWhileTheStoreIsAway guards against instances that stop starting items when none of them reaches the store: no
 // submission can end then.
 func TestItemsStartWhileTheStoreIsAway(t *testing.T) {
--- a/entry/services/jujubenode/route.go
+++ b/entry/services/jujubenode/route.go
@@ -28,8 +28,8 @@
 func (e ErrNoRoute) Error() string { return "no route for " + e.Host + e.Path }
 
 // MatchRoute returns the route of a request. Without one it returns ErrNoRoute, or a refusal if the desired state was read too long
-// ago to tell: a route may have been added since. A request that has a route is served whatever the age: reads are urgent, so an old
-// state mostly means that neither this instance nor those it asks can reach the store.
+// ago to tell: a route may have been added since. A request whose route may have been replaced longer ago than promised is refused, so that
+// its caller uses another instance.
 func (n *Node) MatchRoute(ctx context.Context, host, path string) (*jujubedesired.Route, error) {
 	timer := time.NewTimer(maxDesiredWait)
 	defer timer.Stop()
@@ -40,13 +40,15 @@
 			return nil, refusal(jujubeerror.CodeNotReady, "the desired state or the quarantine hasn't been read yet")
 		}
 		route, ok := n.desired.Match(host, path)
-		revision, age := n.desired.Version, n.desiredAge()
+		revision, age, isCurrent := n.desired.Version, n.desiredAge(), n.isDesiredCurrent()
 		changedCh := n.desiredFollower.readCh
 		n.mu.Unlock()
 		switch {
-		case ok:
+		case ok && isCurrent:
 			return route, nil
-		case age <= maxDesiredAge || !mayWait:
+		case ok && !mayWait:
+			return nil, refusal(jujubeerror.CodeNotReady, "the desired state hasn't been read lately")
+		case !ok && (age <= maxDesiredAge || !mayWait):
 			n.log.Write(jujubeevent.RouteAbsent, func() logrus.Fields {
 				return logrus.Fields{"Host": host, "Path": path, "Revision": revision, "Age": age.String()}
 			})
@@ -65,6 +67,16 @@
 	}
 }
 
+// isDesiredCurrent reports whether requests may be served by the desired state: a version that replaces it can't have been in force for
+// longer than promised, or the store is away for all. An instance without others serves whatever the age. The lock is held.
+func (n *Node) isDesiredCurrent() bool {
+	f := n.desiredFollower
+	if f.gate.Bound == 0 || f.viewAge() <= f.gate.Bound || len(n.liveInstances) <= 1 {
+		return true
+	}
+	return f.gate.Check(n.bootClock(), f.view()).Allows()
+}
+
 // desiredAge returns the age of this instance's view of the desired state; the lock is held.
 func (n *Node) desiredAge() time.Duration {
 	if n.desiredFollower.caughtUpAt.IsZero() {
