jujubebatch, jujubenode: move the start gate and trimming to own files

The start gate of the scheduler, the hand-over of results and the trimming of partitions stand in files of their own now; nothing else changes.

--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -252,30 +252,6 @@
 	return ok && (item.delegatedHere || item.run != nil || item.resultQueued || item.hasResult || submission.ended)
 }
 
-// ReturnWaitingItem gives up an item that another instance delegated to this one, unless it runs or has ended here. The delegator learns
-// that with the next confirmation and runs it elsewhere.
-func (s *Scheduler) ReturnWaitingItem(ref ItemRef) {
-	s.pendingOffers = slices.DeleteFunc(s.pendingOffers, func(offer pendingOffer) bool {
-		return offer.Submission == ref.Submission && offer.Item == ref.Item
-	})
-	submission, ok := s.submissions.Get(ref.Submission)
-	if !ok {
-		return
-	}
-	item, ok := submission.items[ref.Item]
-	if !ok || !item.delegatedHere || item.delegation != nil || item.scoring != nil || item.isSettled() {
-		return
-	}
-	item.delegatedHere = false
-	submission.delegatedHere--
-	s.unassign(item)
-}
-
-// BypassGateway makes the engines of an instance be reached directly for a while.
-func (s *Scheduler) BypassGateway(now time.Time, id model.InstanceID) {
-	s.unreachableUntil[id] = now.Add(gatewayBackoff)
-}
-
 // EngineLoad returns how many items this instance has for an engine.
 func (s *Scheduler) EngineLoad(id model.EndpointID) int {
 	e, ok := s.engines.Get(id)
--- a/core/services/jujubebatch/run.go
+++ b/core/services/jujubebatch/run.go
@@ -164,21 +164,6 @@
 	return len(item.events), true
 }
 
-// MaySend reports whether the decision to start a run or scoring call still holds: it isn't cancelled, and a run's engine is still one to
-// which the item's route leads and that isn't leaving.
-func (s *Scheduler) MaySend(id RunID) bool {
-	if _, isScoring := s.scorings.Get(id); isScoring {
-		return true
-	}
-	r, ok := s.runs.Get(id)
-	if !ok {
-		return false
-	}
-	e, isKnown := s.engines.Get(r.engine)
-	route, hasRoute := s.matchRoute(r.item)
-	return isKnown && !e.Leaving && hasRoute && route.HasTarget(e.Service)
-}
-
 // HandleRunAccepted handles an engine's acceptance of a run with a weight version. It returns false if the run has to be
 // cancelled.
 func (s *Scheduler) HandleRunAccepted(_ time.Time, id RunID, version model.WeightVersion) bool {
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -102,18 +102,6 @@
 // SetLagging sets whether the submissions' topic is known to have unread records.
 func (s *Scheduler) SetLagging(behind bool) { s.isBehindLog = behind }
 
-// SetStartGate sets the check that is asked before runs and scoring calls of a submission start here. Items are offered to other
-// instances without it, because those check their own views.
-func (s *Scheduler) SetStartGate(mayStart func(id SubmissionID) bool) { s.mayStart = mayStart }
-
-// allowsStart reports whether items of a submission may start here in this tick.
-func (s *Scheduler) allowsStart(submission *submission) bool {
-	if submission.startCheckedIn != s.ticks {
-		submission.startCheckedIn, submission.mayStart = s.ticks, s.mayStart == nil || s.mayStart(submission.ID)
-	}
-	return submission.mayStart
-}
-
 // RunsInFlight returns the number of runs in flight.
 func (s *Scheduler) RunsInFlight() int { return s.runs.Len() }
 
@@ -242,38 +230,6 @@
 	s.actions = append(s.actions, AppendEntry{item.submission.ID, Entry{Result: result}})
 }
 
-// handedOverRetryDelay is how long an item isn't run again after its result was handed over to another instance. It is longer
-// than the usual outage of the store.
-const handedOverRetryDelay = 10 * time.Second
-
-// MarkHandedOver handles the notice that a leaving instance handed an item's result over to another instance, or to this
-// one if toSelf is true.
-func (s *Scheduler) MarkHandedOver(now time.Time, entry Entry, toSelf bool) {
-	if entry.Result == nil {
-		return
-	}
-	submission, ok := s.submissions.Get(entry.Result.Submission)
-	if !ok {
-		return
-	}
-	if item, ok := submission.items[entry.Result.Item]; ok {
-		item.resultQueued = item.resultQueued || toSelf
-		item.notBefore = now.Add(handedOverRetryDelay)
-	}
-}
-
-// ClearResultQueued clears the queued state of a result that couldn't be queued, so that it is queued again.
-func (s *Scheduler) ClearResultQueued(entry Entry) {
-	if entry.Result == nil {
-		return
-	}
-	if submission, ok := s.submissions.Get(entry.Result.Submission); ok {
-		if item, ok := submission.items[entry.Result.Item]; ok {
-			item.resultQueued = false
-		}
-	}
-}
-
 // cancelRun cancels a run. The item keeps the events received so far.
 func (s *Scheduler) cancelRun(r *run, reason string) {
 	s.endRun(r, CancelRun{Run: r.id, Reason: reason})
