jujubenode: name the error of a run that wasn't sent for what it says

Cause: since a permit asks whether the decision still holds, an old view isn't the only reason; the error's name and text said so. No behaviour changes; jujubenode builds and its linter passes.

--- a/entry/modules/jujubepeer/tunnel.go
+++ b/entry/modules/jujubepeer/tunnel.go
@@ -266,8 +266,8 @@
 
 func (c *tunnelConn) Write(p []byte) (int, error) { return c.write(p, 0) }
 
-// WriteBefore writes data that the peer mustn't pass on later than an instant. The machines' clocks needn't agree: the peer is told
-// how long after its previous reply that instant is.
+// WriteBefore writes data that the peer mustn't pass on later than an instant. The machines' clocks needn't agree: the limit is
+// sent as a time after the peer's previous reply.
 func (c *tunnelConn) WriteBefore(p []byte, expiresAt jujubeclock.Instant) (int, error) {
 	return c.write(p, expiresAt)
 }
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -157,7 +157,7 @@
 	}
 	// The submission may have ended meanwhile. The item is decided on again once the log has been read.
 	if !n.permitSend(start.Submission, start.Run, decidedAt).Allowed {
-		return jujubebatch.RunUnsent, ErrOutdatedView{Submission: start.Submission}
+		return jujubebatch.RunUnsent, ErrRunNotSent{Submission: start.Submission}
 	}
 	timing.permitAt = time.Now()
 	permit := func() jujubehttp.SendPermit {
--- a/entry/services/jujubenode/startgate.go
+++ b/entry/services/jujubenode/startgate.go
@@ -15,14 +15,14 @@
 // minViewRefreshInterval is the minimum time between two reads of a partition that waiting work causes.
 const minViewRefreshInterval = 200 * time.Millisecond
 
-// ErrOutdatedView is returned for a run that wasn't sent because its submission may have ended since the log was read.
-type ErrOutdatedView struct {
+// ErrRunNotSent is returned for a run that wasn't sent because what its start rested on has changed or is too old.
+type ErrRunNotSent struct {
 	Submission jujubebatch.SubmissionID
 }
 
 // Error returns the submission.
-func (e ErrOutdatedView) Error() string {
-	return "the view of submission " + string(e.Submission) + " is too old to send a run"
+func (e ErrRunNotSent) Error() string {
+	return "a run of submission " + string(e.Submission) + " isn't sent: its start was decided on a view that has changed or is too old"
 }
 
 // view returns this instance's view of the partition; the lock is held.
