jujubenode: log and count each check of a send with the ages of its views

Cause: only runs sent on a view over two seconds old, or over a second after their decision, left a line, and only with the age of the submission's view. So logs couldn't tell an old view of the endpoints or the desired state, a decision that no longer held, or items that go on while the store counts as away; scoring calls left none.

StartsHeld logs each change of the verdict, also to StoreAway.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -45,6 +45,7 @@
 	RunSentLate        Number = 2117
 	EndAcknowledged    Number = 2118
 	StartsHeld         Number = 2119
+	SendChecked        Number = 2120
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -166,7 +167,8 @@
 		{TextDropped, "TextDropped", info, "An item starts anew, because no engine of the software version that began its text can continue it; Reason gives the cause."},
 		{RunSentLate, "RunSentLate", warn, "A run was sent over a second after its start was decided, or over two seconds after the last complete read of its submission's partition."},
 		{EndAcknowledged, "EndAcknowledged", info, "A caller's request to end a submission was answered; the end is on the log unless Error is set. Known is true if this instance knew of it."},
-		{StartsHeld, "StartsHeld", info, "Items begin (Held) or cease to wait, as the view of a partition of the log is too old to start them."},
+		{StartsHeld, "StartsHeld", info, "Items begin (Held) or cease to wait, as the view of a partition of the log is too old to start them, or go on while the store is away."},
+		{SendChecked, "SendChecked", info, "The check immediately before a run or scoring call is sent. It is sent if Verdict is Current or StoreAway."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic fail. The records already read stay in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance read them."},
--- a/core/services/jujubeview/view.go
+++ b/core/services/jujubeview/view.go
@@ -84,10 +84,14 @@
 	StoreAway Verdict = "StoreAway"
 	// Outdated means that the work has to wait for a read of the log.
 	Outdated Verdict = "Outdated"
+	// Paused means that the process was paused after the work was decided on.
+	Paused Verdict = "Paused"
+	// Withdrawn means that the decision to send the work no longer holds.
+	Withdrawn Verdict = "Withdrawn"
 )
 
 // Allows reports whether the work may be sent.
-func (v Verdict) Allows() bool { return v != Outdated }
+func (v Verdict) Allows() bool { return v == Current || v == StoreAway }
 
 // Gate checks views against the time within which a record has to take effect.
 type Gate struct {
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -77,9 +77,12 @@
 	viewTime jujubeclock.ReadTime
 	// hasUnread is true while the partition's end, as of the latest read, hasn't been reached.
 	hasUnread bool
-	// gate bounds the age of the view from which items start; isHeld is true while items wait because of it.
-	gate   jujubeview.Gate
-	isHeld bool
+	// gate bounds the age of the view from which items start.
+	gate jujubeview.Gate
+	// startVerdict is the gate's latest verdict on a start, which was asked for at startsAskedAt; it is empty while it has been Current
+	// only. Items wait since heldSince if it is Outdated.
+	startVerdict             jujubeview.Verdict
+	startsAskedAt, heldSince jujubeclock.Instant
 	// needsRefresh is true if work asked for the view since the last tick while it was old. isRefreshing is true while a read for that
 	// is in progress, refreshedAt is when the last one began.
 	needsRefresh, isRefreshing bool
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -10,7 +10,6 @@
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubeorganisation"
 	"jujubepier.example/core/services/jujubequarantine"
-	"jujubepier.example/core/services/jujubeview"
 )
 
 // nodeMetrics holds the metrics of one node. They are listed in docs/metrics.md.
@@ -19,9 +18,8 @@
 	runs     *metrics.Histogram
 	forwards *metrics.Histogram
 	scorings *metrics.Histogram
-	// sendDelays and viewAges are observed when a run is sent.
+	// sendDelays are observed when a run is sent.
 	sendDelays *metrics.Histogram
-	viewAges   *metrics.Histogram
 }
 
 func newNodeMetrics(n *Node) *nodeMetrics {
@@ -44,6 +42,11 @@
 		}
 		return n.desiredAge().Seconds()
 	})
+	set.NewGauge("jujube_node_starts_held_seconds", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.startsHeldFor(n.bootClock()).Seconds()
+	})
 	set.NewGauge("jujube_node_limited_endpoints", func() float64 {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -79,7 +82,6 @@
 		scorings: set.NewHistogram("jujube_node_scoring_duration_seconds"),
 
 		sendDelays: set.NewHistogram("jujube_node_run_send_delay_seconds"),
-		viewAges:   set.NewHistogram("jujube_node_run_view_age_seconds"),
 	}
 }
 
@@ -87,9 +89,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_runs_total{outcome=%q}", kind)).Inc()
 }
 
-// countSendCheck counts the checks immediately before the first byte of a run or scoring call.
-func (m *nodeMetrics) countSendCheck(verdict jujubeview.Verdict) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_send_checks_total{verdict=%q}", verdict)).Inc()
+// countSendCheck counts the checks immediately before the first byte of a run or scoring call, and observes the ages of the views on
+// which those rest that are sent.
+func (m *nodeMetrics) countSendCheck(kind workKind, check startCheck) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_send_checks_total{kind=%q,verdict=%q}", kind, check.Verdict)).Inc()
+	if !check.Verdict.Allows() {
+		return
+	}
+	for i, view := range [...]string{"submission", "endpoints", "desired"} {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("jujube_node_send_view_age_seconds{view=%q}", view)).Update(check.Ages[i].Seconds())
+	}
 }
 
 // countPrompt counts the prompt tokens of a run, and those of them that the engine was assumed to keep.
--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,8 +110,23 @@
 	bound := time.Now().Add(testCancelTime)
 	time.Sleep(testCancelTime + 2*time.Second)
 	assert.Equal(t, len(cluster.wired.after("i1", "s", bound)), 0)
+	assert.Assert(t, metricOf(t, nodes[1], "jujube_node_starts_held_seconds") > 1)
 	stores[1].setHold(nil)
 	waitFor(t, "items start again", func() bool { return len(cluster.wired.after("i1", "s", bound)) > 0 })
+	assert.Equal(t, metricOf(t, nodes[1], "jujube_node_starts_held_seconds"), 0.0)
+	assert.Assert(t, metricOf(t, nodes[1], `jujube_node_send_checks_total{kind="Run",verdict="Current"}`) > 0)
+}
+
+// metricOf returns the value of a metric that an instance has exposed.
+func metricOf(t *testing.T, node *jujubenode.Node, name string) float64 {
+	var text strings.Builder
+	node.WriteMetrics(&text)
+	_, line, ok := strings.Cut(text.String(), name+" ")
+	assert.Assert(t, ok, "%s isn't exposed", name)
+	line, _, _ = strings.Cut(line, "\n")
+	value, err := strconv.ParseFloat(line, 64)
+	assert.NilError(t, err)
+	return value
 }
 
 // TestNoRequestByAnOldDesiredState guards against a caller's request that an instance serves by a desired state which may have been
--- a/entry/services/jujubenode/run.go
+++ b/entry/services/jujubenode/run.go
@@ -156,12 +156,14 @@
 		return jujubebatch.RunThrottled, nil
 	}
 	// The submission may have ended meanwhile. The item is decided on again once the log has been read.
-	if !n.permitSend(start.Submission, start.Run, decidedAt).Allowed {
+	work := sentWork{workRun, start.Submission, start.Item, start.Run, start.Engine, decidedAt}
+	if check := n.checkSend(work); !check.Verdict.Allows() {
+		n.recordSendCheck(work, check)
 		return jujubebatch.RunUnsent, ErrRunNotSent{Submission: start.Submission}
 	}
 	timing.permitAt = time.Now()
 	permit := func() jujubehttp.SendPermit {
-		permit := n.permitSend(start.Submission, start.Run, decidedAt)
+		permit := n.permitSend(work)
 		if permit.Allowed {
 			n.recordSend(start, timing)
 		}
--- a/entry/services/jujubenode/score.go
+++ b/entry/services/jujubenode/score.go
@@ -20,8 +20,8 @@
 func (n *Node) startScoring(start jujubebatch.StartScoring) {
 	ctx, cancel := context.WithCancel(n.tomb.Context(nil))
 	n.activeRuns[start.Run] = activeRun{cancel: cancel}
-	decidedAt := time.Now()
-	ctx = jujubehttp.WithSendPermit(ctx, func() jujubehttp.SendPermit { return n.permitSend(start.Submission, start.Run, decidedAt) })
+	work := sentWork{workScoring, start.Submission, start.Item, start.Run, "", time.Now()}
+	ctx = jujubehttp.WithSendPermit(ctx, func() jujubehttp.SendPermit { return n.permitSend(work) })
 	n.tomb.Go(func() error {
 		defer cancel()
 		n.runScoring(ctx, start)
--- a/entry/services/jujubenode/sendtiming.go
+++ b/entry/services/jujubenode/sendtiming.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
 )
@@ -16,6 +17,37 @@
 	oldViewAge = 2 * time.Second
 )
 
+// workKind is what is sent for an item.
+type workKind string
+
+const (
+	workRun     workKind = "Run"
+	workScoring workKind = "Scoring"
+)
+
+// sentWork is a run or scoring call that is about to be sent.
+type sentWork struct {
+	Kind       workKind
+	Submission jujubebatch.SubmissionID
+	Item       jujubebatch.ItemID
+	Run        jujubebatch.RunID
+	// Endpoint is empty for a scoring call, for which the router chooses one.
+	Endpoint  model.EndpointID
+	decidedAt time.Time
+}
+
+// recordSendCheck records the verdict on sending a run or scoring call, and the ages of the views on which it rests.
+func (n *Node) recordSendCheck(work sentWork, check startCheck) {
+	n.metrics.countSendCheck(work.Kind, check)
+	n.log.Write(jujubeevent.SendChecked, func() logrus.Fields {
+		return logrus.Fields{
+			"Kind": work.Kind, "Submission": work.Submission, "Item": work.Item, "Run": work.Run, "Endpoint": work.Endpoint,
+			"Verdict": check.Verdict, "Valid": check.Valid.String(), "SubmissionAge": check.Ages[0].String(),
+			"EndpointsAge": check.Ages[1].String(), "DesiredAge": check.Ages[2].String(), "Waited": time.Since(work.decidedAt).String(),
+		}
+	})
+}
+
 // sendTiming is when a run went through the steps before its request is sent.
 type sendTiming struct {
 	// preparedAt is when the run's goroutine began, contentAt when it had the content and the earlier text, permitAt when it had a permit.
@@ -31,7 +63,6 @@
 	sinceTick := now.Sub(n.pauses.lastTick)
 	n.mu.Unlock()
 	n.metrics.sendDelays.Update(now.Sub(timing.decidedAt).Seconds())
-	n.metrics.viewAges.Update(viewAge.Seconds())
 	if viewAge < oldViewAge && now.Sub(timing.decidedAt) < slowDelay {
 		return
 	}
--- a/entry/services/jujubenode/startgate.go
+++ b/entry/services/jujubenode/startgate.go
@@ -12,8 +12,12 @@
 	"jujubepier.example/core/services/jujubeview"
 )
 
-// minViewRefreshInterval is the minimum time between two reads of a partition that waiting work causes.
-const minViewRefreshInterval = 200 * time.Millisecond
+const (
+	// minViewRefreshInterval is the minimum time between two reads of a partition that waiting work causes.
+	minViewRefreshInterval = 200 * time.Millisecond
+	// heldTTL is how long items count as waiting after the scheduler last asked; it asks at each tick while there are any.
+	heldTTL = 2 * time.Second
+)
 
 // ErrRunNotSent is returned for a run that wasn't sent because what its start rested on has changed or is too old.
 type ErrRunNotSent struct {
@@ -35,31 +39,38 @@
 	return [3]*follower{n.partitionOf(id).follower, n.endpointFollower, n.desiredFollower}
 }
 
-// checkStart decides whether an item of a submission may be sent to an engine now, and for how long; zero for no limit. The lock is held.
-func (n *Node) checkStart(now jujubeclock.Instant, id jujubebatch.SubmissionID) (verdict jujubeview.Verdict, valid time.Duration) {
-	verdict = jujubeview.Current
-	for _, f := range n.startViews(id) {
+// startCheck is the verdict on sending an item to an engine.
+type startCheck struct {
+	Verdict jujubeview.Verdict
+	// Valid is how much longer the item may be sent; zero for no limit.
+	Valid time.Duration
+	// Ages are those of the views that startViews returns; zero where there is none.
+	Ages [3]time.Duration
+}
+
+// checkStart decides whether an item of a submission may be sent to an engine now. The lock is held.
+func (n *Node) checkStart(now jujubeclock.Instant, id jujubebatch.SubmissionID) startCheck {
+	check := startCheck{Verdict: jujubeview.Current}
+	for i, f := range n.startViews(id) {
 		if f == nil {
 			continue
 		}
 		view := f.view()
-		switch checked := f.gate.Check(now, view); checked {
-		case jujubeview.Outdated:
-			return checked, 0
-		case jujubeview.StoreAway:
-			verdict = checked
+		check.Ages[i] = view.Age(now)
+		verdict := f.gate.Check(now, view)
+		if verdict != jujubeview.Current && check.Verdict.Allows() {
+			check.Verdict = verdict
 		}
-		if limit := f.gate.ValidFor(now, view); limit > 0 && (valid == 0 || limit < valid) {
-			valid = limit
+		if limit := f.gate.ValidFor(now, view); limit > 0 && (check.Valid == 0 || limit < check.Valid) {
+			check.Valid = limit
 		}
 	}
-	return verdict, valid
+	return check
 }
 
 // mayStart reports whether items of a submission may start here; the lock is held.
 func (n *Node) mayStart(id jujubebatch.SubmissionID) bool {
-	verdict, _ := n.checkStart(n.bootClock(), id)
-	return verdict.Allows()
+	return n.checkStart(n.bootClock(), id).Verdict.Allows()
 }
 
 // allowsStart is the scheduler's start gate. It asks for reads before the views are outdated; the lock is held.
@@ -72,38 +83,63 @@
 		view := f.view()
 		f.needsRefresh = f.needsRefresh || f.gate.ShouldRefresh(now, view)
 		verdict := f.gate.Check(now, view)
-		f.setHeld(!verdict.Allows(), verdict, view.Age(now))
+		f.setHeld(now, verdict, view.Age(now))
 		isAllowed = isAllowed && verdict.Allows()
 	}
 	return isAllowed
 }
 
-// setHeld records whether items wait for a read of the partition.
-func (f *follower) setHeld(isHeld bool, verdict jujubeview.Verdict, age time.Duration) {
-	if isHeld == f.isHeld {
+// setHeld records whether items wait for a read of the partition, and logs each change of the verdict.
+func (f *follower) setHeld(now jujubeclock.Instant, verdict jujubeview.Verdict, age time.Duration) {
+	f.startsAskedAt = now
+	if previous := f.startVerdict; verdict == previous || previous == "" && verdict == jujubeview.Current {
 		return
 	}
-	f.isHeld = isHeld
+	f.startVerdict = verdict
+	if verdict == jujubeview.Outdated {
+		f.heldSince = now
+	}
 	f.node.log.Write(jujubeevent.StartsHeld, func() logrus.Fields {
-		return logrus.Fields{"Topic": f.topic.Name, "Partition": f.part, "Held": isHeld, "Verdict": verdict, "ViewAge": age.String()}
+		return logrus.Fields{
+			"Topic": f.topic.Name, "Partition": f.part, "Held": !verdict.Allows(), "Verdict": verdict, "ViewAge": age.String(),
+		}
 	})
 }
 
-// permitSend decides whether and for how long a run or scoring call that was decided on at a time may still be sent. It is asked
-// immediately before the first byte, also whether the decision still holds: a run that is cancelled has a context that ends a little later.
-func (n *Node) permitSend(id jujubebatch.SubmissionID, run jujubebatch.RunID, decidedAt time.Time) jujubehttp.SendPermit {
-	if n.wasPausedSince(decidedAt) {
-		return jujubehttp.SendPermit{}
+// startsHeldFor returns for how long items have waited for a read of a partition, the longest time of all partitions. The lock is held.
+func (n *Node) startsHeldFor(now jujubeclock.Instant) (longest time.Duration) {
+	for _, f := range n.followers {
+		if f.startVerdict == jujubeview.Outdated && now.Sub(f.startsAskedAt) <= heldTTL {
+			longest = max(longest, now.Sub(f.heldSince))
+		}
 	}
+	return longest
+}
+
+// checkSend decides whether a run or scoring call that was decided on at a time may still be sent: a run that is cancelled has a context
+// that ends a little later.
+func (n *Node) checkSend(work sentWork) startCheck {
+	wasPaused := n.wasPausedSince(work.decidedAt)
 	n.mu.Lock()
-	isWanted := n.scheduler.MaySend(run)
-	verdict, valid := n.checkStart(n.bootClock(), id)
-	n.mu.Unlock()
-	if !isWanted {
+	defer n.mu.Unlock()
+	check := n.checkStart(n.bootClock(), work.Submission)
+	switch {
+	case wasPaused:
+		check.Verdict = jujubeview.Paused
+	case !n.scheduler.MaySend(work.Run):
+		check.Verdict = jujubeview.Withdrawn
+	}
+	return check
+}
+
+// permitSend decides immediately before the first byte whether and for how long a run or scoring call may still be sent.
+func (n *Node) permitSend(work sentWork) jujubehttp.SendPermit {
+	check := n.checkSend(work)
+	n.recordSendCheck(work, check)
+	if !check.Verdict.Allows() {
 		return jujubehttp.SendPermit{}
 	}
-	n.metrics.countSendCheck(verdict)
-	return jujubehttp.SendPermit{Allowed: verdict.Allows(), Valid: valid}
+	return jujubehttp.SendPermit{Allowed: true, Valid: check.Valid}
 }
 
 // refreshOldViews reads the partitions for which work waits, unless their reads fail and are repeated anyway; the lock is held.
