jujubenode: ask all instances before old views count

Cause: StoreAway rested on three replies that reads fail. In a partial outage three in a row are on the same side while an instance on the other side acknowledges ends; a witness may have read an end that this instance hasn't; and one that can append but not read isn't heard.

Change: a view counts as recent as a time after which every other instance said what it knows, if none knew more: how far it has read, and the ends that it has appended and not read (jujubeview.Survey). One of the first three instances by name asks all for the others; one that reads replies with its own offset and age instead. Missing records come from the instance that has them. One that doesn't answer makes the others wait, unless two connections to it are refused.

The bound of the property test now holds for all machines that weren't frozen or down, not only for those without any fault, and it draws partial outages.

--- a/core/services/jujubeview/view.go
+++ b/core/services/jujubeview/view.go
@@ -3,71 +3,22 @@
 package jujubeview
 
 import (
-	"maps"
 	"time"
 
-	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeclock"
 )
 
-const (
-	// SendMargin is the part of a promised time that remains for the way of a request to its endpoint once its first byte may be
-	// written: some milliseconds on the network, and the delays of a busy process.
-	SendMargin = 500 * time.Millisecond
-	// outageTTL is how long the store counts as away after other instances have confirmed it. An instance asks one of them at least
-	// every second while its reads fail.
-	outageTTL = 2 * time.Second
-	// maxWitnesses is how many instances have to confirm an outage where there are as many: some may only be slow themselves.
-	maxWitnesses = 3
-	// maxOutageStartAge is the greatest age, as a multiple of the bound, that a view may have when an outage is first confirmed. An
-	// instance whose view was older didn't read before the outage, so that records may have been written that it doesn't know.
-	maxOutageStartAge = 2
-)
-
-// Outage is what is known of the times in which the store is away for all instances. The zero value stands for no outage.
-type Outage struct {
-	// Since is when the outage was first confirmed, and ConfirmedAt when it was last. Confirmations at most outageTTL apart belong to
-	// the same outage.
-	Since, ConfirmedAt jujubeclock.Instant
-}
-
-// Witnesses are the other instances that can't read a partition either.
-type Witnesses struct {
-	// confirmedAt holds the times of the confirmations that are at most outageTTL old.
-	confirmedAt map[model.InstanceID]jujubeclock.Instant
-	outage      Outage
-}
-
-// Outage returns the outage that the instances have confirmed.
-func (w *Witnesses) Outage() Outage { return w.outage }
-
-// Confirm records that one of a number of other instances can't read the partition either. The outage is confirmed once maxWitnesses of
-// them, or all if there are fewer, have replied so within outageTTL.
-func (w *Witnesses) Confirm(now jujubeclock.Instant, from model.InstanceID, others int) {
-	if w.confirmedAt == nil {
-		w.confirmedAt = make(map[model.InstanceID]jujubeclock.Instant)
-	}
-	w.confirmedAt[from] = now
-	maps.DeleteFunc(w.confirmedAt, func(_ model.InstanceID, at jujubeclock.Instant) bool { return now.Sub(at) > outageTTL })
-	if len(w.confirmedAt) < min(maxWitnesses, others) {
-		return
-	}
-	if w.outage.ConfirmedAt == 0 || now.Sub(w.outage.ConfirmedAt) > outageTTL {
-		w.outage.Since = now
-	}
-	w.outage.ConfirmedAt = now
-}
-
-// Withdraw records that an instance doesn't confirm the outage, or no longer.
-func (w *Witnesses) Withdraw(from model.InstanceID) { delete(w.confirmedAt, from) }
+// SendMargin is the part of a promised time that remains for the way of a request to its endpoint once its first byte may be written:
+// some milliseconds on the network, and the delays of a busy process.
+const SendMargin = 500 * time.Millisecond
 
 // View is an instance's knowledge of one partition of the log.
 type View struct {
 	// RequestedAt is the time of the request of the latest read that reached the partition's end: everything written before is known.
 	// It is zero before the first such read.
 	RequestedAt jujubeclock.Instant
-	// Outage is that of the partition.
-	Outage Outage
+	// VouchedAt is a time at which no other instance knew a record that the view doesn't have; zero for never.
+	VouchedAt jujubeclock.Instant
 }
 
 // Age returns the time since when the partition may have records that the view doesn't have.
@@ -80,7 +31,7 @@
 const (
 	// Current means that the view is recent enough.
 	Current Verdict = "Current"
-	// StoreAway means that the view is older but that nothing can be written to the log now.
+	// StoreAway means that the view is older, but that no instance knew a later record recently: all others have been asked.
 	StoreAway Verdict = "StoreAway"
 	// Outdated means that the work has to wait for a read of the log.
 	Outdated Verdict = "Outdated"
@@ -100,8 +51,8 @@
 func (g Gate) MaxAge() time.Duration { return g.Bound - SendMargin }
 
 // Check decides whether work that rests on a view may be sent now. A record that was acknowledged at a time is in each view that was
-// requested later, so work that rests on a view without it is sent at most MaxAge after that acknowledgement. While the store is away
-// for all instances no record is acknowledged, and work goes on.
+// requested later, so work that rests on a view without it is sent at most MaxAge after that acknowledgement. The instance that
+// acknowledged it knows it, so the same holds for a view that was vouched for later.
 func (g Gate) Check(now jujubeclock.Instant, view View) Verdict {
 	switch {
 	case g.Bound == 0:
@@ -110,26 +61,22 @@
 		return Outdated
 	case view.Age(now) <= g.MaxAge():
 		return Current
-	case g.isOutage(now, view):
+	case g.isVouched(now, view):
 		return StoreAway
 	}
 	return Outdated
 }
 
-func (g Gate) isOutage(now jujubeclock.Instant, view View) bool {
-	o := view.Outage
-	return o.ConfirmedAt != 0 && now.Sub(o.ConfirmedAt) <= outageTTL && o.Since.Sub(view.RequestedAt) <= maxOutageStartAge*g.Bound
+func (g Gate) isVouched(now jujubeclock.Instant, view View) bool {
+	return view.VouchedAt != 0 && now.Sub(view.VouchedAt) <= g.MaxAge()
 }
 
 // ValidFor returns how much longer work that Check allows may be sent; zero for no limit.
 func (g Gate) ValidFor(now jujubeclock.Instant, view View) time.Duration {
-	switch {
-	case g.Bound == 0:
+	if g.Bound == 0 {
 		return 0
-	case g.Check(now, view) == StoreAway:
-		return max(1, view.Outage.ConfirmedAt.Add(outageTTL).Sub(now))
 	}
-	return max(1, g.MaxAge()-view.Age(now))
+	return max(1, g.MaxAge()-now.Sub(max(view.RequestedAt, view.VouchedAt)))
 }
 
 // ShouldRefresh reports whether the log should be read at once for work that waits: the view is past half of its greatest age.
--- a/entry/services/jujubenode/ends_property_test.go
+++ b/entry/services/jujubenode/ends_property_test.go
@@ -24,7 +24,7 @@
 	faultsFrom, faultsTo = 4 * time.Second, 24 * time.Second
 	// caseTime is the time by which all submissions that weren't ended are complete.
 	caseTime = 50 * time.Second
-	// faultFreeTime is how long a machine has to be free of faults before the bound on ends holds for it.
+	// faultFreeTime is how long a machine has to have been neither frozen nor down before the bound on ends holds for it.
 	faultFreeTime = 4 * time.Second
 	// expiryAge is the age of records that expire. No machine has faults for that long.
 	expiryAge = 20 * time.Second
@@ -80,6 +80,9 @@
 			c.Faults = append(c.Faults, f)
 		}
 	}
+	if rapid.Bool().Draw(t, "partial outage") {
+		c.Faults = append(c.Faults, drawPartialOutage(t, c.Machines)...)
+	}
 	for i := range rapid.IntRange(1, 4).Draw(t, "submissions") {
 		name := fmt.Sprint("submission ", i)
 		s := plannedSubmission{
@@ -100,8 +103,27 @@
 	return c
 }
 
+// drawPartialOutage draws faults of the store at a share of the machines; one of the others may be cut off from them.
+func drawPartialOutage(t *rapid.T, machines int) (faults []fault) {
+	from := drawTime(t, "outage from", faultsFrom, faultsTo-8*time.Second)
+	to := from + rapid.SampledFrom([]time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second}).Draw(t, "outage for")
+	serving := rapid.IntRange(0, machines-1).Draw(t, "reaches the store")
+	add := func(i int, kind faultKind) {
+		faults = append(faults, fault{Machine: model.InstanceID(fmt.Sprint("i", i)), Kind: kind, From: from, To: to})
+	}
+	for i := range machines {
+		if i != serving && rapid.IntRange(0, 3).Draw(t, "turned away") > 0 {
+			add(i, rapid.SampledFrom([]faultKind{storeRefuses, storeHangs, readsRefused}).Draw(t, "how"))
+		}
+	}
+	if kind := rapid.SampledFrom([]faultKind{"", "", peersCut, readsRefused}).Draw(t, "beside it"); kind != "" {
+		add(serving, kind)
+	}
+	return faults
+}
+
 // TestNothingStartsLongAfterItsEnd guards against items that reach an engine later than testCancelTime after the end of their submission
-// was acknowledged, from an instance that was free of faults for faultFreeTime, whatever other instances and the store go through; and
+// was acknowledged, from an instance that was neither frozen nor down for faultFreeTime, whatever other instances and the store go through; and
 // against submissions that weren't ended and don't complete once the faults are over.
 func TestNothingStartsLongAfterItsEnd(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -224,7 +246,7 @@
 	}
 	for _, a := range r.cluster.wired.arrivals {
 		end, ended := r.ends[a.submission]
-		if ended && a.at.Sub(end) > testCancelTime && r.cluster.network.machines[a.from].wasFree(a.at, faultFreeTime) {
+		if ended && a.at.Sub(end) > testCancelTime && r.cluster.network.machines[a.from].couldAct(a.at, faultFreeTime) {
 			violations = append(violations, fmt.Sprintf("%s reached an engine from %s %s after its end, which was acknowledged at %s", a.item, a.from, a.at.Sub(end), end.Sub(r.cluster.network.start)))
 		}
 	}
--- a/entry/services/jujubenode/faulty_test.go
+++ b/entry/services/jujubenode/faulty_test.go
@@ -26,6 +26,8 @@
 	storeHangs   faultKind = "store hangs"
 	storeRefuses faultKind = "store refuses"
 	storeSilent  faultKind = "store silent"
+	// readsRefused affects reads only.
+	readsRefused faultKind = "reads refused"
 	// peersCut stalls what is sent to and by a machine, peersMute only what it sends.
 	peersCut  faultKind = "peers cut"
 	peersMute faultKind = "peers mute"
@@ -84,10 +86,12 @@
 	return m.wait(ctx, frozen)
 }
 
-// wasFree reports whether the machine was free of faults for a time before another one.
-func (m *machine) wasFree(at time.Time, before time.Duration) bool {
+// couldAct reports whether the machine was neither frozen nor down for a time before another one.
+func (m *machine) couldAct(at time.Time, before time.Duration) bool {
 	to := at.Sub(m.network.start)
-	return !slices.ContainsFunc(m.faults, func(f fault) bool { return f.Delay == 0 && f.From <= to && to-before < f.To })
+	return !slices.ContainsFunc(m.faults, func(f fault) bool {
+		return (f.Kind == frozen || f.Kind == down) && f.From <= to && to-before < f.To
+	})
 }
 
 // dialPeer opens a connection to another machine.
@@ -107,7 +111,8 @@
 	if !s.machine.wait(ctx, frozen, storeHangs) {
 		return lost
 	}
-	if _, ok := s.machine.current(storeRefuses); ok {
+	_, refuses := s.machine.current(storeRefuses)
+	if _, refusesReads := s.machine.current(readsRefused); refuses || refusesReads && call != "append" {
 		return jujubenode.ErrStore{Call: call, Status: http.StatusServiceUnavailable, Reason: "refused"}
 	}
 	err := execute()
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -80,6 +80,8 @@
 	// gate bounds the age of the view from which items start; isHeld is true while items wait because of it.
 	gate   jujubeview.Gate
 	isHeld bool
+	// vouchedAt is a time at which no other instance knew a record that this one hasn't read; zero for never.
+	vouchedAt jujubeclock.Instant
 	// needsRefresh is true if work asked for the view since the last tick while it was old. isRefreshing is true while a read for that
 	// is in progress, refreshedAt is when the last one began.
 	needsRefresh, isRefreshing bool
@@ -203,7 +205,19 @@
 	f.respondedAt = respondedAt
 	f.recordSuccess(now)
 	f.reads++
-	for i, record := range batch.Records {
+	f.applyRecords(now, from, batch.Records)
+	f.hasUnread = f.next < batch.End
+	if !f.hasUnread {
+		f.recordCaughtUp(readAt)
+	}
+	if len(batch.Records) > 0 {
+		f.node.notifyChange()
+	}
+}
+
+// applyRecords applies the records from an offset on that haven't been applied yet. The lock is held.
+func (f *follower) applyRecords(now time.Time, from int64, records []Record) {
+	for i, record := range records {
 		f.records++
 		f.bytes += len(record.Value)
 		if offset := from + int64(i); offset == f.next {
@@ -212,13 +226,6 @@
 			f.apply(now, offset, record)
 		}
 	}
-	f.hasUnread = f.next < batch.End
-	if !f.hasUnread {
-		f.recordCaughtUp(readAt)
-	}
-	if len(batch.Records) > 0 {
-		f.node.notifyChange()
-	}
 }
 
 // recordCaughtUp records that all records up to a time have been read. The lock is held.
--- a/entry/services/jujubenode/logrelay.go
+++ b/entry/services/jujubenode/logrelay.go
@@ -18,6 +18,9 @@
 	// maxRecentBytes bounds the records of each partition that a relay keeps: two seconds' worth with 3,000 endpoints.
 	// Instances that are further behind read from the store.
 	maxRecentBytes = 2 << 20
+	// maxOwnRecentBytes bounds those that other instances keep of the partitions whose age counts. In an outage of the store, instances
+	// that have read up to different offsets equalise them.
+	maxOwnRecentBytes = 128 << 10
 	// relayRetryDelay is how long an instance reads from the store after its relay didn't respond, about half of the
 	// time until a dead instance is detected.
 	relayRetryDelay = 1500 * time.Millisecond
@@ -157,9 +160,21 @@
 	return nil
 }
 
-// keepRecent keeps the record for the instances that use this one as their relay; the lock is held.
+// recentLimit returns the greatest size of the records to keep: many for the instances that use this one as their relay.
+func (f *follower) recentLimit() int {
+	switch {
+	case len(f.node.liveInstances) > f.node.settings.DirectReaders && f.node.relay.address == "":
+		return maxRecentBytes
+	case f.gate.Bound > 0:
+		return maxOwnRecentBytes
+	}
+	return 0
+}
+
+// keepRecent keeps the record for other instances; the lock is held.
 func (f *follower) keepRecent(record Record) {
-	if len(f.node.liveInstances) <= f.node.settings.DirectReaders || f.node.relay.address != "" {
+	limit := f.recentLimit()
+	if limit == 0 {
 		f.dropRecent()
 		return
 	}
@@ -169,7 +184,7 @@
 	f.recent = append(f.recent, record)
 	f.recentBytes += len(record.Key) + len(record.Value)
 	first := 0
-	for ; f.recentBytes > maxRecentBytes; first++ {
+	for ; f.recentBytes > limit; first++ {
 		f.recentBytes -= len(f.recent[first].Key) + len(f.recent[first].Value)
 	}
 	f.recent = f.recent[first:]
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -132,6 +132,7 @@
 	chunkCache *blobCache[func() (jujubebatch.Chunk, error)]
 	loads      *batchWriter[LoadRecord]
 	streams    *batchWriter[jujubebatch.StreamOrigin]
+	survey     *survey
 
 	// mu guards the fields below. Decisions are made with it held; network calls aren't.
 	mu           sync.Mutex
@@ -245,6 +246,7 @@
 	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections, options.DialPeer)
 	n.store.bootClock = n.bootClock
 	n.scheduler.SetStartGate(n.allowsStart)
+	n.survey = newSurvey(n)
 	n.metrics = newNodeMetrics(n)
 	n.loads = newBatchWriter(loadQueueSize, loadBatchDelay, n.appendLoads)
 	n.streams = newBatchWriter(streamQueueSize, streamBatchDelay, n.appendStreams)
@@ -280,6 +282,7 @@
 	n.tomb.Go(func() error { return n.store.probe(background) })
 	n.tomb.Go(func() error { return n.copyDesired(background) })
 	n.tomb.Go(func() error { return n.resolveDoubts(background) })
+	n.tomb.Go(func() error { return n.survey.run(background) })
 	n.tomb.Go(func() error { return n.endpointPath.probe(background) })
 	n.tomb.Go(func() error { return n.schedule(background) })
 	n.tomb.Go(func() error { return n.sendHeartbeats(background) })
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -45,7 +45,9 @@
 	queue    chan jujubebatch.Entry
 	// unwritten is the batch that is being appended; guarded by the node's lock.
 	unwritten []jujubebatch.Entry
-	gap       partitionGap
+	// unreadEnds are the ends that are on the log after the last record that this instance has read; guarded by the node's lock.
+	unreadEnds []UnreadEnd
+	gap        partitionGap
 	// checkpoints are sampled offsets, trimInterval apart, oldest first.
 	checkpoints []trimCheckpoint
 	// trimmedBefore is the offset before which the records were trimmed.
@@ -158,7 +160,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err = p.node.store.Append(ctx, topicSubmissions, p.number, records, NoCondition)
+	offset, err := p.node.store.Append(ctx, topicSubmissions, p.number, records, NoCondition)
+	if err == nil && entry.End != nil {
+		p.node.mu.Lock()
+		defer p.node.mu.Unlock()
+		p.recordUnreadEnd(UnreadEnd{Submission: entry.End.Submission, Part: p.number, Offset: offset})
+	}
 	return err
 }
 
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -14,7 +14,6 @@
 	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubepath"
-	"jujubepier.example/core/services/jujubeview"
 	"jujubepier.example/entry/modules/jujubepeer"
 )
 
@@ -57,8 +56,6 @@
 	catchUpTimeout jujubepath.AdaptiveTimeout
 	// confirmedDownAt is when another instance last replied that it can't reach a partition either; a success deletes the entry.
 	confirmedDownAt map[storePart]time.Time
-	// witnesses holds the instances that can't read a partition either; a success deletes the entry.
-	witnesses map[storePart]*jujubeview.Witnesses
 	// restoredCh is closed and replaced when a partition is directly reachable again.
 	restoredCh chan struct{}
 	// indirectCh gets a value when a partition isn't directly reachable any more; its capacity is one.
@@ -80,7 +77,6 @@
 		direct:    direct, pool: jujubepeer.NewPool(jujubepeer.DialFunc(dialPeer)), log: log, peers: peers, paths: jujubepath.NewPaths[storePart](self, jujubepath.DefaultSettings()),
 		catchUpTimeout:  jujubepath.AdaptiveTimeout{Min: minCatchUpTimeout, Max: maxCatchUpTimeout},
 		confirmedDownAt: make(map[storePart]time.Time),
-		witnesses:       make(map[storePart]*jujubeview.Witnesses),
 		restoredCh:      make(chan struct{}),
 		indirectCh:      make(chan struct{}, 1),
 	}
@@ -206,7 +202,7 @@
 	s.mu.Lock()
 	pathChanged := s.paths.RecordDirect(time.Now(), part, ok)
 	if ok {
-		s.clearOutage(part)
+		delete(s.confirmedDownAt, part)
 	}
 	if ok && pathChanged {
 		close(s.restoredCh)
@@ -258,10 +254,9 @@
 	s.paths.Of(part).RecordPeer(time.Now(), id, ok)
 	switch {
 	case ok:
-		s.clearOutage(part)
+		delete(s.confirmedDownAt, part)
 	case hasReplied:
 		s.confirmedDownAt[part] = time.Now()
-		s.recordWitness(part, id, len(addresses), reply)
 	}
 	s.mu.Unlock()
 	return reply, true, err
@@ -271,37 +266,6 @@
 // down, another instance is queried about once a second.
 const confirmedDownTTL = 2 * time.Second
 
-// clearOutage records that the store has responded for a partition. The caller must hold s.mu.
-func (s *relayedStore) clearOutage(part storePart) {
-	delete(s.confirmedDownAt, part)
-	delete(s.witnesses, part)
-}
-
-// recordWitness records the reply of one of a number of instances that it can't reach a partition. That the store refuses it because of
-// its rate says nothing. The caller must hold s.mu.
-func (s *relayedStore) recordWitness(part storePart, id model.InstanceID, others int, reply RelayReply) {
-	witnesses := s.witnesses[part]
-	if witnesses == nil {
-		witnesses = new(jujubeview.Witnesses)
-		s.witnesses[part] = witnesses
-	}
-	if reply.IsOutdated && (reply.Failed == nil || reply.Failed.Status != http.StatusTooManyRequests) {
-		witnesses.Confirm(s.bootClock(), id, others)
-	} else {
-		witnesses.Withdraw(id)
-	}
-}
-
-// outageOf returns the outage of a partition; the zero value if there is none.
-func (s *relayedStore) outageOf(topic Topic, part int) jujubeview.Outage {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if witnesses := s.witnesses[storePart{topic, part}]; witnesses != nil {
-		return witnesses.Outage()
-	}
-	return jujubeview.Outage{}
-}
-
 // isConfirmedDown reports whether another instance recently replied that it can't reach a partition either.
 func (s *relayedStore) isConfirmedDown(now time.Time, topic Topic, part int) bool {
 	s.mu.Lock()
--- a/entry/services/jujubenode/startgate.go
+++ b/entry/services/jujubenode/startgate.go
@@ -27,7 +27,7 @@
 
 // view returns this instance's view of the partition; the lock is held.
 func (f *follower) view() jujubeview.View {
-	return jujubeview.View{RequestedAt: f.viewTime.RequestedAt, Outage: f.node.store.outageOf(f.topic, f.part)}
+	return jujubeview.View{RequestedAt: f.viewTime.RequestedAt, VouchedAt: f.vouchedAt}
 }
 
 // startViews returns the partitions on which the start of an item rests: the one of its submission, the endpoints and the desired state.
--- a/entry/services/jujubenode/storecalls.go
+++ b/entry/services/jujubenode/storecalls.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"jujubepier.example/core/services/jujubeview"
 	"jujubepier.example/entry/modules/jujubepeer"
 )
 
@@ -32,9 +31,6 @@
 	Offset int64
 	// More is true for a page of the newest records if other keys follow.
 	More bool
-	// IsOutdated is true in the reply to a failed read if the called instance's own view of the partition is too old to start items, so
-	// that it isn't only this call that took too long. Earlier builds don't set it.
-	IsOutdated bool
 	// At most one of the errors is set.
 	Failed    *ErrStore
 	Condition *ErrCondition
@@ -102,7 +98,6 @@
 func (r *Relay) Read(args RelayArgs, reply *RelayReply) error {
 	if !r.node.store.isDirect(args.Topic, args.Part) {
 		reply.setError(errNoDirectPath("Relay.Read"))
-		reply.IsOutdated = r.isOutdated(args.Topic, args.Part)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, args.Timeout)
@@ -110,21 +105,9 @@
 	batch, err := r.store.Read(ctx, args.Topic, args.Part, args.Position, args.Wait, args.MaxBytes)
 	reply.Records, reply.Offset = r.node.redacted(args.Topic, batch.Records), batch.End
 	reply.setError(err)
-	reply.IsOutdated = reply.Failed != nil && r.isOutdated(args.Topic, args.Part)
 	return nil
 }
 
-// isOutdated reports whether this instance's view of a partition that it follows is too old to start items.
-func (r *Relay) isOutdated(topic Topic, part int) bool {
-	f := r.node.followerOf(topic, part)
-	if f == nil {
-		return false
-	}
-	r.node.mu.Lock()
-	defer r.node.mu.Unlock()
-	return !f.caughtUpAt.IsZero() && !f.gate.Check(r.node.bootClock(), jujubeview.View{RequestedAt: f.viewTime.RequestedAt}).Allows()
-}
-
 // Newest returns a page of the newest records to another instance.
 func (r *Relay) Newest(args RelayArgs, reply *RelayReply) error {
 	if !r.node.store.isDirect(args.Topic, args.Part) {
--- a/entry/services/jujubenode/urgent.go
+++ b/entry/services/jujubenode/urgent.go
@@ -26,10 +26,9 @@
 
 // urgentTry is one path of an urgent read.
 type urgentTry struct {
-	// peer is empty for a direct try. others is the number of other instances.
-	peer   model.InstanceID
-	others int
-	call   func(ctx context.Context) (RelayReply, error)
+	// peer is empty for a direct try.
+	peer model.InstanceID
+	call func(ctx context.Context) (RelayReply, error)
 	// timeout bounds the try; the next one starts after next, or when this one fails. wait is how long it waits for records.
 	timeout, next, wait time.Duration
 }
@@ -125,7 +124,7 @@
 	}
 	args.Timeout = urgentTryTimeout
 	for _, id := range peers {
-		tries = append(tries, urgentTry{peer: id, others: len(addresses), timeout: urgentTryTimeout, next: urgentStagger, call: func(ctx context.Context) (RelayReply, error) {
+		tries = append(tries, urgentTry{peer: id, timeout: urgentTryTimeout, next: urgentStagger, call: func(ctx context.Context) (RelayReply, error) {
 			var reply RelayReply
 			if err := s.pool.Call(ctx, addresses[id], method, args, &reply); err != nil {
 				return reply, ErrStore{Call: method, Done: true, Reason: err.Error()}
@@ -157,9 +156,7 @@
 	isReached := !errors.As(outcome.err, &storeErr)
 	s.paths.Of(part).RecordPeer(time.Now(), try.peer, isReached)
 	if isReached {
-		s.clearOutage(part)
-	} else {
-		s.recordWitness(part, try.peer, try.others, outcome.reply)
+		delete(s.confirmedDownAt, part)
 	}
 	s.mu.Unlock()
 	return outcome
