jujubenode: let a neighbour confirm that an instance is gone

Cause: links between data centres may refuse connections, so two instances on the same side of a cut would take one on the other side for gone, and its ends for impossible. Change: a member of the data centre of the instance has to be among the two that find it gone, unless it is the only one there (jujubeview.GoneWitnesses). A collector asks all at most once in an interval.

--- a/core/services/jujubeview/survey.go
+++ b/core/services/jujubeview/survey.go
@@ -70,6 +70,32 @@
 // RecordGone records that the process of an instance was gone at a time: it acknowledges nothing any more.
 func (s *Survey) RecordGone(at jujubeclock.Instant, id model.InstanceID) { s.Record(at, id, nil) }
 
+// Member is an instance that may acknowledge records.
+type Member struct {
+	ID         model.InstanceID
+	DataCentre model.DataCentre
+}
+
+// GoneWitnesses returns the members of which one has to find the process of another one gone, too, after the connection of self to it was
+// refused; none if that of self is enough. Links between data centres may refuse connections, so a member of the same data centre
+// has to be among the two. If it is the only one there, any does.
+func GoneWitnesses(self, gone Member, members []Member) []model.InstanceID {
+	var neighbours, all []model.InstanceID
+	for _, member := range members {
+		if member.ID == self.ID || member.ID == gone.ID {
+			continue
+		}
+		all = append(all, member.ID)
+		if member.DataCentre == gone.DataCentre {
+			neighbours = append(neighbours, member.ID)
+		}
+	}
+	if len(neighbours) > 0 && self.DataCentre != gone.DataCentre {
+		return neighbours
+	}
+	return all
+}
+
 // Report is the state of a survey.
 type Report struct {
 	// Age is the time since the question to the covered instance that was asked longest ago.
--- a/core/services/jujubeview/survey_test.go
+++ b/core/services/jujubeview/survey_test.go
@@ -73,6 +73,24 @@
 	}
 }
 
+// TestGoneWitnesses guards against instances of one data centre that take those of another one for gone, because the links between them
+// refuse connections.
+func TestGoneWitnesses(t *testing.T) {
+	members := []jujubeview.Member{{ID: "a1", DataCentre: "a"}, {ID: "a2", DataCentre: "a"}, {ID: "b1", DataCentre: "b"}, {ID: "b2", DataCentre: "b"}, {ID: "c1", DataCentre: "c"}}
+	for _, c := range []struct {
+		self, gone int
+		members    []jujubeview.Member
+		want       []model.InstanceID
+	}{
+		{0, 2, members, []model.InstanceID{"b2"}},
+		{0, 1, members, []model.InstanceID{"b1", "b2", "c1"}},
+		{0, 4, members, []model.InstanceID{"a2", "b1", "b2"}},
+		{0, 1, members[:2], nil},
+	} {
+		assert.DeepEqual(t, jujubeview.GoneWitnesses(members[c.self], members[c.gone], c.members), c.want)
+	}
+}
+
 // TestNoWorkWhileAnotherKnowsTheRecord guards against work that is sent longer than the greatest age of a view after a record that the
 // view doesn't have was acknowledged by any of the instances, whatever is read, answered and delayed meanwhile.
 func TestNoWorkWhileAnotherKnowsTheRecord(t *testing.T) {
--- a/entry/services/jujubenode/faulty_test.go
+++ b/entry/services/jujubenode/faulty_test.go
@@ -31,7 +31,9 @@
 	// peersCut stalls what is sent to and by a machine, peersMute only what it sends.
 	peersCut  faultKind = "peers cut"
 	peersMute faultKind = "peers mute"
-	down      faultKind = "down"
+	// dialsRefused refuses the connections that a machine opens to others.
+	dialsRefused faultKind = "dials refused"
+	down         faultKind = "down"
 	// Slow machines are free of faults, but all that they send and receive is delayed, or all responses of the store.
 	slow      faultKind = "slow"
 	storeSlow faultKind = "store slow"
@@ -196,7 +198,7 @@
 	n.mu.Lock()
 	listener, ok := n.listeners[address]
 	n.mu.Unlock()
-	if !ok {
+	if _, isRefused := from.current(dialsRefused); isRefused || !ok {
 		return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
 	}
 	if !from.wait(ctx, frozen, peersCut, peersMute) || !listener.machine.wait(ctx, frozen, peersCut) {
--- a/entry/services/jujubenode/survey.go
+++ b/entry/services/jujubenode/survey.go
@@ -234,7 +234,7 @@
 	}
 	n.mu.Lock()
 	askedAt := n.bootClock()
-	isDue := askedAt.Sub(s.roundAt) >= surveyInterval/2
+	isDue := askedAt.Sub(s.roundAt) >= surveyInterval
 	addresses := n.claimants()
 	if askedAt.Sub(s.roundAt) > answerRetention {
 		s.answers = jujubeview.NewSurvey()
@@ -313,16 +313,27 @@
 // isConfirmedGone reports whether another instance's connection is refused, too, as links may refuse them as well. This instance's own is
 // enough if there is no other one.
 func (s *survey) isConfirmedGone(ctx context.Context, id model.InstanceID, address string, addresses map[model.InstanceID]string) bool {
-	others := slices.DeleteFunc(otherIDs(addresses), func(other model.InstanceID) bool { return other == id })
-	asked := 0
-	for _, other := range others {
+	n := s.node
+	self, gone := jujubeview.Member{ID: n.identity.Instance, DataCentre: n.identity.DataCentre}, jujubeview.Member{ID: id}
+	var members []jujubeview.Member
+	n.mu.Lock()
+	for _, heartbeat := range n.registry.Recent(claimantWindow) {
+		member := jujubeview.Member{ID: heartbeat.Instance, DataCentre: heartbeat.DataCentre}
+		if members = append(members, member); member.ID == id {
+			gone = member
+		}
+	}
+	n.mu.Unlock()
+	witnesses := jujubeview.GoneWitnesses(self, gone, members)
+	replies := 0
+	for _, witness := range witnesses {
 		var reply CheckInstanceReply
-		if err := s.node.store.pool.Call(ctx, addresses[other], "Relay.CheckInstance", CheckInstanceArgs{Instance: id, Address: address}, &reply); err != nil {
+		if err := n.store.pool.Call(ctx, addresses[witness], "Relay.CheckInstance", CheckInstanceArgs{Instance: id, Address: address}, &reply); err != nil {
 			continue
 		}
-		if asked++; reply.IsGone || asked == maxGoneWitnesses {
+		if replies++; reply.IsGone || replies == maxGoneWitnesses {
 			return reply.IsGone
 		}
 	}
-	return len(others) == 0
+	return len(witnesses) == 0
 }
