--- a/entry/services/jujubenode/faulty_test.go
+++ b/entry/services/jujubenode/faulty_test.go
@@ -26,10 +26,14 @@
 	storeHangs   faultKind = "store hangs"
 	storeRefuses faultKind = "store refuses"
 	storeSilent  faultKind = "store silent"
+	// readsRefused affects reads only.
+	readsRefused faultKind = "reads refused"
 	// peersCut stalls what is sent to and by a machine, peersMute only what it sends.
 	peersCut  faultKind = "peers cut"
 	peersMute faultKind = "peers mute"
-	down      faultKind = "down"
+	// dialsRefused refuses the connections that a machine opens to others.
+	dialsRefused faultKind = "dials refused"
+	down         faultKind = "down"
 	// Slow machines are free of faults, but all that they send and receive is delayed, or all responses of the store.
 	slow      faultKind = "slow"
 	storeSlow faultKind = "store slow"
@@ -84,10 +88,12 @@
 	return m.wait(ctx, frozen)
 }
 
-// wasFree reports whether the machine was free of faults for a time before another one.
-func (m *machine) wasFree(at time.Time, before time.Duration) bool {
+// couldAct reports whether the machine was neither frozen nor down for a time before another one.
+func (m *machine) couldAct(at time.Time, before time.Duration) bool {
 	to := at.Sub(m.network.start)
-	return !slices.ContainsFunc(m.faults, func(f fault) bool { return f.Delay == 0 && f.From <= to && to-before < f.To })
+	return !slices.ContainsFunc(m.faults, func(f fault) bool {
+		return (f.Kind == frozen || f.Kind == down) && f.From <= to && to-before < f.To
+	})
 }
 
 // dialPeer opens a connection to another machine.
@@ -107,7 +113,8 @@
 	if !s.machine.wait(ctx, frozen, storeHangs) {
 		return lost
 	}
-	if _, ok := s.machine.current(storeRefuses); ok {
+	_, refuses := s.machine.current(storeRefuses)
+	if _, refusesReads := s.machine.current(readsRefused); refuses || refusesReads && call != "append" {
 		return jujubenode.ErrStore{Call: call, Status: http.StatusServiceUnavailable, Reason: "refused"}
 	}
 	err := execute()
@@ -191,7 +198,7 @@
 	n.mu.Lock()
 	listener, ok := n.listeners[address]
 	n.mu.Unlock()
-	if !ok {
+	if _, isRefused := from.current(dialsRefused); isRefused || !ok {
 		return nil, errors.Wrap(syscall.ECONNREFUSED, "dial")
 	}
 	if !from.wait(ctx, frozen, peersCut, peersMute) || !listener.machine.wait(ctx, frozen, peersCut) {
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -83,6 +83,8 @@
 	// only. Items wait since heldSince if it is Outdated.
 	startVerdict             jujubeview.Verdict
 	startsAskedAt, heldSince jujubeclock.Instant
+	// vouchedAt is a time at which no other instance knew a record that this one hasn't read; zero for never.
+	vouchedAt jujubeclock.Instant
 	// needsRefresh is true if work asked for the view since the last tick while it was old. isRefreshing is true while a read for that
 	// is in progress, refreshedAt is when the last one began.
 	needsRefresh, isRefreshing bool
@@ -206,7 +208,19 @@
 	f.respondedAt = respondedAt
 	f.recordSuccess(now)
 	f.reads++
-	for i, record := range batch.Records {
+	f.applyRecords(now, from, batch.Records)
+	f.hasUnread = f.next < batch.End
+	if !f.hasUnread {
+		f.recordCaughtUp(readAt)
+	}
+	if len(batch.Records) > 0 {
+		f.node.notifyChange()
+	}
+}
+
+// applyRecords applies the records from an offset on that haven't been applied yet. The lock is held.
+func (f *follower) applyRecords(now time.Time, from int64, records []Record) {
+	for i, record := range records {
 		f.records++
 		f.bytes += len(record.Value)
 		if offset := from + int64(i); offset == f.next {
@@ -215,13 +229,6 @@
 			f.apply(now, offset, record)
 		}
 	}
-	f.hasUnread = f.next < batch.End
-	if !f.hasUnread {
-		f.recordCaughtUp(readAt)
-	}
-	if len(batch.Records) > 0 {
-		f.node.notifyChange()
-	}
 }
 
 // recordCaughtUp records that all records up to a time have been read. The lock is held.
