jujubehttp: take back what a server hasn't got after its permit

Cause: the permit was asked before the first byte only. Later writes of the same request asked nothing, and what the system held of it (a full receive buffer, a cut link) went on as long as TCP_USER_TIMEOUT (2 s) allows, or as long as something was acknowledged. A run that was cancelled meanwhile was closed, and the system sent the rest of it all the same.

Change: SendGuard. 0.4 s after the end of a permit the connection is reset if bytes aren't written or acknowledged, later writes are refused, and a connection that is closed with such bytes is reset. TCP_USER_TIMEOUT is the remaining time until then, for a paused process. An instance that carries connections guards them by the limit of each write.

--- a/core/modules/jujubehttp/sendcheck.go
+++ b/core/modules/jujubehttp/sendcheck.go
@@ -15,7 +15,8 @@
 type SendPermit struct {
 	Allowed bool
 	// Valid is how long after the call of the check bytes of the request may reach the server; zero for no limit, and a negative one
-	// allows nothing. Only a LimitedConn enforces it: what is written to a socket can't be taken back.
+	// allows nothing. A LimitedConn writes nothing later. A socket may write the rest later, and a SendGuard takes back what
+	// the server hasn't got by SendMargin after it.
 	Valid time.Duration
 }
 
--- a/core/modules/jujubehttp/sendonce.go
+++ b/core/modules/jujubehttp/sendonce.go
@@ -34,6 +34,7 @@
 	net.Conn
 	// OpenedAt is when the connection was opened.
 	OpenedAt time.Time
+	guard    *SendGuard
 
 	mu sync.Mutex
 	// writes counts the writes that have sent bytes, may have sent some or are in progress.
@@ -48,7 +49,12 @@
 }
 
 // TrackConn wraps a connection that has just been opened.
-func TrackConn(conn net.Conn) *TrackedConn { return &TrackedConn{Conn: conn, OpenedAt: time.Now()} }
+func TrackConn(conn net.Conn) *TrackedConn {
+	return &TrackedConn{Conn: conn, OpenedAt: time.Now(), guard: NewSendGuard(conn)}
+}
+
+// Close closes the connection. A request with a limited permit that the server hasn't got yet doesn't reach it any more.
+func (c *TrackedConn) Close() error { return c.guard.Close() }
 
 // Write writes to the connection unless it is abandoned.
 func (c *TrackedConn) Write(p []byte) (int, error) {
@@ -75,7 +81,7 @@
 	if limited, ok := c.Conn.(LimitedConn); ok && expiresAt != 0 {
 		return limited.WriteBefore(p, expiresAt)
 	}
-	return c.Conn.Write(p)
+	return c.guard.Write(p)
 }
 
 // beginWrite counts a write, and reports whether it is allowed and until when; zero for no limit.
@@ -92,6 +98,7 @@
 			c.abandoned, c.denied = true, true
 		case permit.Valid > 0:
 			c.expiresAt = askedAt.Add(permit.Valid)
+			c.guard.Limit(c.expiresAt)
 		}
 	}
 	if c.abandoned {
@@ -106,6 +113,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.check, c.expiresAt = check, 0
+	c.guard.Limit(0)
 	return c.writes
 }
 
--- a/core/services/jujubeview/view.go
+++ b/core/services/jujubeview/view.go
@@ -8,12 +8,13 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeclock"
+	"jujubepier.example/core/modules/jujubehttp"
 )
 
 const (
 	// SendMargin is the part of a promised time that remains for the way of a request to its endpoint once its first byte may be
-	// written: some milliseconds on the network, and the delays of a busy process.
-	SendMargin = 500 * time.Millisecond
+	// written: some milliseconds on the network, and the delays of a busy process. What hasn't arrived by then is taken back.
+	SendMargin = jujubehttp.SendMargin
 	// outageTTL is how long the store counts as away after other instances have confirmed it. An instance asks one of them at least
 	// every second while its reads fail.
 	outageTTL = 2 * time.Second
--- a/entry/modules/jujubepeer/carrier_test.go
+++ b/entry/modules/jujubepeer/carrier_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand"
 	"net"
 	"net/rpc"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -116,6 +118,31 @@
 	}
 }
 
+// TestCarrierTakesBack guards against bytes of a request that the system of another instance delivers long after their permit has
+// expired, as the link to the server was cut.
+func TestCarrierTakesBack(t *testing.T) {
+	listener := listen(t)
+	servePeer(t, listener, dialDirect)
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	server, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = server.Close() }()
+	conn, err := jujubepeer.NewPool(nil).OpenTunnel(t.Context(), listener.Addr().String(), jujubepeer.OpenArgs{Address: server.Addr().String(), Timeout: 10 * time.Second})
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	request := make([]byte, 64<<10)
+	_, err = conn.(jujubehttp.LimitedConn).WriteBefore(request, jujubeclock.Now().Add(500*time.Millisecond))
+	assert.NilError(t, err)
+	time.Sleep(500*time.Millisecond + jujubehttp.SendMargin)
+	accepted, err := server.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, accepted.SetReadDeadline(time.Now().Add(time.Second)))
+	read, err := io.Copy(io.Discard, accepted)
+	assert.Assert(t, err != nil && read < int64(len(request)), "%d bytes", read)
+}
+
 // TestIdleTunnelWritesInTime guards against a carrier that takes the time for which a connection was idle for a delay of the write.
 func TestIdleTunnelWritesInTime(t *testing.T) {
 	t.Parallel()
--- a/entry/modules/jujubepeer/tunnel.go
+++ b/entry/modules/jujubepeer/tunnel.go
@@ -89,8 +89,10 @@
 	// reading is locked during a read, so that several of them take one buffer.
 	reading sync.Mutex
 
-	mu     sync.Mutex
-	conn   net.Conn
+	mu   sync.Mutex
+	conn net.Conn
+	// guard is that of conn.
+	guard  *jujubehttp.SendGuard
 	closed bool
 	// repliedAt is an instant before the last reply to Open or Write was sent.
 	repliedAt jujubeclock.Instant
@@ -117,7 +119,7 @@
 		reply.Unable = "the tunnel is closed or in use"
 		return nil
 	}
-	t.conn, t.repliedAt = conn, jujubeclock.Now()
+	t.conn, t.guard, t.repliedAt = conn, jujubehttp.NewSendGuard(conn), jujubeclock.Now()
 	return nil
 }
 
@@ -150,28 +152,34 @@
 	return nil
 }
 
-// Write writes data to the connection, unless its time has passed. The caller measures that time from when it received the previous
-// reply, which was later than repliedAt, so this instance may refuse data early but never writes it late.
+// Write writes data to the connection, unless its time has passed, and takes back what the server hasn't got some time after. The caller
+// measures the time from when it received the previous reply, which was later than repliedAt, so this instance may refuse data early but
+// never writes it late.
 func (t *Tunnel) Write(args WriteArgs, reply *WriteReply) error {
-	conn, err := t.current()
-	if err != nil {
+	if _, err := t.current(); err != nil {
 		return err
 	}
 	defer t.recordReply()
-	if args.Within != 0 && t.sinceReply() > args.Within {
+	expiresAt := t.expiry(args)
+	if expiresAt != 0 && jujubeclock.Now() > expiresAt {
 		reply.Expired = true
 		return nil
 	}
-	if _, err := conn.Write(args.Data); err != nil {
+	t.guard.Limit(expiresAt)
+	if _, err := t.guard.Write(args.Data); err != nil {
 		reply.Broken = err.Error()
 	}
 	return nil
 }
 
-func (t *Tunnel) sinceReply() time.Duration {
+// expiry returns when data mustn't be written any more; zero for no limit.
+func (t *Tunnel) expiry(args WriteArgs) jujubeclock.Instant {
+	if args.Within == 0 {
+		return 0
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return jujubeclock.Now().Sub(t.repliedAt)
+	return t.repliedAt.Add(args.Within)
 }
 
 func (t *Tunnel) recordReply() {
@@ -185,7 +193,7 @@
 	defer t.mu.Unlock()
 	t.closed = true
 	if t.conn != nil {
-		_ = t.conn.Close()
+		_ = t.guard.Close()
 	}
 }
 
