--- a/core/services/jujubeview/view.go
+++ b/core/services/jujubeview/view.go
@@ -6,11 +6,12 @@
 	"time"
 
 	"jujubepier.example/core/modules/jujubeclock"
+	"jujubepier.example/core/modules/jujubehttp"
 )
 
 // SendMargin is the part of a promised time that remains for the way of a request to its endpoint once its first byte may be written:
-// some milliseconds on the network, and the delays of a busy process.
-const SendMargin = 500 * time.Millisecond
+// some milliseconds on the network, and the delays of a busy process. What hasn't arrived by then is taken back.
+const SendMargin = jujubehttp.SendMargin
 
 // View is an instance's knowledge of one partition of the log.
 type View struct {
