jujubebatch: give the spare compressors an owner

Cause: codec.go kept one spare compressor and one spare decompressor in package variables, which the style forbids: two nodes of a process shared them. A Codec now holds them, a node has one, and the stream's Decoder takes it as an argument. Compression moved to a file of its own.

go test of jujubebatch and jujubenode passes.

--- a/core/services/jujubebatch/batch_test.go
+++ b/core/services/jujubebatch/batch_test.go
@@ -125,16 +125,17 @@
 // preceding ones is refused.
 func TestCodec(t *testing.T) {
 	entry := jujubebatch.Entry{Submission: newSubmission("s", 50, "a")}
-	records, err := jujubebatch.EncodeEntry(entry, 128)
+	codec := jujubebatch.NewCodec()
+	records, err := codec.EncodeEntry(entry, 128)
 	assert.NilError(t, err)
 	assert.Assert(t, len(records) > 2)
 	var decoder jujubebatch.Decoder
 	for i, record := range records {
-		got, err := decoder.Add(record)
+		got, err := decoder.Add(codec, record)
 		assert.NilError(t, err)
 		assert.Equal(t, got != nil, i == len(records)-1)
 	}
-	_, err = decoder.Add(records[len(records)-1])
+	_, err = decoder.Add(codec, records[len(records)-1])
 	assert.ErrorType(t, err, jujubebatch.ErrRecord{})
 }
 
--- a/core/services/jujubebatch/codec.go
+++ b/core/services/jujubebatch/codec.go
@@ -1,22 +1,11 @@
 package jujubebatch
 
 import (
-	"bytes"
-	"compress/flate"
 	"encoding/json"
-	"io"
 
 	"github.com/pkg/errors"
 )
 
-// minCompressBytes is the size from which on an entry is compressed. Bodies and texts shrink by a third or more, which
-// matters when all instances reread the log at the same time.
-const minCompressBytes = 1 << 10
-
-// maxEntryBytes limits the size of a decompressed entry, so that a corrupt record can't exhaust the memory. It is twice the
-// largest submission.
-const maxEntryBytes = 64 << 20
-
 // Kinds of log records. An entry that doesn't fit into one record is split into consecutive records of a single append.
 const (
 	recordWhole  byte = 'W'
@@ -34,17 +23,17 @@
 func (e ErrRecord) Error() string { return "log record: " + e.Reason }
 
 // EncodeEntry returns the records of an entry. They must be written in a single append.
-func EncodeEntry(entry Entry, maxRecord int) ([][]byte, error) {
-	return EncodeBlob(entry, maxRecord)
+func (c *Codec) EncodeEntry(entry Entry, maxRecord int) ([][]byte, error) {
+	return c.EncodeBlob(entry, maxRecord)
 }
 
 // EncodeBlob returns the records of a value. They must be written in a single append.
-func EncodeBlob(value any, maxRecord int) ([][]byte, error) {
+func (c *Codec) EncodeBlob(value any, maxRecord int) ([][]byte, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode record")
 	}
-	if data, err = compress(data); err != nil {
+	if data, err = c.compress(data); err != nil {
 		return nil, err
 	}
 	if len(data) < maxRecord {
@@ -63,7 +52,7 @@
 }
 
 // DecodeBlob decodes a value from all of its records.
-func DecodeBlob(records [][]byte, value any) error {
+func (c *Codec) DecodeBlob(records [][]byte, value any) error {
 	var decoder Decoder
 	for i, record := range records {
 		data, err := decoder.addRecord(record)
@@ -76,13 +65,13 @@
 		if i != len(records)-1 {
 			return ErrRecord{"more records than one value has"}
 		}
-		return decode(data, value)
+		return c.decode(data, value)
 	}
 	return ErrRecord{"its last part is missing"}
 }
 
-func decode(data []byte, value any) error {
-	data, err := decompress(data)
+func (c *Codec) decode(data []byte, value any) error {
+	data, err := c.decompress(data)
 	if err == nil {
 		err = json.Unmarshal(data, value)
 	}
@@ -99,13 +88,13 @@
 }
 
 // Add adds the next record and returns an entry if the record completes one.
-func (d *Decoder) Add(record []byte) (*Entry, error) {
+func (d *Decoder) Add(codec *Codec, record []byte) (*Entry, error) {
 	data, err := d.addRecord(record)
 	if err != nil || data == nil {
 		return nil, err
 	}
 	entry := &Entry{}
-	if err := decode(data, entry); err != nil {
+	if err := codec.decode(data, entry); err != nil {
 		return nil, err
 	}
 	return entry, nil
@@ -137,66 +126,3 @@
 	}
 	return nil, ErrRecord{"unknown kind"}
 }
-
-// compress compresses data of at least minCompressBytes. Plain JSON begins with a brace, compressed data with
-// compressedMarker.
-func compress(data []byte) ([]byte, error) {
-	if len(data) < minCompressBytes {
-		return data, nil
-	}
-	var buffer bytes.Buffer
-	buffer.WriteByte(compressedMarker)
-	var writer *flate.Writer
-	select {
-	case writer = <-spareWriters:
-		writer.Reset(&buffer)
-	default:
-		var err error
-		if writer, err = flate.NewWriter(&buffer, flate.BestSpeed); err != nil {
-			return nil, errors.Wrap(err, "compress entry")
-		}
-	}
-	if _, err := writer.Write(data); err != nil {
-		return nil, errors.Wrap(err, "compress entry")
-	}
-	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress entry")
-	}
-	writer.Reset(nil)
-	select {
-	case spareWriters <- writer:
-	default:
-	}
-	return buffer.Bytes(), nil
-}
-
-// spareWriters and spareReaders keep one of each for the next entry: a writer takes 1.2 MB, and allocating it takes longer than
-// compressing a text.
-var (
-	spareWriters = make(chan *flate.Writer, 1)
-	spareReaders = make(chan io.ReadCloser, 1)
-)
-
-const compressedMarker byte = 'Z'
-
-func decompress(data []byte) ([]byte, error) {
-	if len(data) == 0 || data[0] != compressedMarker {
-		return data, nil
-	}
-	source := bytes.NewReader(data[1:])
-	var reader io.ReadCloser
-	select {
-	case reader = <-spareReaders:
-		if err := reader.(flate.Resetter).Reset(source, nil); err != nil {
-			return nil, errors.Wrap(err, "decompress entry")
-		}
-	default:
-		reader = flate.NewReader(source)
-	}
-	plain, err := io.ReadAll(io.LimitReader(reader, maxEntryBytes))
-	select {
-	case spareReaders <- reader:
-	default:
-	}
-	return plain, errors.Wrap(err, "decompress entry")
-}
--- a/core/services/jujubebatch/fuzz_test.go
+++ b/core/services/jujubebatch/fuzz_test.go
@@ -8,6 +8,7 @@
 
 // FuzzEntries decodes arbitrary bytes as log records. Invalid ones are skipped, and valid ones may be applied in any order.
 func FuzzEntries(f *testing.F) {
+	codec := jujubebatch.NewCodec()
 	for _, entry := range []jujubebatch.Entry{
 		{Submission: newScoredSubmission("s", 2, "a")},
 		{Result: &jujubebatch.Result{Submission: "s", Item: "s-0", State: jujubebatch.Completed}},
@@ -15,7 +16,7 @@
 		{Progress: &jujubebatch.Progress{Submission: "s", Item: "s-1", Count: 3}},
 		{End: &jujubebatch.End{Submission: "s"}},
 	} {
-		records, err := jujubebatch.EncodeEntry(entry, 1<<16)
+		records, err := codec.EncodeEntry(entry, 1<<16)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -29,7 +30,7 @@
 		ts.accept(newScoredSubmission("s", 2, "a"))
 		var decoder jujubebatch.Decoder
 		for _, record := range [][]byte{first, second} {
-			if entry, err := decoder.Add(record); err == nil && entry != nil {
+			if entry, err := decoder.Add(codec, record); err == nil && entry != nil {
 				ts.Apply(ts.now, entry)
 				ts.Tick(ts.now)
 			}
--- a/entry/services/jujubenode/blob.go
+++ b/entry/services/jujubenode/blob.go
@@ -30,6 +30,7 @@
 
 // blobBatch collects encoded values to be appended to the log.
 type blobBatch struct {
+	codec   *jujubebatch.Codec
 	records []Record
 	size    int
 	// pointers are relative to the first record until writeBlobs makes them absolute.
@@ -38,7 +39,7 @@
 
 // add encodes a value as the next blob.
 func (b *blobBatch) add(value any, maxRecord int) error {
-	parts, err := jujubebatch.EncodeBlob(value, maxRecord)
+	parts, err := b.codec.EncodeBlob(value, maxRecord)
 	if err != nil {
 		return err
 	}
@@ -275,7 +276,7 @@
 	if err != nil {
 		return err
 	}
-	return jujubebatch.DecodeBlob(found[ref.pointer], value)
+	return p.node.codec.DecodeBlob(found[ref.pointer], value)
 }
 
 // fetchChunk reads a chunk. Others may have the same one, so it mustn't be changed.
@@ -285,7 +286,7 @@
 		return chunk, err
 	}
 	decode := sync.OnceValues(func() (chunk jujubebatch.Chunk, err error) {
-		err = jujubebatch.DecodeBlob(found[location.Chunk], &chunk)
+		err = p.node.codec.DecodeBlob(found[location.Chunk], &chunk)
 		return chunk, err
 	})
 	if location.Chunk.Size > maxDecodedBytes {
@@ -323,7 +324,7 @@
 		if results[i].Data.Count == 0 {
 			continue
 		}
-		if err := jujubebatch.DecodeBlob(found[results[i].Data], &results[i].Text); err != nil {
+		if err := p.node.codec.DecodeBlob(found[results[i].Data], &results[i].Text); err != nil {
 			return err
 		}
 	}
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -127,6 +127,7 @@
 	endServing context.CancelFunc
 	// wakeCh wakes the scheduler; its capacity is one.
 	wakeCh    chan struct{}
+	codec     *jujubebatch.Codec
 	blobCache *blobCache[[][]byte]
 	// chunkCache holds functions that decode a chunk when they are first called.
 	chunkCache *blobCache[func() (jujubebatch.Chunk, error)]
@@ -215,6 +216,7 @@
 		serving:        serving,
 		endServing:     endServing,
 		wakeCh:         make(chan struct{}, 1),
+		codec:          jujubebatch.NewCodec(),
 		blobCache:      newBlobCache[[][]byte](maxCacheBytes),
 		chunkCache:     newBlobCache[func() (jujubebatch.Chunk, error)](maxDecodedBytes),
 		scheduler:      jujubebatch.New(id, batchSettings),
--- a/entry/services/jujubenode/page_test.go
+++ b/entry/services/jujubenode/page_test.go
@@ -24,8 +24,9 @@
 			ids = append(ids, jujubebatch.SubmissionID(id))
 		}
 	}
+	codec := jujubebatch.NewCodec()
 	write := func(topic string, value any) int64 {
-		parts, err := jujubebatch.EncodeBlob(value, 1<<16)
+		parts, err := codec.EncodeBlob(value, 1<<16)
 		assert.NilError(c.t, err)
 		offset, err := c.store.Append(c.t.Context(), jujubenode.Topic{Name: topic}, part, []jujubenode.Record{{Value: parts[0]}}, jujubenode.NoCondition)
 		assert.NilError(c.t, err)
@@ -39,7 +40,7 @@
 			_, err := random.Read(data)
 			assert.NilError(c.t, err)
 			text := hex.EncodeToString(data)
-			records, err := jujubebatch.EncodeBlob(text, 1<<16)
+			records, err := codec.EncodeBlob(text, 1<<16)
 			assert.NilError(c.t, err)
 			results = append(results, &jujubebatch.Result{
 				Submission: id, Item: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, j)), State: jujubebatch.Completed, TextBytes: len(text) + 2, By: "gone",
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -77,7 +77,7 @@
 	if len(p.checkpoints) == 0 || now.Sub(p.checkpoints[len(p.checkpoints)-1].readAt) >= trimInterval {
 		p.checkpoints = append(p.checkpoints, trimCheckpoint{now, offset, p.maxTextOffset})
 	}
-	entry, err := p.decoder.Add(record.Value)
+	entry, err := p.decoder.Add(n.codec, record.Value)
 	if err != nil {
 		n.log.Write(jujubeevent.RecordUnusable, func() logrus.Fields {
 			return logrus.Fields{"Topic": topicSubmissions.Name, "Partition": p.number, "Offset": offset, "Error": err.Error()}
@@ -122,7 +122,7 @@
 	var records []Record
 	size := 0
 	for _, entry := range entries {
-		parts, err := jujubebatch.EncodeEntry(entry, n.settings.MaxRecordBytes)
+		parts, err := n.codec.EncodeEntry(entry, n.settings.MaxRecordBytes)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -138,7 +138,7 @@
 // before it.
 func (p *partition) append(ctx context.Context, entry jujubebatch.Entry) error {
 	if s := entry.Submission; s != nil {
-		var contents blobBatch
+		contents := blobBatch{codec: p.node.codec}
 		for _, chunk := range s.SplitContents() {
 			if err := contents.add(chunk, p.node.settings.MaxRecordBytes); err != nil {
 				return err
@@ -225,7 +225,7 @@
 		if entry.RawTextBytes() < limit/2 {
 			return false
 		}
-		var text blobBatch
+		text := blobBatch{codec: p.node.codec}
 		if err := text.add(entry.Text(), p.node.settings.MaxRecordBytes); err == nil && text.size <= limit {
 			return false
 		}
@@ -267,7 +267,7 @@
 // writeTexts writes the texts that entries point at. Entries whose text was written before keep their pointers.
 func (p *partition) writeTexts(ctx context.Context, entries []jujubebatch.Entry) error {
 	self := p.node.identity.Instance
-	var texts blobBatch
+	texts := blobBatch{codec: p.node.codec}
 	// pointerSetters holds, for each text in order, the function that stores the pointer in the text's entry.
 	var pointerSetters []func(pointer jujubebatch.Pointer)
 	add := func(value any, setPointer func(pointer jujubebatch.Pointer)) error {
