jujubenode: hold a submission while its end waits for the store

Cause: an instance with an end in its hand went on with the items, and so did the others, until the append was confirmed. An append that hung and failed was dropped after 1.5 s, and one whose caller disconnected was cancelled, although the caller counts the end after 6 s.

Change: the instance that receives an end holds the submission: it stops its runs at once and starts none, and tells the live instances after 0.3 s without a response. Only a refusal that a waiting caller gets releases it. Otherwise the end is owed: it is appended until the log has it, and handed over by a leaving instance. Others hold for 10 s after they were last told. EndAcknowledged is no longer written for ends that failed; EndFailed is.

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -45,6 +45,8 @@
 	RunSentLate        Number = 2117
 	EndAcknowledged    Number = 2118
 	StartsHeld         Number = 2119
+	EndFailed          Number = 2120
+	SubmissionHeld     Number = 2121
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -165,8 +167,10 @@
 		{ItemScored, "ItemScored", info, "A scoring call ended. Without a Score it is retried; Failures counts the tries that failed at a server."},
 		{TextDropped, "TextDropped", info, "An item starts anew, because no engine of the software version that began its text can continue it; Reason gives the cause."},
 		{RunSentLate, "RunSentLate", warn, "A run was sent over a second after its start was decided, or over two seconds after the last complete read of its submission's partition."},
-		{EndAcknowledged, "EndAcknowledged", info, "A caller's request to end a submission was answered; the end is on the log unless Error is set. Known is true if this instance knew of it."},
+		{EndAcknowledged, "EndAcknowledged", info, "A caller's request to end a submission was answered; the end is on the log. Known is true if this instance knew of it."},
 		{StartsHeld, "StartsHeld", info, "Items begin (Held) or cease to wait, as the view of a partition of the log is too old to start them."},
+		{EndFailed, "EndFailed", warn, "A caller's request to end a submission failed. With MayTakeEffect nothing of the submission starts here, and the end is appended until it is on the log."},
+		{SubmissionHeld, "SubmissionHeld", info, "Items of a submission begin to wait, as the instance By waits for the store with its end in hand."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic fail. The records already read stay in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance read them."},
--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -190,7 +190,7 @@
 	}
 	item, ok := submission.items[offer.Item]
 	switch {
-	case !ok || submission.doubt != nil:
+	case !ok || s.isWithheld(submission):
 		return false
 	case item.isSettled() || item.delegatedHere && item.delegation == nil:
 		return true // already here, or needs no run
--- a/core/services/jujubebatch/gap.go
+++ b/core/services/jujubebatch/gap.go
@@ -58,7 +58,7 @@
 			submission.doubt.missing.End = missing.End
 		default:
 			submission.doubt = &doubt{missing: missing, readFrom: read.Begin, results: len(submission.results)}
-			s.cancelUnsentRuns(submission)
+			s.cancelUnsentRuns(submission, "records of the submission have expired unread")
 		}
 	}
 	actions := s.actions
@@ -67,11 +67,11 @@
 }
 
 // cancelUnsentRuns cancels the runs and scoring calls that may not have been sent yet.
-func (s *Scheduler) cancelUnsentRuns(submission *submission) {
+func (s *Scheduler) cancelUnsentRuns(submission *submission, reason string) {
 	for _, item := range submission.order {
-		s.cancelScoring(item, "records of the submission have expired unread")
+		s.cancelScoring(item, reason)
 		if item.run != nil && item.run.awaitsFirstEvent {
-			s.cancelRun(item.run, "records of the submission have expired unread")
+			s.cancelRun(item.run, reason)
 		}
 	}
 }
--- a/core/services/jujubebatch/giveup.go
+++ b/core/services/jujubebatch/giveup.go
@@ -32,7 +32,7 @@
 
 // mayDecide reports whether this instance knows enough of a submission to start its items.
 func (s *Scheduler) mayDecide(submission *submission) bool {
-	return submission.doubt == nil && s.hasDesired(submission)
+	return !s.isWithheld(submission) && s.hasDesired(submission)
 }
 
 // mayGiveUp reports whether an item is errored: its route, nil if no route matches it, has ended, its retention has passed, or it has
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -69,6 +69,8 @@
 	// ticks counts the calls of Tick.
 	ticks   int
 	prompts prompts
+	// holds has the submissions that haven't ended here and whose end an instance has in hand.
+	holds map[SubmissionID]holds
 }
 
 // New returns a scheduler without submissions or engines.
@@ -84,6 +86,7 @@
 		unreachableUntil:  make(map[model.InstanceID]time.Time),
 		streams:           make(map[model.RequestID]StreamOrigin),
 		prompts:           newPrompts(settings),
+		holds:             make(map[SubmissionID]holds),
 		lengths:           make(map[model.ModelName]*jujubeplacement.Lengths),
 	}
 }
@@ -109,6 +112,7 @@
 func (s *Scheduler) Tick(now time.Time) []Action {
 	s.ticks++
 	s.expireSubmissions(now)
+	s.expireHolds(now)
 	s.acceptPendingOffers(now)
 	fleet := s.measureFleet(now)
 	s.prompts.now, s.prompts.rates = now, s.prompts.estimator.Rates(fleet.goodBaseline)
@@ -287,7 +291,7 @@
 			s.cancelSilentRun(r, "the engine is silent")
 			continue
 		}
-		if moves < maxMovesPerTick && item.delegation == nil && item.submission.doubt == nil && now.Sub(item.movedAt) > minMoveInterval {
+		if moves < maxMovesPerTick && item.delegation == nil && !s.isWithheld(item.submission) && now.Sub(item.movedAt) > minMoveInterval {
 			if to, reason := s.selectMoveTarget(now, r, fleet); to != nil && s.allowsStart(item.submission) {
 				moves++
 				s.moveRun(now, r, to, reason)
--- a/core/services/jujubebatch/startgate_test.go
+++ b/core/services/jujubebatch/startgate_test.go
@@ -82,6 +82,7 @@
 		"records expired": func(ts *testScheduler) {
 			ts.RecordGap(jujubebatch.Span{End: 1}, jujubebatch.Span{Begin: 1, End: 2}, everySubmission)
 		},
+		"end in hand": func(ts *testScheduler) { ts.HoldSubmission("s", "b", time.Time{}) },
 		"engine leaving": func(ts *testScheduler) {
 			e, _ := ts.EngineState("e0")
 			e.Leaving = true
@@ -103,6 +104,46 @@
 	}
 }
 
+// TestHeldSubmissionStartsNothing guards against items that start while an instance has the end of their submission in hand, and against
+// ones that never start again although the end has failed or that instance is lost.
+func TestHeldSubmissionStartsNothing(t *testing.T) {
+	release := func(ts *testScheduler) { ts.ReleaseSubmission("s", "b") }
+	expire := func(ts *testScheduler) { ts.now = ts.now.Add(2 * time.Second) }
+	for name, c := range map[string]struct {
+		expires, isHeldFirst bool
+		finish               []func(ts *testScheduler)
+	}{
+		"released":                 {finish: []func(ts *testScheduler){release}},
+		"expired":                  {expires: true, finish: []func(ts *testScheduler){expire}},
+		"read later":               {isHeldFirst: true, finish: []func(ts *testScheduler){release}},
+		"two ends, only one fails": {expires: true, finish: []func(ts *testScheduler){release, func(ts *testScheduler) { ts.ReleaseSubmission("s", "a") }}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newTestScheduler(t, 1)
+			until := time.Time{}
+			if c.expires {
+				until = ts.now.Add(time.Second)
+			}
+			if !c.isHeldFirst {
+				ts.accept(newSubmission("s", 1, "a"))
+			}
+			ts.HoldSubmission("s", "b", until)
+			if len(c.finish) > 1 {
+				ts.HoldSubmission("s", "a", time.Time{})
+			}
+			if c.isHeldFirst {
+				ts.accept(newSubmission("s", 1, "a"))
+			}
+			for _, finish := range c.finish {
+				assert.Equal(t, countStarts(ts), 0)
+				assert.Assert(t, !ts.AcceptOffer(ts.now, jujubebatch.Offer{Submission: "s", Item: "s-0", Engine: "e0"}))
+				finish(ts)
+			}
+			assert.Equal(t, countStarts(ts), 1)
+		})
+	}
+}
+
 // TestScoringOfDoubtIsntSent guards against a scoring call for a submission whose end may be among records that expired unread.
 func TestScoringOfDoubtIsntSent(t *testing.T) {
 	ts := newScoringTestScheduler(t, 1, 1)
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -151,6 +151,7 @@
 	stateChangedCh chan struct{}
 	liveInstances  []jujuberegistry.Heartbeat
 	relay          logRelay
+	ends           endsInHand
 	// incarnation is the start time in ms, or a higher number if the log has a later incarnation of this instance.
 	incarnation model.Incarnation
 	// leadingSince is when this instance acquired the lease; zero while it doesn't hold it.
@@ -231,6 +232,7 @@
 		activeRuns:     make(map[jujubebatch.RunID]activeRun),
 		stateChangedCh: make(chan struct{}),
 		heartbeatCh:    make(chan struct{}, 1),
+		ends:           newEndsInHand(),
 		state:          jujuberegistry.Starting,
 	}
 	n.duties = newDuties(options, incarnation)
@@ -280,6 +282,8 @@
 	n.tomb.Go(func() error { return n.store.probe(background) })
 	n.tomb.Go(func() error { return n.copyDesired(background) })
 	n.tomb.Go(func() error { return n.resolveDoubts(background) })
+	n.tomb.Go(func() error { return n.writeEnds(background) })
+	n.tomb.Go(func() error { return n.announceEnds(background) })
 	n.tomb.Go(func() error { return n.endpointPath.probe(background) })
 	n.tomb.Go(func() error { return n.schedule(background) })
 	n.tomb.Go(func() error { return n.sendHeartbeats(background) })
--- a/entry/services/jujubenode/peers.go
+++ b/entry/services/jujubenode/peers.go
@@ -89,6 +89,9 @@
 		if id, ok := entry.SubmissionID(); ok {
 			n.scheduler.MarkHandedOver(time.Now(), entry, true)
 			n.enqueue(jujubebatch.AppendEntry{Submission: id, Entry: entry})
+			if entry.End != nil {
+				n.takeOwedEnd(id)
+			}
 		}
 	}
 	return nil
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -195,34 +195,3 @@
 	}
 	return content.Body, nil
 }
-
-// EndSubmission appends the record that a submission has ended and stops its runs on this instance. Ending it again has no
-// effect.
-func (n *Node) EndSubmission(ctx context.Context, id jujubebatch.SubmissionID) error {
-	if err := n.ensureKnown(ctx, id); err != nil {
-		return err
-	}
-	n.mu.Lock()
-	_, ended := n.scheduler.SubmissionStatus(id)
-	n.mu.Unlock()
-	if ended {
-		n.logEnd(id, true, nil)
-		return nil
-	}
-	err := n.appendEntry(ctx, id, jujubebatch.Entry{End: &jujubebatch.End{Submission: id}})
-	if err == nil {
-		// Stop this instance's runs now instead of after the record has been read.
-		n.mu.Lock()
-		n.scheduler.Apply(time.Now(), &jujubebatch.Entry{End: &jujubebatch.End{Submission: id}})
-		n.notifyChange()
-		n.mu.Unlock()
-	}
-	n.logEnd(id, false, err)
-	return err
-}
-
-func (n *Node) logEnd(id jujubebatch.SubmissionID, known bool, err error) {
-	n.log.Write(jujubeevent.EndAcknowledged, func() logrus.Fields {
-		return logrus.Fields{"Submission": id, "Known": known, "Error": errorText(err)}
-	})
-}
