--- a/entry/services/jujubenode/gap.go
+++ b/entry/services/jujubenode/gap.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
 )
@@ -30,8 +29,12 @@
 	missedAt time.Time
 	// nextPeer is the index of the instance that is asked next about submissions in doubt; only resolveDoubts uses it.
 	nextPeer int
-	// repliedAt is when each instance last replied without ending all doubts; only resolveDoubts uses it.
-	repliedAt map[model.InstanceID]time.Time
+	// missing is the range of the latest records that expired unread, and number counts such ranges; guarded by the node's lock.
+	missing jujubebatch.Span
+	number  int
+	// survey has the replies since the range surveyed; only resolveDoubts uses both.
+	survey   jujubebatch.Survey
+	surveyed int
 }
 
 // mayHaveMissed reports whether a submission that this instance hasn't read may still be readable elsewhere; the lock is held.
@@ -42,6 +45,8 @@
 // recordGap puts the submissions of the partition in doubt; the lock is held.
 func (p *partition) recordGap(read, missing jujubebatch.Span) {
 	p.decoder = jujubebatch.Decoder{}
+	p.gap.missing = missing
+	p.gap.number++
 	p.node.executeActions(p.node.scheduler.RecordGap(read, missing, p.holds))
 	if !p.follower.caughtUpAt.IsZero() { // what had expired before this instance started is no longer readable
 		p.gap.missedAt = time.Now()
@@ -102,23 +107,24 @@
 func (p *partition) askAboutDoubts(ctx context.Context) (inDoubt, resolved int) {
 	n := p.node
 	n.mu.Lock()
-	questions, missedAt := n.scheduler.Questions(p.holds), p.gap.missedAt
+	questions, missing, number := n.scheduler.Questions(p.holds), p.gap.missing, p.gap.number
 	n.mu.Unlock()
-	if inDoubt = len(questions); inDoubt == 0 {
-		clear(p.gap.repliedAt)
-		return 0, 0
+	if inDoubt = len(questions); inDoubt == 0 || number != p.gap.surveyed {
+		p.gap.survey.Restart()
+		p.gap.surveyed = number
 	}
-	if p.gap.repliedAt == nil {
-		p.gap.repliedAt = make(map[model.InstanceID]time.Time)
+	if inDoubt == 0 {
+		return 0, 0
 	}
 	addresses := n.peerAddresses()
 	peers := slices.Sorted(maps.Keys(addresses))
+	p.gap.survey.SetLive(peers)
 	for range min(askedPerRound, len(peers)) {
 		peer := peers[p.gap.nextPeer%len(peers)]
 		p.gap.nextPeer++
-		known, replied := p.askPeer(ctx, addresses[peer], questions)
+		known, read, replied := p.askPeer(ctx, addresses[peer], questions)
 		if replied {
-			p.gap.repliedAt[peer] = time.Now()
+			p.gap.survey.Record(peer, read, missing)
 		}
 		if resolved += known; known > 0 {
 			n.log.Write(jujubeevent.DoubtResolved, func() logrus.Fields {
@@ -129,8 +135,10 @@
 			return inDoubt, resolved
 		}
 	}
-	hasAsked := func(peer model.InstanceID) bool { return p.gap.repliedAt[peer].After(missedAt) }
-	if len(peers) > 0 && !slices.ContainsFunc(peers, func(peer model.InstanceID) bool { return !hasAsked(peer) }) {
+	n.mu.Lock()
+	isCurrent := number == p.gap.number
+	n.mu.Unlock()
+	if isCurrent && p.gap.survey.IsComplete() {
 		p.abandonDoubts(inDoubt - resolved)
 		resolved = inDoubt
 	}
@@ -149,19 +157,22 @@
 	n.notifyChange()
 }
 
-// askPeer asks one instance and returns how many submissions are no longer in doubt, and whether it has replied to all questions.
-func (p *partition) askPeer(ctx context.Context, address string, questions []jujubebatch.Question) (resolved int, replied bool) {
+// askPeer asks one instance and returns how many submissions are no longer in doubt, the range that it has read, and whether it has replied
+// to all questions.
+func (p *partition) askPeer(ctx context.Context, address string, questions []jujubebatch.Question) (resolved int, read jujubebatch.Span, replied bool) {
 	for part := range slices.Chunk(questions, questionsPerCall) {
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 		var reply StatusesReply
 		err := p.node.store.pool.Call(callCtx, address, "Relay.Statuses", StatusesArgs{p.number, part}, &reply)
 		cancel()
 		if err != nil {
-			return resolved, false
+			return resolved, read, false
+		}
+		if resolved += p.handleStatuses(reply); read.End == 0 || reply.Read.End < read.End {
+			read = reply.Read
 		}
-		resolved += p.handleStatuses(reply)
 	}
-	return resolved, true
+	return resolved, read, true
 }
 
 // handleStatuses applies the answers and returns how many submissions are no longer in doubt.
--- a/entry/services/jujubenode/gap_test.go
+++ b/entry/services/jujubenode/gap_test.go
@@ -97,3 +97,36 @@
 	close(cluster.engines.hold)
 	assert.DeepEqual(t, readAll(t, b, "s1"), readAll(t, a, "s1"))
 }
+
+// TestInstanceBehindMayTell guards against an instance that takes its doubts for unanswerable because another one, which replied that it
+// can't tell, hasn't read the records yet.
+func TestInstanceBehindMayTell(t *testing.T) {
+	cluster := newTestCluster(t)
+	cluster.engines.hold = make(chan struct{})
+	a, _, stopA := cluster.start("a")
+	b, storeB, _ := cluster.start("b")
+	_, storeC, _ := cluster.start("c")
+	waitFor(t, "all instances are alive", func() bool { return len(a.Addresses("dc")) == 3 && len(b.Addresses("dc")) == 3 })
+	assert.NilError(t, b.Submit(t.Context(), route, newSubmission("s1", 40)))
+	waitFor(t, "items run", func() bool { return b.RunsInFlight() > 0 })
+	storeB.hideSubmissions()
+	storeC.hideSubmissions()
+	assert.NilError(t, a.EndSubmission(t.Context(), "s1"))
+	stopA()
+	storeB.expireSubmissions()
+	isInDoubt := func() bool {
+		_, err := b.ReadResults(t.Context(), "s1", 0, 0)
+		_, isRefused := jujubeerror.IsErrRefused(err)
+		return isRefused
+	}
+	waitFor(t, "the submission is in doubt", isInDoubt)
+	waitFor(t, "an instance is lost", func() bool { return len(b.Addresses("dc")) == 2 })
+	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, isInDoubt(), "the doubt has ended")
+	}
+	storeC.showSubmissions()
+	waitFor(t, "the end is known", func() bool {
+		page, err := b.ReadResults(t.Context(), "s1", 0, 0)
+		return err == nil && page.Ended
+	})
+}
--- a/entry/services/jujubenode/store_test.go
+++ b/entry/services/jujubenode/store_test.go
@@ -176,6 +176,13 @@
 	s.expiredBefore = s.submissionsEnd()
 }
 
+// showSubmissions shows all hidden records.
+func (s *blockableStore) showSubmissions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hiddenFrom = nil
+}
+
 // hide removes what is hidden from a batch.
 func (s *blockableStore) hide(topic jujubenode.Topic, part int, from int64, batch jujubenode.LogBatch) (jujubenode.LogBatch, error) {
 	s.mu.Lock()
