jujubenode: ask others before a submission counts as new after a gap

Cause: an instance that had missed the first record and the end of a submission, as both had expired unread, accepted it again when its caller repeated it there, and ran its items.

Change: while it may have missed a submission that it doesn't know, it accepts it only if all live instances reply that they don't know it either and have read past the gap; otherwise 503. Before, TestRepeatedSubmissionAfterGap: the submission was accepted ("expression is false: isRefused && refused.Ran == model.RanNo"). After: refused there, accepted by the other instance, and its item has run once; a new one is accepted.

--- a/entry/services/jujubenode/gap.go
+++ b/entry/services/jujubenode/gap.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/services/jujubebatch"
 )
@@ -85,6 +86,35 @@
 	return nil
 }
 
+// checkNew returns a refusal unless a submission that isn't known here after a gap is new: its record and its end may be among those that
+// have expired, so all live instances have to reply that they don't know it either. One that does accepts it again.
+func (p *partition) checkNew(ctx context.Context, id jujubebatch.SubmissionID) error {
+	n := p.node
+	n.mu.Lock()
+	missing := p.gap.missing
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	addresses := n.peerAddresses()
+	areNew := make(chan bool, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var reply StatusesReply
+			args := StatusesArgs{p.number, []jujubebatch.Question{{Submission: id}}}
+			err := n.store.pool.Call(ctx, address, "Relay.Statuses", args, &reply)
+			areNew <- err == nil && len(reply.Statuses) == 1 && !reply.Statuses[0].Known && reply.Read.End >= missing.End
+		}()
+	}
+	isNew := true
+	for range addresses {
+		isNew = <-areNew && isNew
+	}
+	if !isNew {
+		return refusal(jujubeerror.CodeStoreFailed, "records of the submission may have expired unread; use another address")
+	}
+	return nil
+}
+
 // resolveDoubts asks other instances about the submissions that are in doubt, until the context ends.
 func (n *Node) resolveDoubts(ctx context.Context) error {
 	delay := minDoubtInterval
--- a/entry/services/jujubenode/gap_test.go
+++ b/entry/services/jujubenode/gap_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 )
 
@@ -130,3 +131,29 @@
 		return err == nil && page.Ended
 	})
 }
+
+// TestRepeatedSubmissionAfterGap guards against a submission that runs again after its end, as it is repeated at an instance which has
+// missed its record and its end.
+func TestRepeatedSubmissionAfterGap(t *testing.T) {
+	cluster := newTestCluster(t)
+	a, _, _ := cluster.start("a")
+	b, store, _ := cluster.start("b")
+	waitFor(t, "both instances are alive", func() bool { return len(a.Addresses("dc")) == 2 && len(b.Addresses("dc")) == 2 })
+	store.hideSubmissions()
+	submission := newSubmission("s1", 1)
+	assert.NilError(t, a.Submit(t.Context(), route, submission))
+	readAll(t, a, "s1")
+	assert.NilError(t, a.EndSubmission(t.Context(), "s1"))
+	store.expireSubmissions()
+	waitFor(t, "the records have expired", func() bool {
+		_, err := b.ReadResults(t.Context(), "s1", 0, 0)
+		_, isRefused := jujubeerror.IsErrRefused(err)
+		return isRefused
+	})
+	refused, isRefused := jujubeerror.IsErrRefused(b.Submit(t.Context(), route, newSubmission("s1", 1)))
+	assert.Assert(t, isRefused && refused.Ran == model.RanNo)
+	assert.NilError(t, a.Submit(t.Context(), route, newSubmission("s1", 1)))
+	time.Sleep(time.Second)
+	assert.Equal(t, cluster.engines.count(submission.Items[0].ID), 1, "the item ran again")
+	waitFor(t, "a new submission is accepted", func() bool { return b.Submit(t.Context(), route, newSubmission("s2", 1)) == nil })
+}
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -40,7 +40,8 @@
 	ready, state := n.ready, n.state
 	known, _ := n.scheduler.SubmissionStatus(submission.ID)
 	origin, _ := n.scheduler.Origin(submission.ID)
-	logUnavailable := !n.partitionOf(submission.ID).follower.failingSince.IsZero()
+	p := n.partitionOf(submission.ID)
+	logUnavailable, mayBeOld := !p.follower.failingSince.IsZero(), p.mayHaveMissed(time.Now())
 	desiredVersion, access := int64(0), Access{Organisation: submission.Organisation}
 	if n.desired != nil {
 		desiredVersion, access.Enforced = n.desired.Version, n.desired.Organisations != nil
@@ -60,6 +61,11 @@
 		if err = n.checkItems(access, submission); err != nil {
 			break
 		}
+		if mayBeOld {
+			if err = p.checkNew(ctx, submission.ID); err != nil {
+				break
+			}
+		}
 		submission.Accepted, submission.DesiredVersion = time.Now().UnixMilli(), desiredVersion
 		err = n.appendEntry(ctx, submission.ID, jujubebatch.Entry{Submission: submission})
 	}
