jujubenode: test ends that the store refuses once their caller is gone

TestUnansweredEnd passed without the hold of the instance that has the end, and with a refusal that no caller receives taking effect. Two cases more: the acceptor has the end, and the store refuses the append after the caller has disconnected. Faults of the store on the machine with the end no longer excuse late items. Both mutations fail now, in these cases.

--- a/entry/services/jujubenode/ends_property_test.go
+++ b/entry/services/jujubenode/ends_property_test.go
@@ -243,10 +243,10 @@
 	return violations
 }
 
-// isBound reports whether an arrival counts: its machine was free of faults, and so was the one that has the end in hand.
+// isBound reports whether an arrival counts: its machine was free of faults, and the one that has the end in hand could tell the others.
 func (r *endsRun) isBound(end playedEnd, a arrival) bool {
 	machines := r.cluster.network.machines
-	return machines[a.from].wasFree(a.at, faultFreeTime) && (end.sentTo == "" || machines[end.sentTo].wasFree(a.at, a.at.Sub(end.sentAt)))
+	return machines[a.from].wasFree(a.at, faultFreeTime) && (end.sentTo == "" || !machines[end.sentTo].had(a.at, a.at.Sub(end.sentAt), frozen, peersCut, peersMute, down))
 }
 
 // giveUpEnd ends a submission. Only a refused end is repeated.
--- a/entry/services/jujubenode/ends_test.go
+++ b/entry/services/jujubenode/ends_test.go
@@ -18,15 +18,18 @@
 		faults   []fault
 		patience time.Duration
 		items    int
+		by       int
 	}{
-		"appends hang":           {[]fault{hang}, unansweredEndTime, 400},
-		"another one is down":    {[]fault{hang, {Kind: down, Machine: "i2", From: 8 * second, To: 12 * second}}, unansweredEndTime, 400},
-		"the caller disconnects": {[]fault{{Kind: appendsHang, From: 5 * second, To: 7 * second}}, second / 5, 400},
-		"responses are lost":     {[]fault{{Kind: appendsSilent, From: 5 * second, To: 20 * second}}, unansweredEndTime, 400},
-		"the end is lost":        {[]fault{hang, {Kind: down, Machine: "i0", From: 9 * second, To: 22 * second}}, second, 120},
+		"the acceptor has it":    {[]fault{hang}, unansweredEndTime, 400, 0},
+		"appends hang":           {[]fault{hang}, unansweredEndTime, 400, 1},
+		"another one is down":    {[]fault{hang, {Kind: down, Machine: "i2", From: 8 * second, To: 12 * second}}, unansweredEndTime, 400, 1},
+		"the caller disconnects": {[]fault{{Kind: appendsHang, From: 5 * second, To: 7 * second}}, second / 5, 400, 1},
+		"refused after that":     {[]fault{{Kind: appendsHang, From: 5 * second, To: 6500 * time.Millisecond}, {Kind: storeRefuses, From: 6300 * time.Millisecond, To: 7 * second}}, second / 5, 400, 0},
+		"responses are lost":     {[]fault{{Kind: appendsSilent, From: 5 * second, To: 20 * second}}, unansweredEndTime, 400, 1},
+		"the end is lost":        {[]fault{hang, {Kind: down, Machine: "i0", From: 9 * second, To: 22 * second}}, second, 120, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ended := plannedSubmission{ID: "s", At: 3 * second, EndAt: 6 * second, By: 1, Items: c.items, Patience: c.patience}
+			ended := plannedSubmission{ID: "s", At: 3 * second, EndAt: 6 * second, By: c.by, Items: c.items, Patience: c.patience}
 			var violations []string
 			synctest.Test(t, func(t *testing.T) {
 				violations = newEndsRun(t, endsCase{Machines: 3, DirectReaders: 3, Faults: c.faults, Submissions: []plannedSubmission{ended}}).run()
--- a/entry/services/jujubenode/faulty_test.go
+++ b/entry/services/jujubenode/faulty_test.go
@@ -90,10 +90,13 @@
 
 // wasFree reports whether the machine was free of faults for a time before another one.
 func (m *machine) wasFree(at time.Time, before time.Duration) bool {
+	return !m.had(at, before, frozen, storeHangs, storeRefuses, storeSilent, peersCut, peersMute, down)
+}
+
+// had reports whether the machine had a fault of the kinds within a time before another one.
+func (m *machine) had(at time.Time, before time.Duration, kinds ...faultKind) bool {
 	to := at.Sub(m.network.start)
-	return !slices.ContainsFunc(m.faults, func(f fault) bool {
-		return f.Delay == 0 && f.Kind != appendsHang && f.Kind != appendsSilent && f.From <= to && to-before < f.To
-	})
+	return slices.ContainsFunc(m.faults, func(f fault) bool { return slices.Contains(kinds, f.Kind) && f.From <= to && to-before < f.To })
 }
 
 // dialPeer opens a connection to another machine.
