--- a/entry/services/jujubenode/gap_test.go
+++ b/entry/services/jujubenode/gap_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 )
 
@@ -97,3 +98,62 @@
 	close(cluster.engines.hold)
 	assert.DeepEqual(t, readAll(t, b, "s1"), readAll(t, a, "s1"))
 }
+
+// TestInstanceBehindMayTell guards against an instance that takes its doubts for unanswerable because another one, which replied that it
+// can't tell, hasn't read the records yet.
+func TestInstanceBehindMayTell(t *testing.T) {
+	cluster := newTestCluster(t)
+	cluster.engines.hold = make(chan struct{})
+	a, _, stopA := cluster.start("a")
+	b, storeB, _ := cluster.start("b")
+	_, storeC, _ := cluster.start("c")
+	waitFor(t, "all instances are alive", func() bool { return len(a.Addresses("dc")) == 3 && len(b.Addresses("dc")) == 3 })
+	assert.NilError(t, b.Submit(t.Context(), route, newSubmission("s1", 40)))
+	waitFor(t, "items run", func() bool { return b.RunsInFlight() > 0 })
+	storeB.hideSubmissions()
+	storeC.hideSubmissions()
+	assert.NilError(t, a.EndSubmission(t.Context(), "s1"))
+	stopA()
+	storeB.expireSubmissions()
+	isInDoubt := func() bool {
+		_, err := b.ReadResults(t.Context(), "s1", 0, 0)
+		_, isRefused := jujubeerror.IsErrRefused(err)
+		return isRefused
+	}
+	waitFor(t, "the submission is in doubt", isInDoubt)
+	waitFor(t, "an instance is lost", func() bool { return len(b.Addresses("dc")) == 2 })
+	for deadline := time.Now().Add(3 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, isInDoubt(), "the doubt has ended")
+	}
+	storeC.showSubmissions()
+	waitFor(t, "the end is known", func() bool {
+		page, err := b.ReadResults(t.Context(), "s1", 0, 0)
+		return err == nil && page.Ended
+	})
+}
+
+// TestRepeatedSubmissionAfterGap guards against a submission that runs again after its end, as it is repeated at an instance which has
+// missed its record and its end.
+func TestRepeatedSubmissionAfterGap(t *testing.T) {
+	cluster := newTestCluster(t)
+	a, _, _ := cluster.start("a")
+	b, store, _ := cluster.start("b")
+	waitFor(t, "both instances are alive", func() bool { return len(a.Addresses("dc")) == 2 && len(b.Addresses("dc")) == 2 })
+	store.hideSubmissions()
+	submission := newSubmission("s1", 1)
+	assert.NilError(t, a.Submit(t.Context(), route, submission))
+	readAll(t, a, "s1")
+	assert.NilError(t, a.EndSubmission(t.Context(), "s1"))
+	store.expireSubmissions()
+	waitFor(t, "the records have expired", func() bool {
+		_, err := b.ReadResults(t.Context(), "s1", 0, 0)
+		_, isRefused := jujubeerror.IsErrRefused(err)
+		return isRefused
+	})
+	refused, isRefused := jujubeerror.IsErrRefused(b.Submit(t.Context(), route, newSubmission("s1", 1)))
+	assert.Assert(t, isRefused && refused.Ran == model.RanNo)
+	assert.NilError(t, a.Submit(t.Context(), route, newSubmission("s1", 1)))
+	time.Sleep(time.Second)
+	assert.Equal(t, cluster.engines.count(submission.Items[0].ID), 1, "the item ran again")
+	waitFor(t, "a new submission is accepted", func() bool { return b.Submit(t.Context(), route, newSubmission("s2", 1)) == nil })
+}
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -40,7 +40,8 @@
 	ready, state := n.ready, n.state
 	known, _ := n.scheduler.SubmissionStatus(submission.ID)
 	origin, _ := n.scheduler.Origin(submission.ID)
-	logUnavailable := !n.partitionOf(submission.ID).follower.failingSince.IsZero()
+	p := n.partitionOf(submission.ID)
+	logUnavailable, mayBeOld := !p.follower.failingSince.IsZero(), p.mayHaveMissed(time.Now())
 	desiredVersion, access := int64(0), Access{Organisation: submission.Organisation}
 	if n.desired != nil {
 		desiredVersion, access.Enforced = n.desired.Version, n.desired.Organisations != nil
@@ -60,6 +61,11 @@
 		if err = n.checkItems(access, submission); err != nil {
 			break
 		}
+		if mayBeOld {
+			if err = p.checkNew(ctx, submission.ID); err != nil {
+				break
+			}
+		}
 		submission.Accepted, submission.DesiredVersion = time.Now().UnixMilli(), desiredVersion
 		err = n.appendEntry(ctx, submission.ID, jujubebatch.Entry{Submission: submission})
 	}
@@ -195,34 +201,3 @@
 	}
 	return content.Body, nil
 }
-
-// EndSubmission appends the record that a submission has ended and stops its runs on this instance. Ending it again has no
-// effect.
-func (n *Node) EndSubmission(ctx context.Context, id jujubebatch.SubmissionID) error {
-	if err := n.ensureKnown(ctx, id); err != nil {
-		return err
-	}
-	n.mu.Lock()
-	_, ended := n.scheduler.SubmissionStatus(id)
-	n.mu.Unlock()
-	if ended {
-		n.logEnd(id, true, nil)
-		return nil
-	}
-	err := n.appendEntry(ctx, id, jujubebatch.Entry{End: &jujubebatch.End{Submission: id}})
-	if err == nil {
-		// Stop this instance's runs now instead of after the record has been read.
-		n.mu.Lock()
-		n.scheduler.Apply(time.Now(), &jujubebatch.Entry{End: &jujubebatch.End{Submission: id}})
-		n.notifyChange()
-		n.mu.Unlock()
-	}
-	n.logEnd(id, false, err)
-	return err
-}
-
-func (n *Node) logEnd(id jujubebatch.SubmissionID, known bool, err error) {
-	n.log.Write(jujubeevent.EndAcknowledged, func() logrus.Fields {
-		return logrus.Fields{"Submission": id, "Known": known, "Error": errorText(err)}
-	})
-}
