jujubebatch: remember that a deleted submission has ended

Cause: an instance deletes a submission 130 s after its end. If it had missed records itself, it couldn't tell an instance that has the submission in doubt that it has ended, although it had acknowledged the end. With all replies of that kind the doubts were abandoned, and the items started.

--- a/core/services/jujubebatch/gap.go
+++ b/core/services/jujubebatch/gap.go
@@ -39,7 +39,7 @@
 // Status is what an instance knows of a submission.
 type Status struct {
 	Submission SubmissionID
-	// Known is false for a submission that the instance hasn't read or has deleted.
+	// Known is false for a submission that the instance hasn't read or has deleted long ago.
 	Known, Ended bool
 	// InDoubt is true if the instance can't tell: the submission is in doubt there too, or its results before those asked for differ.
 	InDoubt bool
@@ -96,7 +96,8 @@
 func (s *Scheduler) Answer(question Question) Status {
 	submission, ok := s.submissions.Get(question.Submission)
 	if !ok {
-		return Status{Submission: question.Submission}
+		isBuried := s.buriedIDs[question.Submission]
+		return Status{Submission: question.Submission, Known: isBuried, Ended: isBuried}
 	}
 	status := Status{Submission: question.Submission, Known: true, Ended: submission.ended}
 	first := question.Results
--- a/core/services/jujubebatch/gap_property_test.go
+++ b/core/services/jujubebatch/gap_property_test.go
@@ -106,3 +106,26 @@
 		}
 	})
 }
+
+// TestDeletedEndCounts guards against items that start after an end which only the instance that acknowledged it knows, as it has missed
+// records itself and has deleted the submission since.
+func TestDeletedEndCounts(t *testing.T) {
+	log := []jujubebatch.Entry{{Submission: newSubmission("s", 4, "a")}}
+	missing := jujubebatch.Span{Begin: 1, End: 9}
+	reader, witness := newGapReader(t, 0), newGapReader(t, 0)
+	for _, r := range []*gapReader{reader, witness} {
+		r.readUntil(log, 1)
+		r.RecordGap(r.read, missing, everySubmission)
+		r.read = jujubebatch.Span{Begin: missing.End, End: missing.End}
+	}
+	witness.Apply(witness.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s"}})
+	witness.now = witness.now.Add(140 * time.Second)
+	tick[jujubebatch.StartRun](witness.testScheduler)
+	known, _ := witness.SubmissionStatus("s")
+	assert.Assert(t, !known)
+	for _, question := range reader.Questions(everySubmission) {
+		reader.HandleAnswer(reader.now, witness.Answer(question), witness.read)
+	}
+	reader.AbandonDoubts(everySubmission)
+	assert.Equal(t, len(tick[jujubebatch.StartRun](reader.testScheduler)), 0)
+}
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -38,6 +38,9 @@
 	// byReadTime is in the order of the submissions' records, byEndTime in the order of their end records.
 	byReadTime []submissionTime
 	byEndTime  []submissionTime
+	// buried are the deleted submissions, the earliest first, and buriedIDs has their ids.
+	buried    []submissionTime
+	buriedIDs map[SubmissionID]bool
 	// streams holds what began the callers' streams, by the attempt that brought the first event; streamsByTime has them in
 	// the order in which they were read.
 	streams       map[model.RequestID]StreamOrigin
@@ -87,6 +90,7 @@
 		streams:           make(map[model.RequestID]StreamOrigin),
 		prompts:           newPrompts(settings),
 		holds:             make(map[SubmissionID]holds),
+		buriedIDs:         make(map[SubmissionID]bool),
 		lengths:           make(map[model.ModelName]*jujubeplacement.Lengths),
 	}
 }
