--- a/entry/services/jujubenode/ends_property_test.go
+++ b/entry/services/jujubenode/ends_property_test.go
@@ -74,14 +74,14 @@
 	}
 	for i := range rapid.IntRange(1, 8).Draw(t, "faults") {
 		name := fmt.Sprint("fault ", i)
-		f := fault{Kind: rapid.SampledFrom([]faultKind{slow, frozen, storeHangs, storeRefuses, storeSilent, peersCut, peersMute, down, slow, storeSlow, appendsHang, appendsSilent}).Draw(t, name)}
+		f := fault{Kind: rapid.SampledFrom([]faultKind{slow, frozen, storeHangs, storeRefuses, storeSilent, peersCut, peersMute, down, slow, storeSlow, storeEarly, appendsHang, appendsSilent}).Draw(t, name)}
 		// The whole store may be away, but no other fault affects all machines.
 		if machine := rapid.IntRange(-1, c.Machines-1).Draw(t, name+" at"); machine >= 0 || !slices.Contains([]faultKind{storeHangs, storeRefuses, appendsHang, appendsSilent}, f.Kind) {
 			f.Machine = model.InstanceID(fmt.Sprint("i", max(0, machine)))
 		}
 		f.From = drawTime(t, name+" from", faultsFrom, faultsTo-5*time.Second)
 		f.To = f.From + rapid.SampledFrom([]time.Duration{time.Second / 2, 2 * time.Second, 5 * time.Second}).Draw(t, name+" for")
-		if f.Kind == slow || f.Kind == storeSlow {
+		if f.Kind == slow || f.Kind == storeSlow || f.Kind == storeEarly {
 			f.To = min(f.To+10*time.Second, faultsTo)
 			f.Delay = rapid.SampledFrom([]time.Duration{time.Second / 10, time.Second / 2, time.Second, 3 * time.Second / 2}).Draw(t, name+" delay")
 		}
--- a/entry/services/jujubenode/faulty_test.go
+++ b/entry/services/jujubenode/faulty_test.go
@@ -34,9 +34,11 @@
 	// binds a machine all the same, so these don't count as faults.
 	appendsHang   faultKind = "appends hang"
 	appendsSilent faultKind = "appends silent"
-	// Slow machines are free of faults, but all that they send and receive is delayed, or all responses of the store.
-	slow      faultKind = "slow"
-	storeSlow faultKind = "store slow"
+	// Slow machines are free of faults, but all that they send and receive is delayed, or all responses of the store, or those to reads,
+	// which the store makes without waiting for records.
+	slow       faultKind = "slow"
+	storeSlow  faultKind = "store slow"
+	storeEarly faultKind = "store early"
 )
 
 // fault is a fault of a machine, from a time after the start of the case to another one.
@@ -145,8 +147,14 @@
 }
 
 func (s machineStore) Read(ctx context.Context, topic jujubenode.Topic, part int, from int64, wait time.Duration, maxBytes int) (batch jujubenode.LogBatch, err error) {
+	early, isEarly := s.machine.current(storeEarly)
 	err = s.do(ctx, "read", func() error {
-		batch, err = s.Store.Read(ctx, topic, part, from, wait, maxBytes)
+		if !isEarly {
+			batch, err = s.Store.Read(ctx, topic, part, from, wait, maxBytes)
+			return err
+		}
+		batch, err = s.Store.Read(ctx, topic, part, from, 0, maxBytes)
+		sleepOrDone(ctx, wait+early.Delay)
 		return err
 	})
 	return batch, err
