jujubenode: tell others of an end through slow links, too

Cause: a call about ends in hand was broken off after 0.4 s, and a call with a shorter limit on the same connection broke it off as well. If an instance was that slow, the others were never told.

Change: a call without a reply is repeated once on a connection of its own, for 4 s at most, and broadcasts no longer wait for the one before.

--- a/entry/services/jujubenode/ends.go
+++ b/entry/services/jujubenode/ends.go
@@ -23,6 +23,8 @@
 	// holdTTL is how long instances hold submissions after a broadcast, in case that the instance with the end is lost. Callers end a
 	// submission again if they get no response.
 	holdTTL = 10 * time.Second
+	// holdTimeout bounds the calls of a broadcast.
+	holdTimeout = 4 * time.Second
 	// owedEndWait bounds how long a repeated end waits for an earlier one whose outcome isn't known.
 	owedEndWait = appendTimeout
 )
@@ -295,13 +297,45 @@
 				return nil
 			}
 			if args := n.nextHold(time.Now()); len(args.Held)+len(args.Released) > 0 {
-				n.broadcast(ctx, "Relay.Hold", args)
+				n.tomb.Go(func() error {
+					n.tellHold(ctx, args)
+					return nil
+				})
 			}
 		}
 	}
 	return nil
 }
 
+// tellHold tells all other live instances. One that doesn't reply soon may be slow, or this one is: a further call on a connection of its
+// own isn't broken off when other calls there are.
+func (n *Node) tellHold(ctx context.Context, args HoldArgs) {
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	addresses := n.peerAddresses()
+	done := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			callCtx, cancelCall := context.WithTimeout(ctx, peerTimeout)
+			defer cancelCall()
+			err := n.store.pool.Call(callCtx, address, "Relay.Hold", args, &Empty{})
+			if err != nil {
+				err = n.store.pool.CallDedicated(ctx, address, "Relay.Hold", args, &Empty{})
+			}
+			done <- err
+		}()
+	}
+	failed := 0
+	for range addresses {
+		if err := <-done; err != nil {
+			failed++
+		}
+	}
+	n.log.Write(jujubeevent.PeersTold, func() logrus.Fields {
+		return logrus.Fields{"Method": "Relay.Hold", "Peers": len(addresses), "Failed": failed}
+	})
+}
+
 func (n *Node) hasEnds() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
