jujubenode: ask other instances once a second

Cause: an instance surveyed the others every 0.4 s from half of the greatest age of a view on. With 86 instances in virtual time that made 358 to 492 calls a second while the store was away for all (surveys and questions), and 70 to 129 without any fault: the views of an idle log, read through relays, are older than that.

Change: surveys are due from 0.8 of the greatest age on, and again once the latest answers are a second old.

--- a/core/services/jujubeview/view.go
+++ b/core/services/jujubeview/view.go
@@ -83,3 +83,13 @@
 func (g Gate) ShouldRefresh(now jujubeclock.Instant, view View) bool {
 	return g.Bound > 0 && view.RequestedAt != 0 && view.Age(now) > g.MaxAge()/2
 }
+
+// IsLate reports whether reads of the log are late, so that the other instances should be asked before the view is outdated.
+func (g Gate) IsLate(now jujubeclock.Instant, view View) bool {
+	return g.Bound > 0 && view.RequestedAt != 0 && view.Age(now) > g.MaxAge()*4/5
+}
+
+// ShouldSurvey reports whether the other instances should be asked now: reads are late, and the latest answers are getting old, too.
+func (g Gate) ShouldSurvey(now jujubeclock.Instant, view View) bool {
+	return g.IsLate(now, view) && now.Sub(view.VouchedAt) > g.MaxAge()*2/5
+}
--- a/entry/services/jujubenode/survey.go
+++ b/entry/services/jujubenode/survey.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// surveyInterval is the time between two surveys while views are old.
-	surveyInterval = 400 * time.Millisecond
+	// surveyInterval is the time between two checks whether a survey is due, and minRoundInterval that between two rounds of questions.
+	surveyInterval, minRoundInterval = 200 * time.Millisecond, 800 * time.Millisecond
 	// surveyWait is how long a collector waits for the answers to a round of questions. Later ones count for the next round.
 	surveyWait = 300 * time.Millisecond
 	// questionTimeout bounds a question, and surveyTimeout a request to a collector. Slow instances respond after some 100 ms.
@@ -32,8 +32,8 @@
 	maxGoneWitnesses = 2
 )
 
-// survey finds out what the other instances know while this one reads the log too slowly. One instance asks all for the others: with
-// 86 instances that makes 400 calls a second in an outage of the store, and 18,000 if each asked each.
+// survey finds out what the other instances know while this one reads the log too slowly. One instance asks all for the others, as
+// each would otherwise need a connection to each.
 type survey struct {
 	node *Node
 	// roundCh holds a value during a round of questions.
@@ -61,7 +61,7 @@
 func (s *survey) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		startedAt := time.Now()
-		if s.isDue() {
+		if s.appliesToAny(jujubeview.Gate.ShouldSurvey) {
 			s.update(ctx)
 		}
 		sleep(ctx, surveyInterval-time.Since(startedAt))
@@ -74,12 +74,12 @@
 	return slices.DeleteFunc(slices.Clone(s.node.followers), func(f *follower) bool { return f.gate.Bound == 0 || f.viewTime.RequestedAt == 0 })
 }
 
-// isDue reports whether a view is old.
-func (s *survey) isDue() bool {
+// appliesToAny reports whether a condition holds for any of the views.
+func (s *survey) appliesToAny(condition func(jujubeview.Gate, jujubeclock.Instant, jujubeview.View) bool) bool {
 	s.node.mu.Lock()
 	defer s.node.mu.Unlock()
 	now := s.node.bootClock()
-	return slices.ContainsFunc(s.gated(), func(f *follower) bool { return f.gate.ShouldRefresh(now, f.view()) })
+	return slices.ContainsFunc(s.gated(), func(f *follower) bool { return condition(f.gate, now, f.view()) })
 }
 
 // update requests a report from the first collector that responds, and updates the views with it.
@@ -154,8 +154,7 @@
 	n.notifyChange()
 }
 
-// updateView updates the age of the view with a report. It reports whether the view isn't older than the request for the report by more
-// than half of its greatest age. The lock is held.
+// updateView updates the age of the view with a report. It reports whether that sufficed. The lock is held.
 func (f *follower) updateView(requestedAt jujubeclock.Instant, report jujubeview.Report, others []model.InstanceID) bool {
 	before := f.view()
 	view := report.Update(before, f.surveyPart(), f.next, requestedAt, others)
@@ -163,7 +162,7 @@
 	if view.RequestedAt > before.RequestedAt {
 		f.recordCaughtUp(readTime{at: time.Now().Add(-view.Age(f.node.bootClock())), ReadTime: jujubeclock.RequestedNow(view.RequestedAt)})
 	}
-	return requestedAt.Sub(max(view.RequestedAt, view.VouchedAt)) <= f.gate.MaxAge()/2
+	return !f.gate.IsLate(requestedAt, view) || requestedAt.Sub(view.VouchedAt) <= surveyTimeout
 }
 
 // fetchRecent gets the records that another instance has read after those of this one.
@@ -234,7 +233,7 @@
 	}
 	n.mu.Lock()
 	askedAt := n.bootClock()
-	isDue := askedAt.Sub(s.roundAt) >= surveyInterval
+	isDue := askedAt.Sub(s.roundAt) >= minRoundInterval
 	addresses := n.claimants()
 	if askedAt.Sub(s.roundAt) > answerRetention {
 		s.answers = jujubeview.NewSurvey()
--- a/entry/services/jujubenode/surveycalls.go
+++ b/entry/services/jujubenode/surveycalls.go
@@ -31,7 +31,7 @@
 func (r *Relay) Survey(_ SurveyArgs, reply *SurveyReply) error {
 	s, n := r.node.survey, r.node
 	arrived := n.bootClock()
-	if s.isDue() {
+	if s.appliesToAny(jujubeview.Gate.IsLate) {
 		ctx, cancel := context.WithTimeout(r.ctx, surveyTimeout)
 		defer cancel()
 		*reply = s.collect(ctx, arrived)
