jujubepeer: keep the connections that are used regularly

Cause: a pool kept 32 connections, the least recently used one closed first. An instance that calls more peers in turn, such as the gateways of a site with 86 instances, dialed for each call. Up to 128 are kept now, those beyond 32 only for 10 s after a call, so a quiet instance, which probes one peer a second, has as many as before. A bound from the number of live instances was ruled out: it keeps 86 open at a quiet site too.

TestConnectionsFollowUse (virtual time), dials and open connections, before and after: 86 peers each called once a second for 30 s 2580 and 32, then 86 and 86; 100 peers for 30 s 3000 and 32, then 100 and 100, and 32 open after a quiet minute; 370 peers called in turn, one a second, 740 and 32 both ways; 300 peers at 1000 calls a second 3000 and 32, then 3000 and 128. With maxIdleTime at 1000 s the quiet phases fail.

--- a/entry/modules/jujubepeer/pool.go
+++ b/entry/modules/jujubepeer/pool.go
@@ -16,9 +16,16 @@
 // dialTimeout bounds the time to connect to a peer. It is below the probe timeout of the membership protocol.
 const dialTimeout = 450 * time.Millisecond
 
-// maxPooledConnections bounds the number of open connections to other instances. A connection takes about 28 KB at either
-// end, and with 370 instances each of them would be used only once in six minutes.
-const maxPooledConnections = 32
+// Bounds of the open connections to other instances. A connection takes about 28 KB and a file descriptor at either end, and with
+// 370 quiet instances each of them would be used only once in six minutes.
+const (
+	// minPooledConnections are kept however long they are idle.
+	minPooledConnections = 32
+	// maxPooledConnections bounds all of them; an instance of a busy site calls each of its gateways within maxIdleTime.
+	maxPooledConnections = 128
+	// maxIdleTime is how long the connections beyond minPooledConnections are kept after a call.
+	maxIdleTime = 10 * time.Second
+)
 
 // DialFunc opens a connection to the peer at an address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
@@ -31,7 +38,8 @@
 	lastUsed    time.Time
 }
 
-// Pool keeps the most recently used connections open, at most one per peer address.
+// Pool keeps the most recently used connections open, at most one per peer address. Their number follows the number of peers that are
+// called regularly.
 type Pool struct {
 	dial        DialFunc
 	mu          sync.Mutex
@@ -135,26 +143,31 @@
 	return conn, nil
 }
 
-// release returns a connection after a call. When more than maxPooledConnections are open, it closes the idle one that was
-// used least recently.
+// release returns a connection after a call and closes the idle ones that aren't to be kept, the least recently used first.
 func (p *Pool) release(conn *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	conn.activeCalls--
-	conn.lastUsed = time.Now()
-	if len(p.connections) <= maxPooledConnections {
-		return
-	}
-	oldest := ""
-	for address, other := range p.connections {
-		if other.activeCalls == 0 && (oldest == "" || other.lastUsed.Before(p.connections[oldest].lastUsed)) {
-			oldest = address
+	conn.lastUsed = now
+	for len(p.connections) > minPooledConnections {
+		address, idle := p.leastRecentlyUsed()
+		if idle == nil || len(p.connections) <= maxPooledConnections && now.Sub(idle.lastUsed) < maxIdleTime {
+			return
 		}
+		_ = idle.client.Close()
+		delete(p.connections, address)
 	}
-	if oldest != "" {
-		_ = p.connections[oldest].client.Close()
-		delete(p.connections, oldest)
+}
+
+// leastRecentlyUsed returns the idle connection that was used least recently; nil if there is none. The lock is held.
+func (p *Pool) leastRecentlyUsed() (address string, found *connection) {
+	for other, conn := range p.connections {
+		if conn.activeCalls == 0 && (found == nil || conn.lastUsed.Before(found.lastUsed)) {
+			address, found = other, conn
+		}
 	}
+	return address, found
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
