jujubenode: run the property test of ends with the race detector

Cause of the crash: with the race detector, Go 1.26.8 ends with SIGSEGV in (*timer).maybeRunChan, called by selectgo, when a goroutine of a synctest bubble selects on a timer that has expired already. The trace of TestNothingStartsLongAfterItsEnd names sleepOrDone(ctx, 0) in peerConn.deliver.

The detector then found a race: instances that start at the same time write addresses and leaveFuncs of testCluster, which startMu guards now.

--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -62,6 +62,8 @@
 	// receivedMu guards received, the values of the records with the key "secret" by the instances that have read them.
 	receivedMu      sync.Mutex
 	receivedSecrets map[model.InstanceID]string
+	// startMu guards addresses and leaveFuncs, as instances may start at the same time.
+	startMu sync.Mutex
 	// addresses are the peer addresses of the instances.
 	addresses map[model.InstanceID]string
 	// leaveFuncs shut down the instances gracefully.
@@ -113,10 +115,13 @@
 	c.t.Helper()
 	listener, err := c.listen(id)
 	assert.NilError(c.t, err)
-	c.addresses[id] = listener.Addr().String()
+	peerAddress := listener.Addr().String()
 	if links, ok := c.peerLinks[id]; ok {
-		c.addresses[id] = links.proxy(c.t, listener.Addr().String())
+		peerAddress = links.proxy(c.t, peerAddress)
 	}
+	c.startMu.Lock()
+	c.addresses[id] = peerAddress
+	c.startMu.Unlock()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	store := &blockableStore{Store: c.store, hold: c.holdAtStart}
@@ -152,7 +157,7 @@
 		callers, closeIdle = overHTTP, overHTTP.client.CloseIdleConnections
 	}
 	node = jujubenode.New(jujubenode.Options{
-		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: c.addresses[id]},
+		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: peerAddress},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
 			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, CancelTime: testCancelTime, DesiredTime: testCancelTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
@@ -216,11 +221,13 @@
 			assert.NilError(c.t, <-runErr)
 		}
 	}
+	c.startMu.Lock()
 	c.leaveFuncs[id] = func() {
 		stopped = true
 		leave()
 		assert.NilError(c.t, <-runErr)
 	}
+	c.startMu.Unlock()
 	c.t.Cleanup(stop)
 	c.t.Cleanup(leave)
 	return node, store, stop
--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -176,8 +176,12 @@
 	return cluster, nodes, stores
 }
 
-// sleepOrDone sleeps until the context ends.
+// sleepOrDone sleeps until the context ends. It waits for no timer that has expired: with the race detector, Go 1.26 may crash in a
+// select on one in a synctest bubble.
 func sleepOrDone(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/entry/services/jujubenode/store_test.go
+++ b/entry/services/jujubenode/store_test.go
@@ -73,6 +73,9 @@
 		if int64(len(log)) > from {
 			return jujubenode.LogBatch{Records: s.cut(topic, log[from:], maxBytes), End: int64(len(log))}, nil
 		}
+		if wait <= 0 {
+			return jujubenode.LogBatch{End: int64(len(log))}, nil
+		}
 		select {
 		case <-changedCh:
 			continue
@@ -109,12 +112,9 @@
 		s.idleAt = now
 	}
 	s.idleAt = s.idleAt.Add(s.pageTime)
-	slow := time.NewTimer(s.newestDelay + s.idleAt.Sub(now))
+	delay := s.newestDelay + s.idleAt.Sub(now)
 	s.mu.Unlock()
-	defer slow.Stop()
-	select {
-	case <-slow.C:
-	case <-ctx.Done():
+	if sleepOrDone(ctx, delay); ctx.Err() != nil {
 		return jujubenode.LogPage{}, jujubenode.ErrStore{Call: "newest", Reason: ctx.Err().Error()}
 	}
 	s.mu.Lock()
