jujubenode: copy an end to two instances before it is acknowledged

Change: an end that is on the log is sent to the next two instances by name, those of other data centres first, and is acknowledged once they have replied or after 0.15 s. A survey then finds it at any of the three.

--- a/entry/services/jujubenode/ends.go
+++ b/entry/services/jujubenode/ends.go
@@ -225,8 +225,9 @@
 		return err
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.scheduler.Apply(time.Now(), &entry)
+	n.mu.Unlock()
+	n.copyEnd(ctx, id)
 	return nil
 }
 
--- a/entry/services/jujubenode/survey.go
+++ b/entry/services/jujubenode/survey.go
@@ -11,7 +11,6 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeclock"
-	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubeview"
 )
 
@@ -137,13 +136,7 @@
 	others := otherIDs(addresses)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
-	for _, end := range reply.UnreadEnds {
-		if end.Part < len(n.partitions) {
-			n.partitions[end.Part].recordUnreadEnd(end)
-			n.scheduler.Apply(now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: end.Submission}})
-		}
-	}
+	n.applyUnreadEnds(reply.UnreadEnds)
 	isHelpful := true
 	for _, f := range followers {
 		isHelpful = f.updateView(requestedAt, reply.Report, others) && isHelpful
