jujubenode: tell a caller the outcome of its end while the instance stops

Cause: when an instance stopped, a caller whose end had just been refused was told, by chance, that its outcome isn't known. It then counted the end, which nobody had in hand.

Change: an outcome that is known counts. The tests count an end without a response after 4 s instead of 6 s, which is stricter.

--- a/entry/services/jujubenode/ends.go
+++ b/entry/services/jujubenode/ends.go
@@ -18,7 +18,7 @@
 const (
 	// holdDelay is how long an end may wait for the store before other instances are told; the store responds in 250 ms when it is slow.
 	holdDelay = 300 * time.Millisecond
-	// holdInterval is the time between two broadcasts while ends wait: a caller counts an end without a response after 6 s.
+	// holdInterval is the time between two broadcasts while ends wait: a caller counts an end without a response after 4 s.
 	holdInterval = 1500 * time.Millisecond
 	// holdTTL is how long instances hold submissions after a broadcast, in case that the instance with the end is lost. Callers end a
 	// submission again if they get no response.
@@ -148,6 +148,11 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	select {
+	case <-end.doneCh: // the outcome counts on this caller
+		return end.err
+	default:
+	}
 	end.callers--
 	return unknownOutcome("the caller or this instance is gone before the end is known to be on the log")
 }
--- a/entry/services/jujubenode/ends_property_test.go
+++ b/entry/services/jujubenode/ends_property_test.go
@@ -42,7 +42,7 @@
 }
 
 // unansweredEndTime is the time after which an end without a response counts as acknowledged.
-const unansweredEndTime = 6 * time.Second
+const unansweredEndTime = 4 * time.Second
 
 // playedEnd is an end that was acknowledged at a time. Without an acknowledgement, sentTo is the machine that received the end at sentAt.
 type playedEnd struct {
