jujubehttp: keep the pauses of TestRequestIsTakenBack below the old limit

Cause: a pause of 2.5 s is over the 2 s for which the system kept trying before, so the cases with a cut link passed without the guard as well. The pause is 1.7 s now, and the permit of the healthy case 1 s. Stricter: the cases distinguish again.

--- a/core/modules/jujubehttp/sendguard_test.go
+++ b/core/modules/jujubehttp/sendguard_test.go
@@ -21,7 +21,7 @@
 
 const (
 	// linkPause is how long the link, the sender or the server stops.
-	linkPause       = 2500 * time.Millisecond
+	linkPause       = 1700 * time.Millisecond
 	testUserTimeout = 2 * time.Second
 )
 
@@ -154,7 +154,7 @@
 		"a cut link, with all held by the system":      {pause, atOnce, 128 << 10, "/", valid, false, 0, false},
 		"a cut link, and the request is cancelled":     {pause, atOnce, 128 << 10, "/", valid, false, 50 * time.Millisecond, false},
 		"a sender that stops before the end":           {atOnce, atOnce, 32 << 10, "/", valid, true, 0, false},
-		"a healthy link, and a response after a while": {atOnce, atOnce, 2 << 20, "/slow", 1500 * time.Millisecond, false, 0, true},
+		"a healthy link, and a response after a while": {atOnce, atOnce, 2 << 20, "/slow", 1000 * time.Millisecond, false, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
