jujubenode: check the endpoint again before a call's first byte

Cause: plain requests and streams asked nothing about the endpoints' entries once an endpoint was chosen, and scoring calls only whether their submission may be worked on. An endpoint that began to leave, was removed or started again while the connection was opened got the request, and with hanging reads the age of the entries didn't matter at all. Ruled out: a scoring call for an item with a result or of an ended submission; the read of either cancels it under the same lock (TestUnwantedScoringIsntSent covers it).

Change: callGate asks immediately before the first byte whether the endpoint is the process that was chosen, isn't leaving, and the entries are recent; a denied attempt doesn't count (three at most) and goes to another endpoint. An endpoint is chosen only by recent entries: a request waits 0.3 s for a read and is refused as not run then. While the store is away for all, and on an instance without others, requests go on.

TestNoRequestByAnOldDesiredState is now a case of TestNoRequestByAnOldView, TestScoringOfDoubtIsntSent one of TestUnwantedScoringIsntSent. The instances of the old-view tests and of the property test have a bound on entries, too.

--- a/core/services/jujubebatch/startgate.go
+++ b/core/services/jujubebatch/startgate.go
@@ -20,7 +20,8 @@
 }
 
 // MaySend reports whether the decision to start a run or scoring call still holds: it isn't cancelled, and a run's engine is still one to
-// which the item's route leads and that isn't leaving.
+// which the item's route leads and that isn't leaving. A scoring call is cancelled with the read of a result or an end; its endpoint is
+// checked like that of a caller's request.
 func (s *Scheduler) MaySend(id RunID) bool {
 	if _, isScoring := s.scorings.Get(id); isScoring {
 		return true
--- a/core/services/jujubebatch/startgate_test.go
+++ b/core/services/jujubebatch/startgate_test.go
@@ -103,15 +103,30 @@
 	}
 }
 
-// TestScoringOfDoubtIsntSent guards against a scoring call for a submission whose end may be among records that expired unread.
-func TestScoringOfDoubtIsntSent(t *testing.T) {
-	ts := newScoringTestScheduler(t, 1, 1)
-	ts.accept(newScoredSubmission("s", 1, "a"))
-	assert.Equal(t, ts.completeRuns(), 1)
-	call := tick[jujubebatch.StartScoring](ts)[0].Run
-	assert.Assert(t, ts.MaySend(call))
-	ts.RecordGap(jujubebatch.Span{End: 3}, jujubebatch.Span{Begin: 3, End: 9}, everySubmission)
-	assert.Assert(t, !ts.MaySend(call))
+// TestUnwantedScoringIsntSent guards against a scoring call that is sent, after it waited for its connection, for an item that has a result,
+// or for a submission that has ended or whose end may be among records that expired unread.
+func TestUnwantedScoringIsntSent(t *testing.T) {
+	for name, change := range map[string]func(ts *testScheduler){
+		"submission ended": func(ts *testScheduler) {
+			ts.Apply(ts.now, &jujubebatch.Entry{End: &jujubebatch.End{Submission: "s"}})
+		},
+		"item has a result": func(ts *testScheduler) {
+			ts.Apply(ts.now, &jujubebatch.Entry{Result: &jujubebatch.Result{Submission: "s", Item: "s-0", State: jujubebatch.Completed, By: "b"}})
+		},
+		"records expired": func(ts *testScheduler) {
+			ts.RecordGap(jujubebatch.Span{End: 3}, jujubebatch.Span{Begin: 3, End: 9}, everySubmission)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ts := newScoringTestScheduler(t, 1, 1)
+			ts.accept(newScoredSubmission("s", 1, "a"))
+			assert.Equal(t, ts.completeRuns(), 1)
+			call := tick[jujubebatch.StartScoring](ts)[0].Run
+			assert.Assert(t, ts.MaySend(call))
+			change(ts)
+			assert.Assert(t, !ts.MaySend(call))
+		})
+	}
 }
 
 // TestOutdatedGatewayReturnsItems guards against items that wait at a gateway which starts nothing.
--- a/entry/services/jujubenode/attempt.go
+++ b/entry/services/jujubenode/attempt.go
@@ -8,6 +8,7 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/modules/jujubehttp"
 	"jujubepier.example/core/services/jujuberouter"
 	"jujubepier.example/core/services/jujubethrottle"
 )
@@ -35,14 +36,14 @@
 	f.attempts++
 	f.inFlight++
 	f.triedEndpoints = append(f.triedEndpoints, decision.Endpoint)
-	call := f.newCall(decision)
+	call, gate := f.newCall(decision), f.newGate(decision)
 	f.usage.beginAttempt()
 	sentAt := time.Now()
 	n.tomb.Go(func() error {
-		response, err := n.endpointCaller.Call(ctx, call)
+		response, err := n.endpointCaller.Call(jujubehttp.WithSendPermit(ctx, gate.check), call)
 		f.usage.endAttempt(startOf(sentAt, err))
 		n.finishAttempt(ctx, id, call, response, err)
-		f.outcomes <- attempt{call.Endpoint, response, err}
+		f.outcomes <- attempt{call.Endpoint, response, err, gate.isDenied.Load()}
 		return nil
 	})
 	return nil
@@ -59,7 +60,7 @@
 
 // hasAttempt reports whether another attempt is allowed and there is time for it.
 func (f *forwarding) hasAttempt() bool {
-	return f.attempts < max(1, f.route.MaxAttempts) && time.Until(f.request.Deadline) >= minAttemptTime
+	return f.attempts-f.unsent < max(1, f.route.MaxAttempts) && time.Until(f.request.Deadline) >= minAttemptTime
 }
 
 // attemptID returns the id of the next attempt in the router.
@@ -76,6 +77,9 @@
 		class = jujubethrottle.Background
 	}
 	for {
+		if err := f.awaitEndpoints(ctx, kind); err != nil {
+			return jujuberouter.Decision{}, err
+		}
 		decision, err := f.dispatch(ctx, id, kind)
 		if err != nil {
 			return decision, err
--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -50,6 +50,8 @@
 	// directReaders is the setting DirectReaders; sameDataCentre puts all instances into one data centre.
 	directReaders  int
 	sameDataCentre bool
+	// endpointLeaveTime is the setting EndpointLeaveTime; with zero, the endpoints' entries have no topic of their own.
+	endpointLeaveTime time.Duration
 	// extraEngines is the number of engines in addition to the first two.
 	extraEngines int
 	// software is the version of the engines' software that instances which start read.
@@ -155,7 +157,7 @@
 		Identity: jujubenode.Identity{Instance: id, DataCentre: dataCentre, CallerAddress: string(id) + ":1", PeerAddress: c.addresses[id]},
 		Settings: jujubenode.Settings{
 			DrainTime: 2 * time.Second, LeaseTime: time.Second, AddressValidity: time.Second, ReadsPerSecond: 2000, WritesPerSecond: 600, MaxRecordBytes: 1 << 16, MaxAppendBytes: 1 << 20,
-			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, CancelTime: testCancelTime, DesiredTime: testCancelTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
+			DirectReaders: c.directReaders, UnevenEngines: true, RevokeTime: testRevokeTime, CancelTime: testCancelTime, DesiredTime: testCancelTime, EndpointLeaveTime: c.endpointLeaveTime, Duties: duties, UsageWindow: time.Second, UsageLate: 10 * time.Second,
 		},
 		PlatformCaller: c.platformFor(id),
 		Store:          store, EngineClient: engineClient, EndpointCaller: callers, DialEndpoint: links.dial, DialPeer: dialPeer, CloseIdleConnections: closeIdle, Started: time.Now().Add(-c.clockLag), BootClock: c.bootClock,
@@ -171,6 +173,14 @@
 			node.SetTargetVersion(now, "m", 2)
 			return
 		}
+		if record.Key == "leaving" || record.Key == "restarted" {
+			plain := jujubebatch.Engine{ID: model.EndpointID(record.Value), Incarnation: 1, Service: "plain", Address: c.plainAddresses[record.Value[len("plain")]-'0'], DataCentre: "dc-a", Slots: 6, Leaving: record.Key == "leaving"}
+			if !plain.Leaving {
+				plain.Incarnation++
+			}
+			node.PutEndpoint(now, plain)
+			return
+		}
 		version, err := strconv.ParseInt(string(record.Value), 10, 64)
 		assert.Check(c.t, err)
 		routes := []jujubedesired.Route{*route, *scoringRoute, *unsafeRoute}
@@ -205,6 +215,12 @@
 			apply(now, record)
 		}
 	}})
+	if c.endpointLeaveTime > 0 {
+		node.Follow(jujubenode.Feed{
+			Topic: jujubenode.Topic{Name: "servers", Keyed: true}, HasEndpoints: true,
+			Apply: func(time.Time, jujubenode.Record) {}, Reset: func(time.Time, []jujubenode.Record) {},
+		})
+	}
 	runErr := make(chan error, 1)
 	ctx, leave := context.WithCancel(context.Background())
 	go func() { runErr <- node.Run(ctx, listener) }()
--- a/entry/services/jujubenode/ends_property_test.go
+++ b/entry/services/jujubenode/ends_property_test.go
@@ -132,7 +132,7 @@
 	r := &endsRun{endsCase: c, t: t, cluster: newTestCluster(t), ends: map[jujubebatch.SubmissionID]time.Time{}}
 	r.nodes, r.stops = make([]*jujubenode.Node, c.Machines), make([]func(), c.Machines)
 	r.cluster.network = newFaultyNetwork(c.Machines, c.Faults)
-	r.cluster.directReaders, r.cluster.sameDataCentre = c.DirectReaders, true
+	r.cluster.directReaders, r.cluster.sameDataCentre, r.cluster.endpointLeaveTime = c.DirectReaders, true, testCancelTime
 	r.cluster.bootClock = func() jujubeclock.Instant {
 		return jujubeclock.Instant(time.Since(r.cluster.network.start) + time.Hour)
 	}
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -13,6 +13,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/modules/jujubehttp"
 	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujubeprompt"
 	"jujubepier.example/core/services/jujuberouter"
@@ -113,6 +114,8 @@
 	endpoint model.EndpointID
 	response Response
 	err      error
+	// isDenied is true if the endpoint had changed before anything was sent.
+	isDenied bool
 }
 
 // Forward sends a request to an endpoint and returns its response. A retryable request is also sent to another endpoint
@@ -165,9 +168,9 @@
 	route    *jujubedesired.Route
 	request  PlainRequest
 	outcomes chan attempt
-	// attempts counts the attempts made; inFlight counts those without an outcome.
-	attempts, inFlight int
-	triedEndpoints     []model.EndpointID
+	// attempts counts the attempts made; inFlight counts those without an outcome, and unsent those that don't count for the limit.
+	attempts, inFlight, unsent int
+	triedEndpoints             []model.EndpointID
 	// maybeRan is true once an endpoint may have run the request.
 	maybeRan    bool
 	lastFailure *Response
@@ -183,13 +186,15 @@
 	software model.SoftwareVersion
 	// onResponse is called with each response; may be nil.
 	onResponse func(Response)
+	// permit is asked before the first byte of each attempt; may be nil.
+	permit func() jujubehttp.SendPermit
 	// usage counts the request; nil if it isn't counted.
 	usage *usageTracker
 }
 
 func newForwarding(n *Node, route *jujubedesired.Route, request PlainRequest) *forwarding {
 	return &forwarding{
-		node: n, route: route, request: request, outcomes: make(chan attempt, max(1, route.MaxAttempts)),
+		node: n, route: route, request: request, outcomes: make(chan attempt, max(1, route.MaxAttempts)+maxUnsentAttempts),
 		retryable: route.Kind == jujubedesired.Safe, priority: model.PriorityInteractive, service: n.chooseService(route, request.ID),
 	}
 }
@@ -232,6 +237,9 @@
 		case outcome := <-f.outcomes:
 			f.inFlight--
 			f.checkLinks(outcome)
+			if outcome.isDenied {
+				f.discountAttempt(outcome.endpoint)
+			}
 			if final := f.handleOutcome(outcome); final {
 				return outcome.response, nil
 			}
@@ -296,7 +304,7 @@
 		return jujubeerror.ErrRefused{Code: jujubeerror.CodeDeadline, Ran: model.RanUnknown, Message: "no answer before the deadline"}
 	case errors.Is(context.Cause(ctx), errServingEnded):
 		ran := model.RanUnknown
-		if f.attempts == 0 {
+		if f.attempts == f.unsent {
 			ran = model.RanNo
 		}
 		return jujubeerror.ErrRefused{Code: jujubeerror.CodeLeaving, Ran: ran, RetryAfter: leavingRetryAfter, Message: errServingEnded.Error()}
--- a/entry/services/jujubenode/links_test.go
+++ b/entry/services/jujubenode/links_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubehttp"
 	"jujubepier.example/entry/services/jujubenode"
 )
 
@@ -34,6 +35,14 @@
 	mu    sync.Mutex
 	state linkState
 	conns []*linkedConn
+	// onOpen is called with the address of each connection that was opened; may be nil.
+	onOpen func(address string)
+}
+
+func (l *testLinks) setOnOpen(onOpen func(address string)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onOpen = onOpen
 }
 
 func (l *testLinks) set(state linkState) {
@@ -72,7 +81,11 @@
 	linked := &linkedConn{Conn: conn, links: l, closed: make(chan struct{})}
 	l.mu.Lock()
 	l.conns = append(l.conns, linked)
+	onOpen := l.onOpen
 	l.mu.Unlock()
+	if onOpen != nil {
+		onOpen(address)
+	}
 	return linked, nil
 }
 
@@ -145,7 +158,7 @@
 		if err != nil {
 			return nil, errDial{err}
 		}
-		return conn, nil
+		return jujubehttp.TrackConn(conn), nil
 	}}
 	t.Cleanup(transport.CloseIdleConnections)
 	return httpCaller{&http.Client{Transport: transport}}
@@ -160,11 +173,11 @@
 		return jujubenode.Response{}, err
 	}
 	request.Header.Set("X-Request-Id", string(call.ID))
-	response, err := c.client.Do(request)
+	response, err := jujubehttp.SendOnce(c.client, request)
 	if err != nil {
-		failed := jujubenode.ErrCall{Ran: model.RanUnknown, Reason: err.Error()}
-		if errors.As(err, new(errDial)) {
-			failed.Ran, failed.Refused = model.RanNo, true
+		failed := jujubenode.ErrCall{Ran: model.RanUnknown, Refused: errors.As(err, new(errDial)), Reason: err.Error()}
+		if failed.Refused || errors.As(err, new(jujubehttp.ErrUnsent)) {
+			failed.Ran = model.RanNo
 		}
 		return jujubenode.Response{}, failed
 	}
--- a/entry/services/jujubenode/oldview_test.go
+++ b/entry/services/jujubenode/oldview_test.go
@@ -112,15 +112,33 @@
 	waitFor(t, "items start again", func() bool { return len(cluster.wired.after("i1", "s", bound)) > 0 })
 }
 
-// TestNoRequestByAnOldDesiredState guards against a caller's request that an instance serves by a desired state which may have been
-// replaced long ago, as its reads of that hang, and against refusals while no instance reaches the store.
-func TestNoRequestByAnOldDesiredState(t *testing.T) {
-	t.Parallel()
+// TestNoRequestByAnOldView guards against a caller's request that an instance serves by a desired state which may have been replaced long
+// ago, or sends to an endpoint that may have left long ago, as its reads of these hang, and against refusals while no instance reaches the
+// store.
+func TestNoRequestByAnOldView(t *testing.T) {
+	for name, call := range map[string]func(ctx context.Context, node *jujubenode.Node) error{
+		"desired state": func(ctx context.Context, node *jujubenode.Node) error {
+			_, err := node.MatchRoute(ctx, "h", "/score/x")
+			return err
+		},
+		"endpoints": func(ctx context.Context, node *jujubenode.Node) error {
+			_, err := node.Forward(ctx, scoringRoute, jujubenode.PlainRequest{ID: "r", Method: "GET", URI: "/score/x", Host: "h", Deadline: time.Now().Add(time.Second)})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testOldView(t, call)
+		})
+	}
+}
+
+func testOldView(t *testing.T, call func(ctx context.Context, node *jujubenode.Node) error) {
 	cluster, nodes, stores := startWired(t, jujubenode.DefaultDirectReaders)
-	serves := func() error {
-		_, err := nodes[1].MatchRoute(t.Context(), "h", "/score/x")
-		return err
+	cluster.engines.respond = func(context.Context, jujubenode.Call) (jujubenode.Response, error) {
+		return jujubenode.Response{Status: http.StatusOK, Stamp: "stamp"}, nil
 	}
+	serves := func() error { return call(t.Context(), nodes[1]) }
 	assert.NilError(t, serves())
 	stores[1].setHold(loseResponse)
 	for _, links := range cluster.peerLinks {
@@ -162,6 +180,7 @@
 func startWired(t *testing.T, directReaders int) (*testCluster, []*jujubenode.Node, []*blockableStore) {
 	cluster := newTestCluster(t)
 	cluster.directReaders, cluster.sameDataCentre, cluster.extraEngines = directReaders, true, 4
+	cluster.endpointLeaveTime = testCancelTime
 	cluster.wired = newWiredEngines(t, 21, 100*time.Millisecond)
 	cluster.peerLinks = map[model.InstanceID]*testLinks{"i0": {}, "i2": {}}
 	var nodes []*jujubenode.Node
--- a/entry/services/jujubenode/score.go
+++ b/entry/services/jujubenode/score.go
@@ -21,18 +21,18 @@
 	ctx, cancel := context.WithCancel(n.tomb.Context(nil))
 	n.activeRuns[start.Run] = activeRun{cancel: cancel}
 	decidedAt := time.Now()
-	ctx = jujubehttp.WithSendPermit(ctx, func() jujubehttp.SendPermit { return n.permitSend(start.Submission, start.Run, decidedAt) })
+	permit := func() jujubehttp.SendPermit { return n.permitSend(start.Submission, start.Run, decidedAt) }
 	n.tomb.Go(func() error {
 		defer cancel()
-		n.runScoring(ctx, start)
+		n.runScoring(ctx, start, permit)
 		return nil
 	})
 }
 
 // runScoring makes a scoring call and passes its outcome to the scheduler.
-func (n *Node) runScoring(ctx context.Context, start jujubebatch.StartScoring) {
+func (n *Node) runScoring(ctx context.Context, start jujubebatch.StartScoring, permit func() jujubehttp.SendPermit) {
 	startedAt := time.Now()
-	outcome, tries, err := n.callScoring(ctx, start)
+	outcome, tries, err := n.callScoring(ctx, start, permit)
 	n.metrics.scorings.UpdateDuration(startedAt)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -51,7 +51,7 @@
 	n.notifyChange()
 }
 
-func (n *Node) callScoring(ctx context.Context, start jujubebatch.StartScoring) (outcome jujubebatch.ScoringOutcome, tries int, err error) {
+func (n *Node) callScoring(ctx context.Context, start jujubebatch.StartScoring, permit func() jujubehttp.SendPermit) (outcome jujubebatch.ScoringOutcome, tries int, err error) {
 	content := start.InlineContent
 	if content.Headers == nil {
 		if content, err = n.partitionOf(start.Submission).fetchContent(ctx, start.Content); err != nil {
@@ -73,7 +73,7 @@
 		ID: start.Call.ID, IsEnforced: n.hasOrganisations(), Method: http.MethodPost, URI: start.Call.Path, Host: start.Call.Host,
 		Body: content.ScoringBody, Deadline: deadline,
 	})
-	f.retryable, f.priority = true, model.PriorityTrainer
+	f.retryable, f.priority, f.permit = true, model.PriorityTrainer, permit
 	f.onResponse = func(response Response) { outcome.AddResponse(response.Status, response.Stamp) }
 	_, err = f.run(ctx)
 	if refused, ok := jujubeerror.IsErrRefused(err); ok && refused.Code == jujubeerror.CodeOverloaded && f.attempts == 0 {
--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -12,6 +12,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/modules/jujubehttp"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujuberouter"
@@ -155,11 +156,11 @@
 		}
 		s.attempts++
 		s.triedEndpoints = append(s.triedEndpoints, decision.Endpoint)
-		call := s.newCall(decision)
+		call, gate := s.newCall(decision), s.newGate(decision)
 		call.After = s.after
 		s.usage.beginAttempt()
 		sentAt := time.Now()
-		response, err := s.node.endpointCaller.Stream(ctx, call)
+		response, err := s.node.endpointCaller.Stream(jujubehttp.WithSendPermit(ctx, gate.check), call)
 		switch {
 		case err != nil:
 			s.usage.endStream()
@@ -176,7 +177,10 @@
 			}
 		} else {
 			s.node.finishAttempt(ctx, id, call, response.Response, err)
-			if s.handleOutcome(attempt{decision.Endpoint, response.Response, err}) && !s.started {
+			if gate.isDenied.Load() {
+				s.discountAttempt(decision.Endpoint)
+			}
+			if s.handleOutcome(attempt{endpoint: decision.Endpoint, response: response.Response, err: err}) && !s.started {
 				return response.Response, nil
 			}
 		}
