jujubehttp: renew the permit of a request that isn't complete

Cause: the time of a request was fixed at its first byte, at most 2.9 s, even if views were read again meanwhile. A request that takes longer on a slow link was reset at each attempt although nothing had changed (review, by reading).

Change: when a permit ends and bytes are held, or more are written, the check is asked again; only if it denies is the rest taken back.

--- a/core/modules/jujubehttp/sendguard.go
+++ b/core/modules/jujubehttp/sendguard.go
@@ -18,6 +18,8 @@
 	// takeBackAfter is when what the server hasn't acknowledged is taken back. The rest of SendMargin is for bytes on the link and for a
 	// process that is short of processor time.
 	takeBackAfter = SendMargin - 100*time.Millisecond
+	// minRenewInterval is the minimum time between two permits of a request.
+	minRenewInterval = 50 * time.Millisecond
 )
 
 // errSendLate is returned for a write of a request whose time is over.
@@ -32,9 +34,12 @@
 	raw syscall.RawConn
 
 	mu sync.Mutex
-	// endsAt is when the rest of the current request is taken back; zero for no limit. timer takes it back.
+	// endsAt is when the rest of the current request is taken back; zero for no limit. timer asks for a further permit when the
+	// current one ends, and takes the rest back without one.
 	endsAt jujubeclock.Instant
 	timer  *time.Timer
+	// renew returns the end of a further permit, zero for no limit, and whether there is one; it may be nil.
+	renew func() (permitEndsAt jujubeclock.Instant, isAllowed bool)
 	// limits counts the limits that were set.
 	limits int
 	// writing is the number of writes in progress. isOver refuses further ones.
@@ -61,18 +66,29 @@
 	}
 }
 
-// Limit sets when the permit of the current request ends; zero for no limit. What was written without a limit isn't taken back.
-func (g *SendGuard) Limit(permitEndsAt jujubeclock.Instant) {
+// Limit sets when the permit of the current request ends; zero for no limit. What was written without a limit isn't taken back. A request
+// that isn't complete then goes on if renew gives a further permit; renew may be nil.
+func (g *SendGuard) Limit(permitEndsAt jujubeclock.Instant, renew func() (jujubeclock.Instant, bool)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.clear()
+	g.limits++
+	g.setLimit(permitEndsAt, renew)
+}
+
+// setLimit sets the end of the permit; the lock is held.
+func (g *SendGuard) setLimit(permitEndsAt jujubeclock.Instant, renew func() (jujubeclock.Instant, bool)) {
 	if permitEndsAt == 0 {
 		return
 	}
-	g.endsAt = permitEndsAt.Add(takeBackAfter)
-	g.limits++
-	limit, remaining := g.limits, max(time.Millisecond, g.endsAt.Sub(jujubeclock.Now()))
-	g.timer = time.AfterFunc(remaining, func() { g.end(limit) })
+	g.endsAt, g.renew = permitEndsAt.Add(takeBackAfter), renew
+	now, limit := jujubeclock.Now(), g.limits
+	remaining := max(time.Millisecond, g.endsAt.Sub(now))
+	if renew == nil {
+		g.timer = time.AfterFunc(remaining, func() { g.end(limit) })
+	} else {
+		g.timer = time.AfterFunc(max(minRenewInterval, permitEndsAt.Sub(now)), func() { g.extend(limit) })
+	}
 	if milliseconds := int(remaining.Milliseconds()); g.userTimeout == 0 || milliseconds < g.userTimeout {
 		g.setUserTimeout(milliseconds)
 	}
@@ -92,6 +108,29 @@
 	g.control(func(fd int) { _ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds) })
 }
 
+// extend asks for a further permit if the request with a limit isn't complete.
+func (g *SendGuard) extend(limit int) {
+	g.mu.Lock()
+	isDue, renew := g.limits == limit && g.endsAt != 0 && g.isHeld(), g.renew
+	g.mu.Unlock()
+	if !isDue {
+		g.end(limit)
+		return
+	}
+	permitEndsAt, isAllowed := renew() // without the lock, as it may take others
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limits != limit || g.endsAt == 0 {
+		return
+	}
+	if isAllowed {
+		g.clear()
+		g.setLimit(permitEndsAt, renew)
+		return
+	}
+	g.timer = time.AfterFunc(max(time.Millisecond, g.endsAt.Sub(jujubeclock.Now())), func() { g.end(limit) })
+}
+
 // end takes back what is left of the request with a limit.
 func (g *SendGuard) end(limit int) {
 	g.mu.Lock()
@@ -136,13 +175,30 @@
 	defer g.mu.Unlock()
 	// A paused process runs its timers late.
 	g.isOver = g.isOver || g.endsAt != 0 && jujubeclock.Now() >= g.endsAt
-	if g.isOver {
+	if g.isOver && !g.resume() {
 		return false
 	}
 	g.writing++
 	return true
 }
 
+// resume asks for a further permit for the next write of a request whose time is over. The lock is held, but not while it asks.
+func (g *SendGuard) resume() bool {
+	limit, renew := g.limits, g.renew
+	if renew == nil {
+		return false
+	}
+	g.mu.Unlock()
+	permitEndsAt, isAllowed := renew()
+	g.mu.Lock()
+	if !isAllowed || g.limits != limit || g.endsAt == 0 {
+		return false
+	}
+	g.clear()
+	g.setLimit(permitEndsAt, renew)
+	return true
+}
+
 func (g *SendGuard) endWrite() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/core/modules/jujubehttp/sendonce.go
+++ b/core/modules/jujubehttp/sendonce.go
@@ -98,7 +98,7 @@
 			c.abandoned, c.denied = true, true
 		case permit.Valid > 0:
 			c.expiresAt = askedAt.Add(permit.Valid)
-			c.guard.Limit(c.expiresAt)
+			c.guard.Limit(c.expiresAt, renewal(check))
 		}
 	}
 	if c.abandoned {
@@ -108,12 +108,23 @@
 	return c.expiresAt, true
 }
 
+// renewal returns a function that asks a check for a further permit.
+func renewal(check func() SendPermit) func() (jujubeclock.Instant, bool) {
+	return func() (jujubeclock.Instant, bool) {
+		askedAt, permit := jujubeclock.Now(), check()
+		if permit.Valid == 0 {
+			return 0, permit.Allowed
+		}
+		return askedAt.Add(permit.Valid), permit.Allowed && permit.Valid > 0
+	}
+}
+
 // begin prepares the connection for a request, and returns the count of its writes.
 func (c *TrackedConn) begin(check func() SendPermit) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.check, c.expiresAt = check, 0
-	c.guard.Limit(0)
+	c.guard.Limit(0, nil)
 	return c.writes
 }
 
--- a/entry/modules/jujubepeer/tunnel.go
+++ b/entry/modules/jujubepeer/tunnel.go
@@ -165,7 +165,7 @@
 		reply.Expired = true
 		return nil
 	}
-	t.guard.Limit(expiresAt)
+	t.guard.Limit(expiresAt, nil)
 	if _, err := t.guard.Write(args.Data); err != nil {
 		reply.Broken = err.Error()
 	}
