jujubenode: mend what the review of surveys and ends in hand found

A reviewer who hadn't seen the work read the merged code. Mended, by reading unless said:

Holds went to the live instances only. While appends fail and reads go on no heartbeat arrives, so nobody counts as live and nobody was told: they go to all that wrote one in the last 15 s. A member list that emptied in that way vouched for any view ("Update with no others gives StoreAway for a view of 20 s", run by the reviewer): it doesn't while an instance doesn't read its own heartbeats back; the same for submissions after a gap. A survey didn't ask for ends in hand, and ends that the writer of results appended weren't told: both are now. An end was refused, and the submission released, although an earlier caller had gone without an answer, or over 3 s after its receipt; an owed end of a submission that isn't known here was dropped without a read; a release in the same message undid a newer hold. If the first instance that had read furthest was gone, the others asked no other one for its records (TestGoneHolder fails without the change).

--- a/core/services/jujubeview/survey.go
+++ b/core/services/jujubeview/survey.go
@@ -33,7 +33,9 @@
 type Survey struct {
 	// confirmedAt holds when each instance was last asked successfully, by the clock of the one that asks.
 	confirmedAt map[model.InstanceID]jujubeclock.Instant
-	parts       map[Part]*partKnowledge
+	// gone are the instances whose process was gone when they were last asked.
+	gone  map[model.InstanceID]bool
+	parts map[Part]*partKnowledge
 }
 
 // partKnowledge is what at least one instance knows of a partition. Both fields only increase.
@@ -46,19 +48,23 @@
 
 // NewSurvey returns a survey without answers.
 func NewSurvey() *Survey {
-	return &Survey{confirmedAt: make(map[model.InstanceID]jujubeclock.Instant), parts: make(map[Part]*partKnowledge)}
+	return &Survey{
+		confirmedAt: make(map[model.InstanceID]jujubeclock.Instant), gone: make(map[model.InstanceID]bool),
+		parts: make(map[Part]*partKnowledge),
+	}
 }
 
 // Record adds the answer of an instance that was asked at a time.
 func (s *Survey) Record(askedAt jujubeclock.Instant, from model.InstanceID, answer []Known) {
 	s.confirmedAt[from] = max(s.confirmedAt[from], askedAt)
+	delete(s.gone, from)
 	for _, known := range answer {
 		part, ok := s.parts[known.Part]
 		if !ok {
 			part = &partKnowledge{holder: from}
 			s.parts[known.Part] = part
 		}
-		if known.Next > part.next {
+		if known.Next > part.next || known.Next == part.next && s.gone[part.holder] {
 			part.next, part.holder = known.Next, from
 		}
 		if known.HasView {
@@ -68,7 +74,10 @@
 }
 
 // RecordGone records that the process of an instance was gone at a time: it acknowledges nothing any more.
-func (s *Survey) RecordGone(at jujubeclock.Instant, id model.InstanceID) { s.Record(at, id, nil) }
+func (s *Survey) RecordGone(at jujubeclock.Instant, id model.InstanceID) {
+	s.Record(at, id, nil)
+	s.gone[id] = true
+}
 
 // Member is an instance that may acknowledge records.
 type Member struct {
--- a/core/services/jujubeview/survey_test.go
+++ b/core/services/jujubeview/survey_test.go
@@ -150,3 +150,15 @@
 		})
 	}
 }
+
+// TestGoneHolder guards against records that an instance can't get, as the first one that had them is gone, although another one has them.
+func TestGoneHolder(t *testing.T) {
+	part := jujubeview.Part{Topic: "submissions"}
+	survey := jujubeview.NewSurvey()
+	answer := []jujubeview.Known{{Part: part, Next: 9}}
+	survey.Record(at(0), "a", answer)
+	survey.RecordGone(at(time.Second), "a")
+	survey.Record(at(time.Second), "b", answer)
+	holder, lacks := survey.Report(at(time.Second), []model.InstanceID{"a", "b"}).Lacks(part, 3)
+	assert.Assert(t, lacks && holder == "b", holder)
+}
--- a/entry/services/jujubenode/ends.go
+++ b/entry/services/jujubenode/ends.go
@@ -25,6 +25,8 @@
 	holdTTL = 10 * time.Second
 	// holdTimeout bounds the calls of a broadcast.
 	holdTimeout = 4 * time.Second
+	// maxRefusalDelay is how long after its receipt an end may be refused: a caller counts an end without a response after 4 s.
+	maxRefusalDelay = 3 * time.Second
 	// owedEndWait bounds how long a repeated end waits for an earlier one whose outcome isn't known.
 	owedEndWait = appendTimeout
 )
@@ -51,8 +53,10 @@
 type endInHand struct {
 	submission jujubebatch.SubmissionID
 	receivedAt time.Time
-	// callers is the number of callers that wait for the first attempt to write the end.
-	callers int
+	// callers is the number of callers that wait for the first attempt to write the end. hasLostCaller is true once one has gone without
+	// an answer.
+	callers       int
+	hasLostCaller bool
 	// doneCh is closed when that has ended, with err.
 	doneCh chan struct{}
 	err    error
@@ -81,7 +85,7 @@
 		err = n.awaitOwedEnd(ctx, id)
 	default:
 		if isNew {
-			n.passEnd(ctx, end)
+			n.passEnd(end)
 		}
 		err = n.awaitOutcome(ctx, end)
 	}
@@ -122,19 +126,17 @@
 	}
 }
 
-// passEnd passes a new end to writeEnds.
-func (n *Node) passEnd(ctx context.Context, end *endInHand) {
-	err := refusal(jujubeerror.CodeStoreFailed, "the instance is stopping")
+// passEnd passes a new end to writeEnds, which takes it at once, unless this instance is stopping.
+func (n *Node) passEnd(end *endInHand) {
 	select {
 	case n.ends.receivedCh <- end:
 		return
 	case <-n.tomb.Dying():
-	case <-ctx.Done():
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.dropEnd(end.submission)
-	end.err = err
+	end.err = refusal(jujubeerror.CodeStoreFailed, "the instance is stopping")
 	close(end.doneCh)
 }
 
@@ -154,6 +156,7 @@
 	default:
 	}
 	end.callers--
+	end.hasLostCaller = true
 	return unknownOutcome("the caller or this instance is gone before the end is known to be on the log")
 }
 
@@ -200,7 +203,8 @@
 	err := n.tryEnd(ctx, id)
 	n.mu.Lock()
 	refused, isRefused := jujubeerror.IsErrRefused(err)
-	isTold := isRefused && refused.Ran == model.RanNo && end.callers > 0 && !end.isOwed
+	isTold := isRefused && refused.Ran == model.RanNo && end.callers > 0 && !end.hasLostCaller && !end.isOwed &&
+		time.Since(end.receivedAt) < maxRefusalDelay
 	switch {
 	case err == nil || isTold || errors.As(err, new(ErrUnknownSubmission)):
 		n.dropEnd(id)
@@ -244,7 +248,7 @@
 	}
 	delete(n.ends.bySubmission, id)
 	n.scheduler.ReleaseSubmission(id, n.identity.Instance)
-	if _, ended := n.scheduler.SubmissionStatus(id); end.isAnnounced && !ended {
+	if _, ended := n.scheduler.SubmissionStatus(id); end.isAnnounced && !end.isOwed && !ended {
 		n.ends.released = append(n.ends.released, id)
 	}
 }
@@ -272,6 +276,16 @@
 	n := r.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.applyHold(args)
+	n.notifyChange()
+	return nil
+}
+
+// applyHold holds and releases submissions for another instance; the lock is held.
+func (n *Node) applyHold(args HoldArgs) {
+	for _, id := range args.Released {
+		n.scheduler.ReleaseSubmission(id, args.From)
+	}
 	for _, id := range args.Held {
 		if _, ended := n.scheduler.SubmissionStatus(id); ended {
 			continue
@@ -281,11 +295,6 @@
 		}
 		n.executeActions(n.scheduler.HoldSubmission(id, args.From, time.Now().Add(holdTTL)))
 	}
-	for _, id := range args.Released {
-		n.scheduler.ReleaseSubmission(id, args.From)
-	}
-	n.notifyChange()
-	return nil
 }
 
 // announceEnds tells the other instances of the ends that wait for the store, until the context ends. An instance of an earlier build
@@ -318,7 +327,9 @@
 func (n *Node) tellHold(ctx context.Context, args HoldArgs) {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
-	addresses := n.peerAddresses()
+	n.mu.Lock()
+	addresses := n.claimants() // others may run items although no heartbeat of them arrives
+	n.mu.Unlock()
 	done := make(chan error, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -352,14 +363,16 @@
 func (n *Node) nextHold(now time.Time) HoldArgs {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	args := HoldArgs{From: n.identity.Instance, Released: n.ends.released}
+	isInHand := func(id jujubebatch.SubmissionID) bool { return n.ends.bySubmission[id] != nil }
+	args := HoldArgs{From: n.identity.Instance, Released: slices.DeleteFunc(n.ends.released, isInHand)}
 	n.ends.released = nil
 	for _, id := range slices.Sorted(maps.Keys(n.ends.bySubmission)) {
 		end := n.ends.bySubmission[id]
 		known, ended := n.scheduler.SubmissionStatus(id)
 		age := now.Sub(end.receivedAt)
+		isUnknown := !known && n.partitionOf(id).follower.caughtUpAt.After(end.receivedAt)
 		switch {
-		case end.isOwed && (ended || !known && age > holdTTL):
+		case end.isOwed && (ended || isUnknown && age > holdTTL):
 			n.dropEnd(id)
 		case !ended && age >= holdDelay:
 			end.isAnnounced = true
--- a/entry/services/jujubenode/gap.go
+++ b/entry/services/jujubenode/gap.go
@@ -91,11 +91,10 @@
 func (p *partition) checkNew(ctx context.Context, id jujubebatch.SubmissionID) error {
 	n := p.node
 	n.mu.Lock()
-	missing := p.gap.missing
+	missing, addresses, isNew := p.gap.missing, n.claimants(), n.knowsMembers()
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	addresses := n.peerAddresses()
 	areNew := make(chan bool, len(addresses))
 	for _, address := range addresses {
 		go func() {
@@ -105,7 +104,6 @@
 			areNew <- err == nil && len(reply.Statuses) == 1 && !reply.Statuses[0].Known && reply.Read.End >= missing.End
 		}()
 	}
-	isNew := true
 	for range addresses {
 		isNew = <-areNew && isNew
 	}
--- a/entry/services/jujubenode/outage.go
+++ b/entry/services/jujubenode/outage.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/services/jujuberegistry"
 )
 
 const (
@@ -42,6 +44,14 @@
 	return addresses
 }
 
+// knowsMembers reports whether the claimants are known: while not even this instance's own heartbeats are read back, those of others may
+// be missing as well. The lock is held.
+func (n *Node) knowsMembers() bool {
+	return slices.ContainsFunc(n.registry.Recent(claimantWindow), func(h jujuberegistry.Heartbeat) bool {
+		return h.Instance == n.identity.Instance
+	})
+}
+
 // PromiseArgs ask for the promise not to claim the lease while its holder can't reach the log.
 type PromiseArgs struct {
 	Holder       model.InstanceID
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -162,9 +162,7 @@
 	defer cancel()
 	offset, err := p.node.store.Append(ctx, topicSubmissions, p.number, records, NoCondition)
 	if err == nil && entry.End != nil {
-		p.node.mu.Lock()
-		defer p.node.mu.Unlock()
-		p.recordUnreadEnd(UnreadEnd{Submission: entry.End.Submission, Part: p.number, Offset: offset})
+		p.recordAppendedEnds([]jujubebatch.SubmissionID{entry.End.Submission}, offset)
 	}
 	return err
 }
@@ -342,6 +340,7 @@
 		return err
 	}
 	var pending []Record
+	var ends []jujubebatch.SubmissionID
 	size := 0
 	flush := func() error {
 		if len(pending) == 0 {
@@ -349,8 +348,11 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
-		_, err := p.node.store.Append(callCtx, topicSubmissions, p.number, pending, NoCondition)
-		pending, size = nil, 0
+		offset, err := p.node.store.Append(callCtx, topicSubmissions, p.number, pending, NoCondition)
+		if err == nil {
+			p.recordAppendedEnds(ends, offset+int64(len(pending))-1)
+		}
+		pending, ends, size = nil, nil, 0
 		return err
 	}
 	for _, entry := range entries {
@@ -364,6 +366,18 @@
 			}
 		}
 		pending, size = append(pending, records...), size+bytes
+		if entry.End != nil {
+			ends = append(ends, entry.End.Submission)
+		}
 	}
 	return flush()
 }
+
+// recordAppendedEnds records ends that this instance has appended, at an offset or before it.
+func (p *partition) recordAppendedEnds(ends []jujubebatch.SubmissionID, offset int64) {
+	p.node.mu.Lock()
+	defer p.node.mu.Unlock()
+	for _, id := range ends {
+		p.recordUnreadEnd(UnreadEnd{Submission: id, Part: p.number, Offset: offset})
+	}
+}
--- a/entry/services/jujubenode/survey.go
+++ b/entry/services/jujubenode/survey.go
@@ -43,6 +43,8 @@
 	answers *jujubeview.Survey
 	roundAt jujubeclock.Instant
 	asking  map[model.InstanceID]bool
+	// holds are the ends that instances had in hand when they answered last.
+	holds map[model.InstanceID]HoldArgs
 	// pausedUntil holds the collectors that couldn't be reached. turn selects one of the others; it increases after a report that
 	// doesn't cover all instances.
 	pausedUntil map[model.InstanceID]jujubeclock.Instant
@@ -52,6 +54,7 @@
 func newSurvey(n *Node) *survey {
 	return &survey{
 		node: n, roundCh: make(chan struct{}, 1), answers: jujubeview.NewSurvey(), asking: make(map[model.InstanceID]bool),
+		holds:       make(map[model.InstanceID]HoldArgs),
 		pausedUntil: make(map[model.InstanceID]jujubeclock.Instant),
 	}
 }
@@ -137,6 +140,14 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.applyUnreadEnds(reply.UnreadEnds)
+	for _, hold := range reply.Holds {
+		if hold.From != n.identity.Instance {
+			n.applyHold(hold)
+		}
+	}
+	if !n.knowsMembers() {
+		reply.Report.Missing = append(reply.Report.Missing, n.identity.Instance)
+	}
 	isHelpful := true
 	for _, f := range followers {
 		isHelpful = f.updateView(requestedAt, reply.Report, others) && isHelpful
@@ -202,7 +213,7 @@
 // know returns what this instance knows, for a question that arrived at a time; the lock is held.
 func (s *survey) know(arrived jujubeclock.Instant) KnownReply {
 	n := s.node
-	var reply KnownReply
+	reply := KnownReply{Hold: HoldArgs{From: n.identity.Instance, Held: slices.Sorted(maps.Keys(n.ends.bySubmission))}}
 	for _, f := range s.gated() {
 		reply.Known = append(reply.Known, jujubeview.Known{
 			Part: f.surveyPart(), Next: f.next, Holder: n.identity.Instance, Age: f.viewTime.Ages(arrived).RequestAge, HasView: true,
@@ -230,6 +241,7 @@
 	addresses := n.claimants()
 	if askedAt.Sub(s.roundAt) > answerRetention {
 		s.answers = jujubeview.NewSurvey()
+		clear(s.holds)
 		maps.DeleteFunc(s.pausedUntil, func(_ model.InstanceID, until jujubeclock.Instant) bool { return until <= askedAt })
 	}
 	n.mu.Unlock()
@@ -241,7 +253,11 @@
 	now := n.bootClock()
 	own := s.know(now)
 	s.answers.Record(now, n.identity.Instance, own.Known)
-	return SurveyReply{Report: s.answers.Report(arrived, append(otherIDs(addresses), n.identity.Instance)), UnreadEnds: own.UnreadEnds}
+	s.holds[n.identity.Instance] = own.Hold
+	return SurveyReply{
+		Report:     s.answers.Report(arrived, append(otherIDs(addresses), n.identity.Instance)),
+		UnreadEnds: own.UnreadEnds, Holds: slices.Collect(maps.Values(s.holds)),
+	}
 }
 
 // ask asks the other instances that have no question to answer yet, and waits for a while.
@@ -292,6 +308,7 @@
 	switch {
 	case err == nil:
 		s.answers.Record(askedAt, id, reply.Known)
+		s.holds[id] = reply.Hold
 		for _, end := range reply.UnreadEnds {
 			if end.Part < len(n.partitions) {
 				n.partitions[end.Part].recordUnreadEnd(end)
--- a/entry/services/jujubenode/surveycalls.go
+++ b/entry/services/jujubenode/surveycalls.go
@@ -25,6 +25,8 @@
 type SurveyReply struct {
 	Report     jujubeview.Report
 	UnreadEnds []UnreadEnd
+	// Holds are the ends that instances have in hand.
+	Holds []HoldArgs
 }
 
 // Survey returns what this instance knows if it reads the log, and otherwise what all instances know.
@@ -40,7 +42,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	own := s.know(arrived)
-	reply.Report.Known, reply.UnreadEnds = own.Known, own.UnreadEnds
+	reply.Report.Known, reply.UnreadEnds, reply.Holds = own.Known, own.UnreadEnds, []HoldArgs{own.Hold}
 	return nil
 }
 
@@ -51,6 +53,8 @@
 type KnownReply struct {
 	Known      []jujubeview.Known
 	UnreadEnds []UnreadEnd
+	// Hold has the ends that the instance has in hand.
+	Hold HoldArgs
 }
 
 // Known returns what this instance has read, and which ends it has appended since.
