jujubebatch: name the replies about doubts for what they are

Two types were named Survey, for different questions: what all instances have read (jujubeview), and whether none can tell what expired (jujubebatch). The latter is DoubtReplies now.

--- a/entry/services/jujubenode/ends.go
+++ b/entry/services/jujubenode/ends.go
@@ -322,7 +322,7 @@
 	return nil
 }
 
-// tellHold tells all other live instances. One that doesn't reply soon may be slow, or this one is: a further call on a connection of its
+// tellHold tells all that may run items. One that doesn't reply soon may be slow, or this one is: a further call on a connection of its
 // own isn't broken off when other calls there are.
 func (n *Node) tellHold(ctx context.Context, args HoldArgs) {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
--- a/entry/services/jujubenode/gap.go
+++ b/entry/services/jujubenode/gap.go
@@ -33,9 +33,9 @@
 	// missing is the range of the latest records that expired unread, and number counts such ranges; guarded by the node's lock.
 	missing jujubebatch.Span
 	number  int
-	// survey has the replies since the range surveyed; only resolveDoubts uses both.
-	survey   jujubebatch.Survey
-	surveyed int
+	// replies are those since the range with the number repliesTo expired; only resolveDoubts uses both.
+	replies   jujubebatch.DoubtReplies
+	repliesTo int
 }
 
 // mayHaveMissed reports whether a submission that this instance hasn't read may still be readable elsewhere; the lock is held.
@@ -137,22 +137,22 @@
 	n.mu.Lock()
 	questions, missing, number := n.scheduler.Questions(p.holds), p.gap.missing, p.gap.number
 	n.mu.Unlock()
-	if inDoubt = len(questions); inDoubt == 0 || number != p.gap.surveyed {
-		p.gap.survey.Restart()
-		p.gap.surveyed = number
+	if inDoubt = len(questions); inDoubt == 0 || number != p.gap.repliesTo {
+		p.gap.replies.Restart()
+		p.gap.repliesTo = number
 	}
 	if inDoubt == 0 {
 		return 0, 0
 	}
 	addresses := n.peerAddresses()
 	peers := slices.Sorted(maps.Keys(addresses))
-	p.gap.survey.SetLive(peers)
+	p.gap.replies.SetLive(peers)
 	for range min(askedPerRound, len(peers)) {
 		peer := peers[p.gap.nextPeer%len(peers)]
 		p.gap.nextPeer++
 		known, read, replied := p.askPeer(ctx, addresses[peer], questions)
 		if replied {
-			p.gap.survey.Record(peer, read, missing)
+			p.gap.replies.Record(peer, read, missing)
 		}
 		if resolved += known; known > 0 {
 			n.log.Write(jujubeevent.DoubtResolved, func() logrus.Fields {
@@ -166,7 +166,7 @@
 	n.mu.Lock()
 	isCurrent := number == p.gap.number
 	n.mu.Unlock()
-	if isCurrent && p.gap.survey.IsComplete() {
+	if isCurrent && p.gap.replies.IsComplete() {
 		p.abandonDoubts(inDoubt - resolved)
 		resolved = inDoubt
 	}
