--- a/entry/services/jujubenode/callgate.go
+++ b/entry/services/jujubenode/callgate.go
@@ -54,8 +54,8 @@
 	return isKnown && !endpoint.Leaving && endpoint.Incarnation == decision.Incarnation && n.checkEndpoints()
 }
 
-// checkEndpoints reports whether requests may be sent by the endpoints' entries. An instance without others sends them whatever the age.
-// The lock is held.
+// checkEndpoints reports whether requests may be sent by the endpoints' entries. An instance without others sends them whatever the age, and
+// also if another one can't read the entries either: callers would find no instance with a better view. The lock is held.
 func (n *Node) checkEndpoints() bool {
 	f := n.endpointFollower
 	if f == nil || len(n.liveInstances) <= 1 {
@@ -63,7 +63,7 @@
 	}
 	now, view := n.bootClock(), f.view()
 	f.needsRefresh = f.needsRefresh || f.gate.ShouldRefresh(now, view)
-	return f.gate.Check(now, view).Allows()
+	return f.gate.Check(now, view).Allows() || n.store.isConfirmedDown(time.Now(), f.topic, f.part)
 }
 
 // awaitEndpoints waits, for a limited time, until the endpoints' entries are recent enough to choose an endpoint by them. A request beside
