review: free ports below the range of outgoing connections

Cause: the stand-in asked the system for a free port and closed it again; such ports come from the range of outgoing connections, so one could be taken before a process listened at it.

--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -5,8 +5,10 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -73,11 +75,23 @@
 	return append([]string(nil), s.runs[id]...)
 }
 
+// usedPorts are those that freeAddress has returned; they lie below the system's range for outgoing connections.
+var usedPorts = map[int]bool{}
+
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range 1000 {
+		port := 20000 + rand.Intn(10000)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil || usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
+		check(listener.Close())
+		return address
+	}
+	check(errors.New("no free port"))
+	return ""
 }
 
 var zones = []string{"ktm-a", "ktm-b", "ktm-c"}
@@ -178,6 +192,7 @@
 	return map[string]any{
 		"version": version, "routes": append([]map[string]any{rollout}, routes...),
 		"services": []map[string]any{
+			{"name": "records", "health_path": "/healthz", "max_connections": 100},
 			{"name": "llm", "health_path": "/healthz", "max_connections": 150, "engine": map[string]any{
 				"slots": 12, "kv_cache_tokens": 38617, "models": []map[string]any{{"name": "m"}},
 			}},
