--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -137,9 +137,12 @@
 		s.mu.Unlock()
 	}()
 	s.site.recordRun(s.id, r, body)
+	isComplete := false
+	defer func() { s.site.recordEnd(s.id, id, isComplete) }()
 	w.Header().Set("X-Server-Stamp", fmt.Sprintf("%s.%s", s.id, id))
 	if len(s.models) > 0 {
 		s.generate(w, r)
+		isComplete = true
 		return
 	}
 	select {
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -39,6 +39,9 @@
 
 	mu   sync.Mutex
 	runs map[string][]string
+	// ends has the end of each item's or request's last run, and completed those that a server has finished.
+	ends      map[string]time.Time
+	completed map[string]bool
 }
 
 // node is a process of the system.
@@ -51,7 +54,9 @@
 func newSite(dir, record string, trouble bool) *site {
 	file, err := os.Create(record)
 	check(err)
-	return &site{dir: dir, trouble: trouble, store: newStore(), record: file, started: time.Now(), runs: map[string][]string{}}
+	return &site{dir: dir, trouble: trouble, store: newStore(), record: file, started: time.Now(), runs: map[string][]string{},
+		ends: map[string]time.Time{}, completed: map[string]bool{},
+	}
 }
 
 // note writes a line to record.txt.
@@ -69,6 +74,17 @@
 	s.runs[id] = append(s.runs[id], server)
 }
 
+// recordEnd records that a run has ended, and whether the server has finished it.
+func (s *site) recordEnd(server, id string, isComplete bool) {
+	if !isComplete {
+		s.note("%s breaks off %s", server, id)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends[id] = time.Now()
+	s.completed[id] = s.completed[id] || isComplete
+}
+
 func (s *site) runsOf(id string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
