jujubenode: combine the outcomes of all attempts of an append

Cause: relayedStore.call returned the refusal of the direct append when the append through another instance failed too, even if that one's outcome was unknown. The refusal says that nothing was done, so the caller got 503 while the other append had taken effect or would seconds later. The logs didn't show it: SubmissionRefused has the refusal only.

The error of an append states the outcome of all attempts, and event 5120 lists them. A connection to another instance that can't be opened is known to have had no effect (ErrConnect).

Ruled out: the 503 of the contents' append (the record isn't on the log then), and refusals of 429 alone (held before).

--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -87,6 +87,7 @@
 	ReadSlow          Number = 5117
 	DoubtResolved     Number = 5118
 	DoubtAbandoned    Number = 5119
+	AppendAttempted   Number = 5120
 
 	MemberChanged Number = 6001
 	PeerFailed    Number = 6002
@@ -192,6 +193,7 @@
 		{ReadSlow, "ReadSlow", warn, "A read of a partition took over a second longer than it was to wait for records."},
 		{DoubtResolved, "DoubtResolved", info, "Another instance, Peer, has told what the records of submissions say that expired before this instance read them."},
 		{DoubtAbandoned, "DoubtAbandoned", warn, "No live instance has read records of submissions that expired before this one read them; it goes on with what it knows."},
+		{AppendAttempted, "AppendAttempted", info, "An append whose first attempt failed. Attempts lists the paths with what is known of the effect; Ran is that of all together."},
 		{KeyForwarded, "KeyForwarded", info, "A non-idempotent request was forwarded to the instance that issued its key."},
 		{KeyUnknown, "KeyUnknown", warn, "The outcome of a non-idempotent request is unknown because the instance that issued its key is unreachable."},
 		{KeysHandedOver, "KeysHandedOver", info, "The outcomes of non-idempotent requests were handed over to a successor."},
--- a/entry/modules/jujubepeer/pool.go
+++ b/entry/modules/jujubepeer/pool.go
@@ -48,6 +48,17 @@
 	calls, sent, received atomic.Int64
 }
 
+// ErrConnect is returned for a call that wasn't sent, because the connection to the peer couldn't be opened.
+type ErrConnect struct {
+	Cause error
+}
+
+// Error returns the cause.
+func (e ErrConnect) Error() string { return "connect to peer: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e ErrConnect) Unwrap() error { return e.Cause }
+
 // Traffic holds the number of calls that this instance made to others, and their bytes.
 type Traffic struct {
 	Calls int64
@@ -128,7 +139,7 @@
 	}
 	dialed, err := p.dial(ctx, address)
 	if err != nil {
-		return nil, err
+		return nil, ErrConnect{Cause: err}
 	}
 	client := rpc.NewClient(countingConn{Conn: dialed, pool: p})
 	p.mu.Lock()
@@ -173,10 +184,7 @@
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: newKeepAlive()}
 	dialed, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "connect to peer")
-	}
-	return dialed, nil
+	return dialed, err
 }
 
 // CallDedicated makes a call on a dedicated connection: Call closes a connection when a call on it times out, which would abort
--- a/entry/services/jujubenode/ends_property_test.go
+++ b/entry/services/jujubenode/ends_property_test.go
@@ -39,6 +39,8 @@
 	By, EndBy int
 	Items     int
 	Patience  time.Duration
+	// Attempts is the number of attempts after which the caller gives up, each at the next machine; 0 for never.
+	Attempts int
 }
 
 // unansweredEndTime is the time after which an end without a response counts as acknowledged.
@@ -301,6 +303,9 @@
 // play submits a submission and ends it, or waits until it is complete. It returns what went wrong.
 func (r *endsRun) play(s plannedSubmission) string {
 	r.sleepUntil(s.At)
+	if s.Attempts > 0 {
+		return r.playAttempts(s)
+	}
 	if !r.try(func(ctx context.Context) error {
 		return r.node(s.By).Submit(ctx, route, newSubmission(string(s.ID), s.Items))
 	}) {
--- a/entry/services/jujubenode/faulty_test.go
+++ b/entry/services/jujubenode/faulty_test.go
@@ -38,6 +38,8 @@
 	// binds a machine all the same, so these don't count as faults.
 	appendsHang   faultKind = "appends hang"
 	appendsSilent faultKind = "appends silent"
+	// appendsLate are executed after a delay, and get no response.
+	appendsLate faultKind = "appends late"
 	// Slow machines are free of faults, but all that they send and receive is delayed, or all responses of the store, or those to reads,
 	// which the store makes without waiting for records.
 	slow       faultKind = "slow"
@@ -50,7 +52,7 @@
 	Machine  model.InstanceID
 	Kind     faultKind
 	From, To time.Duration
-	// Delay is that of a slow machine; zero for faults.
+	// Delay is that of a slow machine and of late appends; zero for other faults.
 	Delay time.Duration
 }
 
@@ -147,6 +149,10 @@
 		return 0, jujubenode.ErrStore{Call: "append", Done: true, Reason: "no response"}
 	}
 	err = s.do(ctx, "append", func() error {
+		if late, ok := s.machine.current(appendsLate); ok && isSubmission {
+			time.AfterFunc(late.Delay, func() { _, _ = s.Store.Append(context.Background(), topic, part, records, position) })
+			return loseResponse(ctx, "append")
+		}
 		offset, err = s.Store.Append(ctx, topic, part, records, position)
 		return err
 	})
--- /dev/null
+++ b/entry/services/jujubenode/refused_test.go
@@ -0,0 +1,93 @@
+package jujubenode_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/services/jujubebatch"
+	"jujubepier.example/entry/services/jujubenode"
+)
+
+// maxAppendDelay bounds how long after a call without a response the store may execute it.
+const maxAppendDelay = 6 * time.Second
+
+// playAttempts submits a submission until it is accepted or the caller gives up, and returns what went wrong: it exists although each attempt
+// was refused, or it isn't complete in the end although it was accepted.
+func (r *endsRun) playAttempts(s plannedSubmission) string {
+	refused, accepted := 0, false
+	for i := 0; i < s.Attempts && !accepted; i++ {
+		ctx, cancel := context.WithTimeout(r.t.Context(), 4*time.Second)
+		err := r.node((s.By+i)%r.Machines).Submit(ctx, route, newSubmission(string(s.ID), s.Items))
+		cancel()
+		accepted = err == nil
+		if refusal, ok := jujubeerror.IsErrRefused(err); ok && refusal.Ran == model.RanNo {
+			refused++
+			time.Sleep(refusal.RetryAfter)
+		}
+	}
+	r.sleepUntil(faultsTo + maxAppendDelay)
+	var exists bool
+	if !r.try(func(ctx context.Context) error {
+		page, err := r.node(s.By).ReadResults(ctx, s.ID, 0, 0)
+		isUnknown := errors.As(err, new(jujubenode.ErrUnknownSubmission))
+		if exists = err == nil; exists && len(page.Results) < page.Total {
+			return errors.New("items are left")
+		}
+		if isUnknown {
+			return nil
+		}
+		return err
+	}) {
+		return string(s.ID) + " can't be read to its end"
+	}
+	switch {
+	case exists && refused == s.Attempts:
+		return fmt.Sprintf("%s was refused %d times and ran", s.ID, refused)
+	case !exists && accepted:
+		return string(s.ID) + " was accepted and is unknown"
+	}
+	return ""
+}
+
+// TestRefusedSubmissionsDontRun guards against submissions that callers take for not done, as the store refused the direct append, while the
+// append through another instance, whose response was lost, has taken effect or still will.
+func TestRefusedSubmissionsDontRun(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := endsCase{Machines: rapid.IntRange(2, 5).Draw(rt, "machines"), DirectReaders: rapid.IntRange(1, 5).Draw(rt, "direct readers")}
+		for outage := range rapid.IntRange(1, 3).Draw(rt, "outages") {
+			from := 4*time.Second + time.Duration(outage)*5*time.Second
+			for i := range c.Machines {
+				name := fmt.Sprintf("outage %d at %d", outage, i)
+				kind := rapid.SampledFrom([]faultKind{storeRefuses, appendsSilent, appendsLate, appendsHang, storeHangs, down, ""}).Draw(rt, name)
+				if kind == "" {
+					continue
+				}
+				f := fault{Machine: model.InstanceID(fmt.Sprint("i", i)), Kind: kind, From: from, To: from + drawTime(rt, name+" for", 200*time.Millisecond, 2*time.Second)}
+				if kind == appendsLate {
+					f.Delay = drawTime(rt, name+" delay", 500*time.Millisecond, maxAppendDelay)
+				}
+				c.Faults = append(c.Faults, f)
+			}
+			for i := range rapid.IntRange(1, 4).Draw(rt, "submissions") {
+				name := fmt.Sprintf("s%d-%d", outage, i)
+				c.Submissions = append(c.Submissions, plannedSubmission{
+					ID: jujubebatch.SubmissionID(name), At: from + drawTime(rt, name, -100*time.Millisecond, 700*time.Millisecond),
+					By: rapid.IntRange(0, c.Machines-1).Draw(rt, name+" by"), Items: 2, Attempts: rapid.IntRange(1, 2).Draw(rt, name+" attempts"),
+				})
+			}
+		}
+		var violations []string
+		synctest.Test(t, func(t *testing.T) { violations = newEndsRun(t, c).run() })
+		if len(violations) > 0 {
+			rt.Fatalf("%d violations, the first ones: %q", len(violations), violations[:min(3, len(violations))])
+		}
+	})
+}
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -82,11 +83,14 @@
 	}
 }
 
+// methodAppend is the method of instances that appends records for another one.
+const methodAppend = "Relay.Append"
+
 // Append adds records. If a direct append without a condition gets no response, it is retried through another instance:
 // appending the same records twice has no effect in that case.
 func (s *relayedStore) Append(ctx context.Context, topic Topic, part int, records []Record, position int64) (int64, error) {
 	args := RelayArgs{Topic: topic, Part: part, Records: records, Position: position}
-	reply, err := s.call(ctx, "Relay.Append", args, directTimeout, position == NoCondition, func(ctx context.Context) (RelayReply, error) {
+	reply, err := s.call(ctx, methodAppend, args, directTimeout, position == NoCondition, func(ctx context.Context) (RelayReply, error) {
 		offset, err := s.direct.Append(ctx, topic, part, records, position)
 		return RelayReply{Offset: offset}, err
 	})
@@ -143,17 +147,24 @@
 }
 
 // call makes a call directly or through another instance, depending on the current path. If a direct call fails and may
-// be repeated, it is tried once through another instance.
+// be repeated, it is tried once through another instance. An error states what is known of the effect of all attempts.
 func (s *relayedStore) call(ctx context.Context, method string, args RelayArgs, timeout time.Duration, repeatable bool,
 	direct func(context.Context) (RelayReply, error),
 ) (RelayReply, error) {
 	part := storePart{args.Topic, args.Part}
-	isDirect := s.isDirect(args.Topic, args.Part)
-	var directErr error
-	if isDirect {
+	var attempts storeAttempts
+	defer func() { s.logAttempts(method, args, attempts) }()
+	callDirect := func() (RelayReply, error) {
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		end := attempts.begin("")
 		reply, err := direct(callCtx)
-		cancel()
+		end(err)
+		return reply, err
+	}
+	var directErr error
+	if s.isDirect(args.Topic, args.Part) {
+		reply, err := callDirect()
 		if ctx.Err() != nil && err != nil {
 			return reply, err
 		}
@@ -167,19 +178,18 @@
 		}
 		directErr = err
 	}
-	reply, wasCalled, err := s.callPeer(ctx, method, args, timeout)
-	var storeErr ErrStore
-	if directErr != nil && (!wasCalled || errors.As(err, &storeErr)) {
-		// Return the first error: the direct call may still take effect.
-		return reply, directErr
+	if id, address, ok := s.choosePeer(part); ok {
+		end := attempts.begin(id)
+		reply, err := s.callPeer(ctx, id, address, method, args, timeout)
+		end(err)
+		return reply, attempts.combine(err)
 	}
-	if !wasCalled {
-		// No instance is available. A direct attempt is as cheap as a probe, and its result is authoritative.
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		reply, err = direct(callCtx)
-		s.recordDirectOutcome(part, err, method)
+	if directErr != nil {
+		return RelayReply{}, directErr
 	}
+	// No instance is available. A direct attempt is as cheap as a probe, and its result is authoritative.
+	reply, err := callDirect()
+	s.recordDirectOutcome(part, err, method)
 	return reply, err
 }
 
@@ -222,34 +232,32 @@
 	}
 }
 
-// callPeer makes a call through another instance. It returns false if no instance could be chosen for it.
-func (s *relayedStore) callPeer(ctx context.Context, method string, args RelayArgs, timeout time.Duration) (RelayReply, bool, error) {
+// choosePeer returns the instance through which calls to a partition go; ok is false if none is available.
+func (s *relayedStore) choosePeer(part storePart) (id model.InstanceID, address string, ok bool) {
 	addresses := s.peers()
-	ids := make([]model.InstanceID, 0, len(addresses))
-	for id := range addresses {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	part := storePart{args.Topic, args.Part}
+	ids := slices.Sorted(maps.Keys(addresses))
 	s.mu.Lock()
-	id, ok := s.paths.Of(part).ChoosePeer(time.Now(), ids)
-	s.mu.Unlock()
-	if !ok {
-		return RelayReply{}, false, nil
-	}
+	defer s.mu.Unlock()
+	id, ok = s.paths.Of(part).ChoosePeer(time.Now(), ids)
+	return id, addresses[id], ok
+}
+
+// callPeer makes a call through another instance.
+func (s *relayedStore) callPeer(ctx context.Context, id model.InstanceID, address, method string, args RelayArgs, timeout time.Duration) (RelayReply, error) {
+	part := storePart{args.Topic, args.Part}
 	args.Timeout = timeout
 	callCtx, cancel := context.WithTimeout(ctx, timeout+peerMargin)
 	defer cancel()
 	var reply RelayReply
-	err := s.pool.Call(callCtx, addresses[id], method, args, &reply)
+	err := s.pool.Call(callCtx, address, method, args, &reply)
 	hasReplied := err == nil
 	if hasReplied {
 		err = reply.asError()
 	} else {
-		err = ErrStore{Call: method, Done: true, Reason: err.Error()}
+		err = ErrStore{Call: method, Done: !errors.As(err, new(jujubepeer.ErrConnect)), Reason: err.Error()}
 	}
 	var storeErr ErrStore
-	ok = !errors.As(err, &storeErr)
+	ok := !errors.As(err, &storeErr)
 	s.mu.Lock()
 	s.paths.Of(part).RecordPeer(time.Now(), id, ok)
 	switch {
@@ -259,7 +267,7 @@
 		s.confirmedDownAt[part] = time.Now()
 	}
 	s.mu.Unlock()
-	return reply, true, err
+	return reply, err
 }
 
 // confirmedDownTTL is how long another instance's reply that the store is down remains valid. While the store is
