jujubenode: find out whether a submission is on the log

Cause: an append has two attempts, and a lost response ends both. The second call through an instance whose appends get no response went to the same instance again, as a read through it had succeeded meanwhile.

Change: an append whose outcome isn't known is repeated for up to 3 s or until the caller's deadline (the first record of a submission counts), and the submission counts as accepted as soon as its record is read. After a failed call the next instance is used. A refusal without an unknown attempt is passed on at once, as before. Work that outlives its request is started by one owner (taskRunner), also that of ends.

TestLostAppendAnswer asserted 504 for a lost response that can now be settled; it is replaced by five cases with the outcome and the time of each (read, repeated, late, deadline, refused).

--- a/core/services/jujubepath/path.go
+++ b/core/services/jujubepath/path.go
@@ -36,6 +36,9 @@
 	peerPausedUntil map[model.InstanceID]time.Time
 	// currentPeer is the last chosen peer, initially this instance itself.
 	currentPeer model.InstanceID
+	// hasFailed is true once a call through currentPeer has failed. Another call through it may have succeeded since: a peer may read
+	// although its appends get no response.
+	hasFailed bool
 }
 
 // New returns a direct path. Its first peer is the next instance after this one by name, so that instances that the store rejects
@@ -56,7 +59,7 @@
 
 // ChoosePeer returns the peer to call; ok is false when all are paused. The same peer is used until a call through it fails.
 func (p *Path) ChoosePeer(now time.Time, live []model.InstanceID) (id model.InstanceID, ok bool) {
-	if slices.Contains(live, p.currentPeer) && !now.Before(p.peerPausedUntil[p.currentPeer]) {
+	if !p.hasFailed && slices.Contains(live, p.currentPeer) && !now.Before(p.peerPausedUntil[p.currentPeer]) {
 		return p.currentPeer, true
 	}
 	start := 0
@@ -69,7 +72,7 @@
 	for i := range live {
 		peer := live[(start+i)%len(live)]
 		if !now.Before(p.peerPausedUntil[peer]) {
-			p.currentPeer = peer
+			p.currentPeer, p.hasFailed = peer, false
 			return peer, true
 		}
 	}
@@ -103,5 +106,6 @@
 		delete(p.peerPausedUntil, id)
 		return
 	}
+	p.hasFailed = p.hasFailed || id == p.currentPeer
 	p.peerPausedUntil[id] = now.Add(p.settings.PeerRetryDelay)
 }
--- a/core/services/jujubepath/path_test.go
+++ b/core/services/jujubepath/path_test.go
@@ -43,6 +43,19 @@
 	assert.Assert(t, p.IsDirect())
 }
 
+// TestFailedPeerIsLeft guards against calls that go again through a peer whose appends fail while its reads succeed.
+func TestFailedPeerIsLeft(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := jujubepath.New("a", jujubepath.DefaultSettings())
+	live := []model.InstanceID{"b", "c"}
+	for _, want := range []model.InstanceID{"b", "c", "b"} {
+		peer, ok := p.ChoosePeer(now, live)
+		assert.Assert(t, ok && peer == want, "%s", peer)
+		p.RecordPeer(now, peer, false)
+		p.RecordPeer(now, peer, true)
+	}
+}
+
 // TestLostPartLeavesOthersDirect guards against calls to all parts of a store that change to peers and back while only some parts
 // are lost, and against probes that are as many as the lost parts or that never reach one of them.
 func TestLostPartLeavesOthersDirect(t *testing.T) {
--- a/entry/services/jujubenode/blob.go
+++ b/entry/services/jujubenode/blob.go
@@ -56,6 +56,15 @@
 // writeBlobs appends blobs to the partition of the texts topic and makes their pointers absolute. Each append contains
 // as many blobs as the store accepts.
 func (p *partition) writeBlobs(ctx context.Context, b *blobBatch) error {
+	return p.writeBlobsWith(b, func(records []Record) (int64, error) {
+		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		return p.node.store.Append(callCtx, topicTexts, p.number, records, NoCondition)
+	})
+}
+
+// writeBlobsWith writes blobs with a function that appends records and returns the offset of the first one.
+func (p *partition) writeBlobsWith(b *blobBatch, write func(records []Record) (int64, error)) error {
 	n := p.node
 	for first := 0; first < len(b.pointers); {
 		last, size := first, 0
@@ -68,9 +77,7 @@
 		}
 		from := b.pointers[first].Offset
 		end := b.pointers[last-1].Offset + int64(b.pointers[last-1].Count)
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := n.store.Append(callCtx, topicTexts, p.number, b.records[from:end], NoCondition)
-		cancel()
+		offset, err := write(b.records[from:end])
 		if err != nil {
 			return err
 		}
--- a/entry/services/jujubenode/ends.go
+++ b/entry/services/jujubenode/ends.go
@@ -37,16 +37,12 @@
 	bySubmission map[jujubebatch.SubmissionID]*endInHand
 	// released are submissions that other instances may hold, although their end has failed without effect; guarded by the node's lock.
 	released []jujubebatch.SubmissionID
-	// receivedCh passes new ends to writeEnds; announceCh wakes announceEnds, its capacity is one.
-	receivedCh chan *endInHand
+	// announceCh wakes announceEnds; its capacity is one.
 	announceCh chan struct{}
 }
 
 func newEndsInHand() endsInHand {
-	return endsInHand{
-		bySubmission: make(map[jujubebatch.SubmissionID]*endInHand),
-		receivedCh:   make(chan *endInHand), announceCh: make(chan struct{}, 1),
-	}
+	return endsInHand{bySubmission: make(map[jujubebatch.SubmissionID]*endInHand), announceCh: make(chan struct{}, 1)}
 }
 
 // endInHand is an end that isn't known to be on the log. Its fields are guarded by the node's lock, but for doneCh.
@@ -126,12 +122,11 @@
 	}
 }
 
-// passEnd passes a new end to writeEnds, which takes it at once, unless this instance is stopping.
+// passEnd begins to write a new end, unless this instance is stopping.
 func (n *Node) passEnd(end *endInHand) {
-	select {
-	case n.ends.receivedCh <- end:
+	if n.tasks.start(func(ctx context.Context) { n.writeEnd(ctx, end) }) {
+		n.wakeAnnounceEnds()
 		return
-	case <-n.tomb.Dying():
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -180,22 +175,6 @@
 	}
 }
 
-// writeEnds writes the ends that callers send, each in a goroutine of its own, until the context ends.
-func (n *Node) writeEnds(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case end := <-n.ends.receivedCh:
-			n.tomb.Go(func() error {
-				n.writeEnd(ctx, end)
-				return nil
-			})
-			n.wakeAnnounceEnds()
-		}
-	}
-}
-
 // writeEnd tries to append an end. If no caller can be told that this had no effect, the writer of results appends it until it succeeds,
 // and hands it over when this instance leaves.
 func (n *Node) writeEnd(ctx context.Context, end *endInHand) {
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -122,6 +122,7 @@
 	log            *jujubeevent.Log
 	metrics        *nodeMetrics
 	tomb           *tomb.Tomb
+	tasks          *taskRunner
 	// serving ends, by endServing, when a leaving instance stops serving callers.
 	serving    context.Context
 	endServing context.CancelFunc
@@ -203,6 +204,7 @@
 	id := options.Identity.Instance
 	random := rand.New(rand.NewSource(options.Started.UnixNano()))
 	serving, endServing := context.WithCancel(context.Background())
+	nodeTomb := new(tomb.Tomb)
 	n := &Node{
 		identity:       options.Identity,
 		settings:       options.Settings,
@@ -214,7 +216,8 @@
 		endpointCaller: options.EndpointCaller,
 		stopServing:    options.StopServing,
 		log:            jujubeevent.NewLog(logger),
-		tomb:           new(tomb.Tomb),
+		tomb:           nodeTomb,
+		tasks:          newTaskRunner(nodeTomb),
 		serving:        serving,
 		endServing:     endServing,
 		wakeCh:         make(chan struct{}, 1),
@@ -287,7 +290,7 @@
 	n.tomb.Go(func() error { return n.copyDesired(background) })
 	n.tomb.Go(func() error { return n.resolveDoubts(background) })
 	n.tomb.Go(func() error { return n.survey.run(background) })
-	n.tomb.Go(func() error { return n.writeEnds(background) })
+	n.tomb.Go(func() error { return n.tasks.run(background) })
 	n.tomb.Go(func() error { return n.announceEnds(background) })
 	n.tomb.Go(func() error { return n.endpointPath.probe(background) })
 	n.tomb.Go(func() error { return n.schedule(background) })
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -136,28 +136,12 @@
 	return records, size, nil
 }
 
-// append writes one entry and returns once the store has it. The blobs that a submission's record points at are written
-// before it.
+// append writes one entry without contents and returns once the store has it.
 func (p *partition) append(ctx context.Context, entry jujubebatch.Entry) error {
-	if s := entry.Submission; s != nil {
-		contents := blobBatch{codec: p.node.codec}
-		for _, chunk := range s.SplitContents() {
-			if err := contents.add(chunk, p.node.settings.MaxRecordBytes); err != nil {
-				return err
-			}
-		}
-		if err := p.writeBlobs(ctx, &contents); err != nil {
-			return ErrContentsNotWritten{Cause: err}
-		}
-		s.Chunks, s.By = contents.pointers, p.node.identity.Instance
-	}
-	records, size, err := p.node.encode(entry)
+	records, err := p.encodeRecord(entry)
 	if err != nil {
 		return err
 	}
-	if size > p.node.settings.MaxAppendBytes {
-		return ErrTooLarge{Size: size, Limit: p.node.settings.MaxAppendBytes}
-	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	offset, err := p.node.store.Append(ctx, topicSubmissions, p.number, records, NoCondition)
@@ -167,6 +151,15 @@
 	return err
 }
 
+// encodeRecord returns the records of an entry, which fit into one append.
+func (p *partition) encodeRecord(entry jujubebatch.Entry) ([]Record, error) {
+	records, size, err := p.node.encode(entry)
+	if err == nil && size > p.node.settings.MaxAppendBytes {
+		err = ErrTooLarge{Size: size, Limit: p.node.settings.MaxAppendBytes}
+	}
+	return records, err
+}
+
 // ErrContentsNotWritten is returned for an entry whose contents couldn't be written before it; the entry isn't on the log.
 type ErrContentsNotWritten struct {
 	Cause error
--- a/entry/services/jujubenode/refused_test.go
+++ b/entry/services/jujubenode/refused_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	model "jujubepier.example/core/models/jujubemodel"
@@ -91,3 +92,50 @@
 		}
 	})
 }
+
+// TestLostAppendAnswer guards against submissions that are refused as not run although their append got no response, against callers that are
+// told that the outcome is unknown while it can be found out before their deadline, and against ones that wait for a store that refuses all.
+func TestLostAppendAnswer(t *testing.T) {
+	const ms, from = time.Millisecond, 3 * time.Second
+	const sentAfter = 600 * ms // reads in progress when the faults begin have ended
+	everywhere := func(kind faultKind) fault { return fault{Kind: kind, From: from, To: from + 10*time.Second} }
+	late := everywhere(appendsLate)
+	late.Delay = maxAppendDelay
+	at := func(id model.InstanceID, f fault) fault { f.Machine = id; return f }
+	for name, c := range map[string]struct {
+		faults []fault
+		// deadline is the caller's, after the submission was sent; within is the time in which it gets the response.
+		deadline, within time.Duration
+		ran              model.Ran
+	}{
+		"the record is read":       {[]fault{everywhere(appendsSilent)}, 10 * time.Second, 100 * ms, model.RanYes},
+		"a repetition succeeds":    {[]fault{at("i0", everywhere(storeRefuses)), at("i1", everywhere(appendsHang))}, 10 * time.Second, 1000 * ms, model.RanYes},
+		"it takes effect later":    {[]fault{late}, 10 * time.Second, 3100 * ms, model.RanUnknown},
+		"the caller's deadline":    {[]fault{everywhere(appendsHang)}, 1000 * ms, 1000 * ms, model.RanUnknown},
+		"all attempts are refused": {[]fault{everywhere(storeRefuses)}, 10 * time.Second, 100 * ms, model.RanNo},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newEndsRun(t, endsCase{Machines: 3, DirectReaders: 3, Faults: c.faults})
+				defer r.cluster.network.close()
+				for i := range r.Machines {
+					r.start(i)
+					defer r.stop(i)
+				}
+				r.sleepUntil(from + sentAfter)
+				ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
+				defer cancel()
+				err := r.node(0).Submit(ctx, route, newSubmission("s", 3))
+				assert.Check(t, time.Since(r.cluster.network.start) <= from+sentAfter+c.within, "%s", time.Since(r.cluster.network.start))
+				refused, _ := jujubeerror.IsErrRefused(err)
+				if err == nil {
+					refused.Ran = model.RanYes
+				}
+				assert.Check(t, refused.Ran == c.ran, "%v", err)
+				r.sleepUntil(from + 12*time.Second)
+				assert.NilError(t, r.node(1).Submit(t.Context(), route, newSubmission("s", 3)))
+				assert.Equal(t, len(readAll(t, r.node(2), "s")), 3) // accepted once
+			})
+		})
+	}
+}
--- /dev/null
+++ b/entry/services/jujubenode/settle.go
@@ -0,0 +1,114 @@
+package jujubenode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/services/jujubeattempt"
+	"jujubepier.example/core/services/jujubebatch"
+)
+
+// submitTimeout bounds the appends of a submission, from the first one on. Callers wait longer than that for a response.
+const submitTimeout = 3 * time.Second
+
+// appendSubmission writes a submission: its contents first, then its record. It returns once the record is known to be on the log, also by
+// reading it from there, or once nothing is left to try before the caller's deadline.
+func (n *Node) appendSubmission(ctx context.Context, access Access, s *jujubebatch.Submission) error {
+	deadline := time.Now().Add(submitTimeout)
+	if callerDeadline, ok := ctx.Deadline(); ok && callerDeadline.Before(deadline) {
+		deadline = callerDeadline
+	}
+	writtenCh := make(chan error, 1)
+	// An append through another instance that is cancelled closes the connection, which other calls use too, so it goes on when the caller
+	// has got a response.
+	if !n.tasks.start(func(ctx context.Context) {
+		ctx, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		writtenCh <- n.partitionOf(s.ID).writeSubmission(ctx, s)
+	}) {
+		return refusal(jujubeerror.CodeStoreFailed, "the instance is stopping")
+	}
+	for {
+		n.mu.Lock()
+		isRead, _ := n.scheduler.SubmissionStatus(s.ID)
+		origin, _ := n.scheduler.Origin(s.ID)
+		changedCh := n.stateChangedCh
+		n.mu.Unlock()
+		if isRead && !access.allowsSubmission(origin.Organisation) {
+			return ErrUnknownSubmission{ID: s.ID}
+		}
+		if isRead {
+			return nil
+		}
+		select {
+		case err := <-writtenCh:
+			return asRefusal(err)
+		case <-changedCh:
+		}
+	}
+}
+
+// writeSubmission writes the contents and the record of a submission.
+func (p *partition) writeSubmission(ctx context.Context, s *jujubebatch.Submission) error {
+	contents := blobBatch{codec: p.node.codec}
+	for _, chunk := range s.SplitContents() {
+		if err := contents.add(chunk, p.node.settings.MaxRecordBytes); err != nil {
+			return ErrContentsNotWritten{Cause: err}
+		}
+	}
+	err := p.writeBlobsWith(&contents, func(records []Record) (int64, error) {
+		// Contents without a record have no effect, so the submission can be refused.
+		return p.settleAppend(ctx, topicTexts, records, func(last model.Ran) bool { return last == model.RanNo })
+	})
+	if err != nil {
+		return ErrContentsNotWritten{Cause: err}
+	}
+	s.Chunks, s.By = contents.pointers, p.node.identity.Instance
+	records, err := p.encodeRecord(jujubebatch.Entry{Submission: s})
+	if err != nil {
+		return err
+	}
+	_, err = p.settleAppend(ctx, topicSubmissions, records, func(model.Ran) bool { return p.hasRead(s.ID) })
+	return err
+}
+
+// hasRead reports whether this instance has read the record of a submission.
+func (p *partition) hasRead(id jujubebatch.SubmissionID) bool {
+	p.node.mu.Lock()
+	defer p.node.mu.Unlock()
+	known, _ := p.node.scheduler.SubmissionStatus(id)
+	return known
+}
+
+// settleAppend appends records to a partition of a topic. While it isn't known whether that has had an effect, it repeats the append, as the
+// first of equal records counts, until stop returns true for the outcome of the last attempt, or the context ends.
+func (p *partition) settleAppend(ctx context.Context, topic Topic, records []Record, stop func(last model.Ran) bool) (int64, error) {
+	var tally jujubeattempt.Tally
+	last := ErrStore{Call: methodAppend, Reason: "no time is left"}
+	for retryDelay := minAppendRetryDelay; ctx.Err() == nil; retryDelay = min(2*retryDelay, maxAppendRetryDelay) {
+		tally.Begin()
+		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		offset, err := p.node.store.Append(callCtx, topic, p.number, records, NoCondition)
+		cancel()
+		if err == nil {
+			return offset, nil
+		}
+		ran := ranOf(err)
+		if tally.End(ran); !tally.MayHaveRun() {
+			return 0, err
+		}
+		if !errors.As(err, &last) {
+			last.Reason = err.Error()
+		}
+		if stop(ran) {
+			break
+		}
+		p.node.store.sleep(ctx, retryDelay)
+	}
+	last.Done = tally.MayHaveRun()
+	return 0, last
+}
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -67,7 +67,7 @@
 			}
 		}
 		submission.Accepted, submission.DesiredVersion = time.Now().UnixMilli(), desiredVersion
-		err = n.appendEntry(ctx, submission.ID, jujubebatch.Entry{Submission: submission})
+		err = n.appendSubmission(ctx, access, submission)
 	}
 	n.logSubmit(route, submission, known, err)
 	return err
@@ -88,18 +88,18 @@
 // appendEntry appends an entry. Its error distinguishes a refusal, after which the entry isn't on the log, from a failure
 // after which the entry may be on it.
 func (n *Node) appendEntry(ctx context.Context, id jujubebatch.SubmissionID, entry jujubebatch.Entry) error {
-	err := n.partitionOf(id).append(ctx, entry)
-	var storeErr ErrStore
+	return asRefusal(n.partitionOf(id).append(ctx, entry))
+}
+
+// asRefusal translates the error of the append of an entry for the caller.
+func asRefusal(err error) error {
 	var tooLarge ErrTooLarge
-	var unwritten ErrContentsNotWritten
 	switch {
 	case err == nil:
 		return nil
 	case errors.As(err, &tooLarge):
 		return refusal(jujubeerror.CodeTooLarge, err.Error())
-	case errors.As(err, &unwritten):
-		return refusal(jujubeerror.CodeStoreFailed, err.Error())
-	case errors.As(err, &storeErr) && !storeErr.Done:
+	case errors.As(err, new(ErrContentsNotWritten)) || ranOf(err) == model.RanNo:
 		return refusal(jujubeerror.CodeStoreFailed, err.Error())
 	}
 	return unknownOutcome(err.Error())
