jujubehttp: take only statuses of final responses for answers

Seen: a server's whole, signed response with status 000 (001, 042, 099, +20: net/http takes any three characters that are a number; 101, too) counted as a good answer and ended the attempts. The handler then panicked in WriteHeader and the caller's connection closed; 600 and 999 were passed on.

Cause: nothing decoded the status; each reader compared it with the values that it knows.

Change: jujubehttp.Do returns ErrInvalidStatus for a status outside 200 to 599. A panic of a handler is logged (event 8011) before its connection closes.

--- a/core/modules/jujubeclient/engine.go
+++ b/core/modules/jujubeclient/engine.go
@@ -86,7 +86,7 @@
 	}
 	httpRequest.ContentLength = int64(len(data))
 	httpRequest.Header.Set("Content-Type", "application/json")
-	response, err := c.HTTP.Do(httpRequest)
+	response, err := jujubehttp.Do(c.HTTP, httpRequest)
 	if err != nil {
 		return model.EngineDone{}, errors.WithStack(ErrStreamBroken{Sent: sent.Load(), Cause: err})
 	}
@@ -175,7 +175,7 @@
 	if err != nil {
 		return model.OrderResult{}, errors.Wrap(err, "build request")
 	}
-	response, err := c.HTTP.Do(httpRequest)
+	response, err := jujubehttp.Do(c.HTTP, httpRequest)
 	if err != nil {
 		return model.OrderResult{}, errors.WithStack(err)
 	}
--- a/core/modules/jujubeclient/exchange.go
+++ b/core/modules/jujubeclient/exchange.go
@@ -67,7 +67,7 @@
 		return false, errors.Wrap(err, "build request")
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.client.Do(request)
+	response, err := jujubehttp.Do(c.client, request)
 	if err != nil {
 		return connected.Load(), errors.WithStack(err)
 	}
--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -118,6 +118,7 @@
 	InstanceReplaced Number = 8008
 	ClientsRefused   Number = 8009
 	InstancePaused   Number = 8010
+	HandlerPanicked  Number = 8011
 
 	DutyChanged    Number = 9001
 	DutyCalled     Number = 9002
@@ -235,6 +236,7 @@
 		{InstanceReplaced, "InstanceReplaced", warn, "Another process with this instance's name and a later start time is running, or this machine's clock is behind; the process exits."},
 		{ClientsRefused, "ClientsRefused", warn, "Clients were refused, or their connections closed, because they exceed a limit or to make room for others. The line counts those since the last one, by cause."},
 		{InstancePaused, "InstancePaused", warn, "The process wasn't run for over a second; nothing starts until the log has been read since then."},
+		{HandlerPanicked, "HandlerPanicked", warn, "The handler of a request failed with a panic; its connection was closed without a complete response."},
 		{DutyChanged, "DutyChanged", info, "This instance may make duty calls to the platform's API from now on, or (Allowed false) no longer may; Reason gives the cause."},
 		{DutyCalled, "DutyCalled", info, "A duty call to the platform's API ended; Outcome and Error describe the result."},
 		{UsageFixed, "UsageFixed", info, "The usage report of a window was read from the log; its content doesn't change any more. NotFinal holds the live instances whose counts may be incomplete."},
--- a/core/modules/jujubehttp/json.go
+++ b/core/modules/jujubehttp/json.go
@@ -143,7 +143,7 @@
 	if body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	response, err := client.Do(request)
+	response, err := Do(client, request)
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/core/modules/jujubehttp/sendonce.go
+++ b/core/modules/jujubehttp/sendonce.go
@@ -215,7 +215,7 @@
 			sent.Body, canRepeatBody = body, true
 		}
 		preventReplay(sent)
-		response, err := client.Do(sent)
+		response, err := Do(client, sent)
 		if err == nil {
 			return response, nil
 		}
--- a/entry/modules/jujubeguard/guard.go
+++ b/entry/modules/jujubeguard/guard.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -33,3 +34,12 @@
 	}
 	return guard
 }
+
+// LogPanics returns a handler that logs the panics of another one.
+func LogPanics(handler http.Handler, log *jujubeevent.Log) http.Handler {
+	return jujubehttp.ReportPanics(handler, func(r *http.Request, value any, stack []byte) {
+		log.Write(jujubeevent.HandlerPanicked, func() logrus.Fields {
+			return logrus.Fields{"Method": r.Method, "Error": fmt.Sprint(value), "Stack": string(stack)}
+		})
+	})
+}
--- a/entry/routers/jujubeserver/server.go
+++ b/entry/routers/jujubeserver/server.go
@@ -49,11 +49,12 @@
 		return nil, nil, err
 	}
 	s := &Server{Settings: settings, Service: service, Done: make(chan struct{})}
-	guard := jujubeguard.New(settings.GuardSettings(), jujubeevent.NewLog(logger), service.MetricsSet())
+	log := jujubeevent.NewLog(logger)
+	guard := jujubeguard.New(settings.GuardSettings(), log, service.MetricsSet())
 	service.RelieveBodies(guard.Relieve)
-	callers := newHTTPServer(settings, limitBody(jujubecallerapi.New(service, settings.MaxBodyBytes), settings.BodyTimeout))
+	callers := newHTTPServer(settings, log, limitBody(jujubecallerapi.New(service, settings.MaxBodyBytes), settings.BodyTimeout))
 	s.callers = jujubehttp.Serve(callers, guard.Listen(listeners.callers))
-	s.operators = jujubehttp.Serve(newHTTPServer(settings, jujubeoperatorapi.New(service)), guard.Listen(listeners.operators))
+	s.operators = jujubehttp.Serve(newHTTPServer(settings, log, jujubeoperatorapi.New(service)), guard.Listen(listeners.operators))
 	peersCtx, stopPeers := context.WithCancel(context.Background())
 	failures := make(chan error, 4)
 	go func() { failures <- <-s.callers.ServeError() }()
@@ -149,8 +150,8 @@
 	return nil
 }
 
-func newHTTPServer(settings jujubeentry.Settings, handler http.Handler) *http.Server {
+func newHTTPServer(settings jujubeentry.Settings, log *jujubeevent.Log, handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: settings.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: settings.MaxHeaderBytes,
+		Handler: jujubeguard.LogPanics(handler, log), ReadHeaderTimeout: settings.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: settings.MaxHeaderBytes,
 	}
 }
