jujubenode: combine the outcomes of a request's attempts in one place

Cause: whether a plain request or a stream may have run was kept in a flag that each reader of an outcome had to set, the same kind of code that was wrong for appends. No fault was found in it.

Change: forwarding uses jujubeattempt.Tally, in which attempts in flight count as unknown. A request that ends because the instance leaves is now told not run if each attempt is known not to have run, where an attempt that was refused by its server made that unknown before.

--- a/entry/services/jujubenode/attempt.go
+++ b/entry/services/jujubenode/attempt.go
@@ -34,6 +34,7 @@
 		return err
 	}
 	f.attempts++
+	f.tally.Begin()
 	f.inFlight++
 	f.triedEndpoints = append(f.triedEndpoints, decision.Endpoint)
 	call, gate := f.newCall(decision), f.newGate(decision)
--- a/entry/services/jujubenode/forward.go
+++ b/entry/services/jujubenode/forward.go
@@ -14,6 +14,7 @@
 	"jujubepier.example/core/modules/jujubeerror"
 	"jujubepier.example/core/modules/jujubeevent"
 	"jujubepier.example/core/modules/jujubehttp"
+	"jujubepier.example/core/services/jujubeattempt"
 	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujubeprompt"
 	"jujubepier.example/core/services/jujuberouter"
@@ -118,6 +119,18 @@
 	isDenied bool
 }
 
+// ran returns what the outcome states of the attempt's effect.
+func (a attempt) ran() model.Ran {
+	var callErr ErrCall
+	switch {
+	case a.err == nil:
+		return model.RanYes
+	case errors.As(a.err, &callErr):
+		return callErr.Ran
+	}
+	return model.RanUnknown
+}
+
 // Forward sends a request to an endpoint and returns its response. A retryable request is also sent to another endpoint
 // if the first one fails or is slow.
 func (n *Node) Forward(ctx context.Context, route *jujubedesired.Route, request PlainRequest) (Response, error) {
@@ -171,8 +184,8 @@
 	// attempts counts the attempts made; inFlight counts those without an outcome, and unsent those that don't count for the limit.
 	attempts, inFlight, unsent int
 	triedEndpoints             []model.EndpointID
-	// maybeRan is true once an endpoint may have run the request.
-	maybeRan    bool
+	// tally combines the outcomes of the attempts.
+	tally       jujubeattempt.Tally
 	lastFailure *Response
 	// retryable requests may run more than once.
 	retryable bool
@@ -246,7 +259,7 @@
 			if f.inFlight > 0 {
 				continue
 			}
-			if !f.retryable && f.maybeRan {
+			if !f.retryable && f.tally.MayHaveRun() {
 				return f.finalOutcome(nil)
 			}
 			if err := f.send(ctx, firstOrRetry); err != nil {
@@ -266,13 +279,8 @@
 
 // handleOutcome records the outcome of an attempt and reports whether its response is returned to the caller.
 func (f *forwarding) handleOutcome(outcome attempt) bool {
-	var callErr ErrCall
-	if errors.As(outcome.err, &callErr) {
-		f.maybeRan = f.maybeRan || callErr.Ran != model.RanNo
-		return false
-	}
+	f.tally.End(outcome.ran())
 	if outcome.err != nil {
-		f.maybeRan = true
 		return false
 	}
 	if f.onResponse != nil {
@@ -281,7 +289,6 @@
 	if outcome.response.Status < http.StatusInternalServerError || !f.retryable {
 		return true
 	}
-	f.maybeRan = true
 	f.lastFailure = &outcome.response
 	return false
 }
@@ -292,7 +299,7 @@
 	if f.lastFailure != nil {
 		return *f.lastFailure, nil
 	}
-	if f.maybeRan {
+	if f.tally.MayHaveRun() {
 		return Response{}, unknownOutcome("no endpoint gave an answer")
 	}
 	return Response{}, reason
@@ -303,11 +310,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return jujubeerror.ErrRefused{Code: jujubeerror.CodeDeadline, Ran: model.RanUnknown, Message: "no answer before the deadline"}
 	case errors.Is(context.Cause(ctx), errServingEnded):
-		ran := model.RanUnknown
-		if f.attempts == f.unsent {
-			ran = model.RanNo
-		}
-		return jujubeerror.ErrRefused{Code: jujubeerror.CodeLeaving, Ran: ran, RetryAfter: leavingRetryAfter, Message: errServingEnded.Error()}
+		return jujubeerror.ErrRefused{Code: jujubeerror.CodeLeaving, Ran: f.tally.Outcome(), RetryAfter: leavingRetryAfter, Message: errServingEnded.Error()}
 	}
 	return errors.Wrap(ctx.Err(), "the caller has disconnected")
 }
--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -155,6 +155,7 @@
 			return s.fail(err)
 		}
 		s.attempts++
+		s.tally.Begin()
 		s.triedEndpoints = append(s.triedEndpoints, decision.Endpoint)
 		call, gate := s.newCall(decision), s.newGate(decision)
 		call.After = s.after
@@ -188,7 +189,7 @@
 			return Response{}, s.contextError(ctx)
 		}
 		s.checkLinks(attempt{endpoint: decision.Endpoint, err: err})
-		if s.maybeRan && !s.retryable || s.started && (s.software == "" || !s.route.Resumable) {
+		if s.tally.MayHaveRun() && !s.retryable || s.started && (s.software == "" || !s.route.Resumable) {
 			return s.fail(nil)
 		}
 	}
@@ -213,7 +214,7 @@
 // passEvents passes the events of an attempt to the sink. It returns an error unless the stream is complete.
 func (s *streaming) passEvents(ctx context.Context, decision jujuberouter.Decision, response StreamResponse) error {
 	defer response.Events.Close()
-	s.maybeRan = true
+	s.tally.End(model.RanYes)
 	// An attempt that continues the stream and ends without an event may be that of a server which gave up. The caller continues
 	// the stream itself if it was complete.
 	isContinued := s.started
