--- a/entry/services/jujubenode/stream.go
+++ b/entry/services/jujubenode/stream.go
@@ -88,7 +88,8 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	s := &streaming{forwarding: newForwarding(n, route, request.PlainRequest), sink: sink, after: request.After, isNew: request.After == 0}
-	s.retryable, s.fingerprint = s.retryable || route.Resumable, request.fingerprint()
+	// A stream that can't be continued runs at most once, also on a route of kind safe.
+	s.retryable, s.fingerprint = route.Resumable, request.fingerprint()
 	if s.isNew { // a stream that the caller continues was counted with its first event
 		s.usage = n.trackUsage(request.PlainRequest)
 		defer s.usage.close()
