--- a/entry/services/jujubenode/refused_test.go
+++ b/entry/services/jujubenode/refused_test.go
@@ -20,47 +20,57 @@
 // maxAppendDelay bounds how long after a call without a response the store may execute it.
 const maxAppendDelay = 6 * time.Second
 
-// playAttempts submits a submission until it is accepted or the caller gives up, and returns what went wrong: it exists although each attempt
-// was refused, or it isn't complete in the end although it was accepted.
+// playAttempts submits a submission until it is accepted or the caller gives up; one with EndAt is accepted before, and ended in that way. It
+// returns what went wrong: a call that was refused at each attempt has had an effect, or an accepted one hasn't, or results are missing.
 func (r *endsRun) playAttempts(s plannedSubmission) string {
-	refused, accepted := 0, false
-	for i := 0; i < s.Attempts && !accepted; i++ {
+	submit := func(ctx context.Context, node *jujubenode.Node) error {
+		return node.Submit(ctx, route, newSubmission(string(s.ID), s.Items))
+	}
+	call := submit
+	if s.EndAt > 0 {
+		if !r.try(func(ctx context.Context) error { return submit(ctx, r.node(s.By)) }) {
+			return string(s.ID) + " isn't accepted"
+		}
+		r.sleepUntil(s.EndAt)
+		call = func(ctx context.Context, node *jujubenode.Node) error { return node.EndSubmission(ctx, s.ID) }
+	}
+	refused, isDone := 0, false
+	for i := 0; i < s.Attempts && !isDone; i++ {
 		ctx, cancel := context.WithTimeout(r.t.Context(), 4*time.Second)
-		err := r.node((s.By+i)%r.Machines).Submit(ctx, route, newSubmission(string(s.ID), s.Items))
+		err := call(ctx, r.node((s.By+i)%r.Machines))
 		cancel()
-		accepted = err == nil
+		isDone = err == nil
 		if refusal, ok := jujubeerror.IsErrRefused(err); ok && refusal.Ran == model.RanNo {
 			refused++
 			time.Sleep(refusal.RetryAfter)
 		}
 	}
 	r.sleepUntil(faultsTo + maxAppendDelay)
-	var exists bool
+	var hasEffect bool
 	if !r.try(func(ctx context.Context) error {
 		page, err := r.node(s.By).ReadResults(ctx, s.ID, 0, 0)
-		isUnknown := errors.As(err, new(jujubenode.ErrUnknownSubmission))
-		if exists = err == nil; exists && len(page.Results) < page.Total {
-			return errors.New("items are left")
-		}
-		if isUnknown {
+		if hasEffect = err == nil && (s.EndAt == 0 || page.Ended); errors.As(err, new(jujubenode.ErrUnknownSubmission)) && s.EndAt == 0 {
 			return nil
 		}
+		if err == nil && !page.Ended && len(page.Results) < page.Total {
+			return errors.New("results are missing")
+		}
 		return err
 	}) {
 		return string(s.ID) + " can't be read to its end"
 	}
 	switch {
-	case exists && refused == s.Attempts:
-		return fmt.Sprintf("%s was refused %d times and ran", s.ID, refused)
-	case !exists && accepted:
-		return string(s.ID) + " was accepted and is unknown"
+	case hasEffect && refused == s.Attempts:
+		return fmt.Sprintf("%s was refused %d times and has had an effect", s.ID, refused)
+	case !hasEffect && isDone:
+		return string(s.ID) + " was accepted and has had no effect"
 	}
 	return ""
 }
 
-// TestRefusedSubmissionsDontRun guards against submissions that callers take for not done, as the store refused the direct append, while the
-// append through another instance, whose response was lost, has taken effect or still will.
-func TestRefusedSubmissionsDontRun(t *testing.T) {
+// TestRefusedCallsHaveNoEffect guards against submissions and ends that callers take for not done, as the store refused the direct append,
+// while the append through another instance, whose response was lost, has taken effect or still will.
+func TestRefusedCallsHaveNoEffect(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		c := endsCase{Machines: rapid.IntRange(2, 5).Draw(rt, "machines"), DirectReaders: rapid.IntRange(1, 5).Draw(rt, "direct readers")}
 		for outage := range rapid.IntRange(1, 3).Draw(rt, "outages") {
@@ -79,10 +89,15 @@
 			}
 			for i := range rapid.IntRange(1, 4).Draw(rt, "submissions") {
 				name := fmt.Sprintf("s%d-%d", outage, i)
-				c.Submissions = append(c.Submissions, plannedSubmission{
-					ID: jujubebatch.SubmissionID(name), At: from + drawTime(rt, name, -100*time.Millisecond, 700*time.Millisecond),
-					By: rapid.IntRange(0, c.Machines-1).Draw(rt, name+" by"), Items: 2, Attempts: rapid.IntRange(1, 2).Draw(rt, name+" attempts"),
-				})
+				at := from + drawTime(rt, name, -100*time.Millisecond, 700*time.Millisecond)
+				planned := plannedSubmission{
+					ID: jujubebatch.SubmissionID(name), At: at, By: rapid.IntRange(0, c.Machines-1).Draw(rt, name+" by"), Items: 2,
+					Attempts: rapid.IntRange(1, 2).Draw(rt, name+" attempts"),
+				}
+				if rapid.Bool().Draw(rt, name+" is ended") {
+					planned.At, planned.EndAt = from-time.Second, at
+				}
+				c.Submissions = append(c.Submissions, planned)
 			}
 		}
 		var violations []string
