jujubequarantine: attribute runs after a known end to the successor

Cause: a run went to a server whose end was known, under the incarnation that had ended, as the next entry wasn't read yet, and broke off on the next process. RecordReplacement passed over it: the first incarnation's end was known, and the run wasn't on the second one. So the second crash was never blamed on it.

Change: when the next incarnation's entry is read, runs that began after the known end of the one before are attributed to the next one.

Result: TestCrashesBeforeTheNextEntry has that order of events; it fails without the change (Clear instead of Suspect) and passes.

--- a/core/services/jujubequarantine/platform_test.go
+++ b/core/services/jujubequarantine/platform_test.go
@@ -93,12 +93,12 @@
 		"the endpoint has started again before the check": {func(r *quarantine.RunTracker) {
 			r.Break(now, "r")
 			r.RecordAlive(now, now, "e", 1)
-			r.RecordReplacement(now.Add(500*time.Millisecond), "e", 1)
+			r.RecordReplacement(now.Add(500*time.Millisecond), "e", 1, 2)
 		}, quarantine.Suspect},
 		"the endpoint starts again long after the check": {func(r *quarantine.RunTracker) {
 			r.Break(now, "r")
 			r.RecordAlive(now, now, "e", 1)
-			r.RecordReplacement(now.Add(3*time.Second), "e", 1)
+			r.RecordReplacement(now.Add(3*time.Second), "e", 1, 2)
 		}, quarantine.Clear},
 		"it breaks off, then the crash is known": {func(r *quarantine.RunTracker) { r.Break(now, "r"); r.RecordCrash(now, "e", 1) }, quarantine.Suspect},
 		"the crash is known, then it breaks off": {func(r *quarantine.RunTracker) { r.RecordCrash(now, "e", 1); r.Break(now, "r") }, quarantine.Suspect},
@@ -231,8 +231,11 @@
 	// What started after the last crash is on the process whose entry is read now.
 	runs.Start(now.Add(time.Second), quarantine.Attempt{ID: "next", Fingerprint: neighbour, Process: processOf("e")})
 	runs.Break(now.Add(time.Second), "next")
-	runs.RecordReplacement(now.Add(2*time.Second), "e", 1)
+	runs.RecordReplacement(now.Add(2*time.Second), "e", 1, 2)
 	assert.Equal(t, q.Check(now.Add(2*time.Second), neighbour), quarantine.Clear)
+	// It is blamed once the end of that process is known.
+	runs.RecordReplacement(now.Add(3*time.Second), "e", 2, 3)
+	assert.Equal(t, q.Check(now.Add(3*time.Second), neighbour), quarantine.Suspect)
 }
 
 // TestSuspectsApart checks that suspects learn which endpoints run other suspects, and that deleted records let a fingerprint run.
--- a/core/services/jujubequarantine/runs.go
+++ b/core/services/jujubequarantine/runs.go
@@ -23,8 +23,10 @@
 	ID          model.RequestID
 	Fingerprint model.Fingerprint
 	Process     Process
-	// startedAt is set by RunTracker.Start.
+	// startedAt is set by RunTracker.Start. sentTo is the incarnation for which the run was sent: that of Process, unless a later one turned
+	// out to have run it.
 	startedAt time.Time
+	sentTo    model.Incarnation
 }
 
 // isOn reports whether the run is on an incarnation of an endpoint.
@@ -67,7 +69,7 @@
 
 // Start records that a run starts.
 func (t *RunTracker) Start(now time.Time, attempt Attempt) {
-	attempt.startedAt = now
+	attempt.startedAt, attempt.sentTo = now, attempt.Process.Incarnation
 	t.running.Put(attempt.ID, attempt)
 	t.quarantine.AddRun(now, attempt.Fingerprint, attempt.Process.Endpoint)
 }
@@ -111,17 +113,20 @@
 // was that of a connection, unless the incarnation turns out to have been replaced already.
 func (t *RunTracker) RecordAlive(now, before time.Time, endpoint model.EndpointID, incarnation model.Incarnation) {
 	for i := range t.broken {
-		if run := &t.broken[i]; run.attempt.isOn(endpoint, incarnation) && !run.at.After(before) && run.aliveAt.IsZero() {
+		run := &t.broken[i]
+		if run.attempt.Process.Endpoint == endpoint && run.attempt.sentTo == incarnation && !run.at.After(before) && run.aliveAt.IsZero() {
 			run.aliveAt = now
 		}
 	}
 }
 
-// RecordReplacement blames the crash of an incarnation whose endpoint has started again: also on the runs that broke off before the
-// endpoint was found alive, if that was just before the next incarnation's entry was read.
-func (t *RunTracker) RecordReplacement(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Rumour {
+// RecordReplacement blames the crash of an incarnation whose endpoint has started again as the next one: also on the runs that broke off
+// before the endpoint was found alive, if that was just before the next incarnation's entry was read. If the crash is known, what has run
+// since then is attributed to the next one.
+func (t *RunTracker) RecordReplacement(now time.Time, endpoint model.EndpointID, incarnation, next model.Incarnation) []model.Rumour {
 	if crashed, ok := t.crashed[endpoint]; ok && crashed.incarnation == incarnation {
-		return nil // what has run since then was on the next process
+		t.moveRuns(endpoint, incarnation, next, crashed.at)
+		return nil
 	}
 	for i := range t.broken {
 		if run := &t.broken[i]; run.attempt.isOn(endpoint, incarnation) && now.Sub(run.aliveAt) <= entryDelay {
@@ -131,6 +136,24 @@
 	return t.RecordCrash(now, endpoint, incarnation)
 }
 
+// moveRuns attributes the runs that were sent to an incarnation after a time to the next one.
+func (t *RunTracker) moveRuns(endpoint model.EndpointID, incarnation, next model.Incarnation, after time.Time) {
+	isLater := func(attempt Attempt) bool {
+		return attempt.isOn(endpoint, incarnation) && attempt.startedAt.After(after)
+	}
+	for id, attempt := range t.running.All() {
+		if isLater(attempt) {
+			attempt.Process.Incarnation = next
+			t.running.Put(id, attempt)
+		}
+	}
+	for i := range t.broken {
+		if isLater(t.broken[i].attempt) {
+			t.broken[i].attempt.Process.Incarnation = next
+		}
+	}
+}
+
 // RecordRemoval blames the crash of an incarnation whose registry entry has expired on the runs that broke off on it. Those in
 // flight aren't blamed: an endpoint may go on serving without an entry.
 func (t *RunTracker) RecordRemoval(now time.Time, endpoint model.EndpointID, incarnation model.Incarnation) []model.Rumour {
--- a/entry/services/jujubenode/crashes.go
+++ b/entry/services/jujubenode/crashes.go
@@ -195,8 +195,8 @@
 
 // recordReplacement blames the crash of an endpoint that has started again on the requests that were in flight on its process. The
 // lock is held.
-func (n *Node) recordReplacement(now time.Time, id model.EndpointID, incarnation model.Incarnation) {
-	n.publishCrash(id, incarnation, n.crashes.runs.RecordReplacement(now, id, incarnation), "it has started again")
+func (n *Node) recordReplacement(now time.Time, id model.EndpointID, incarnation, next model.Incarnation) {
+	n.publishCrash(id, incarnation, n.crashes.runs.RecordReplacement(now, id, incarnation, next), "it has started again")
 }
 
 // recordRemoval blames the crash of an endpoint whose entry has expired on the requests that broke off on it. The lock is held.
--- a/entry/services/jujubenode/endpoints.go
+++ b/entry/services/jujubenode/endpoints.go
@@ -43,7 +43,7 @@
 	})
 	current, known := n.scheduler.EngineState(s.ID)
 	if known && current.Incarnation != s.Incarnation && !current.Leaving {
-		n.recordReplacement(now, s.ID, current.Incarnation)
+		n.recordReplacement(now, s.ID, current.Incarnation, s.Incarnation)
 	}
 	if !known || current.Leaving != s.Leaving || current.Incarnation != s.Incarnation {
 		n.router.ReportLoad(now, model.LoadReport{Endpoint: s.ID, Incarnation: s.Incarnation, At: now, Slots: s.Slots})
