jujubenode: begin further appends beside one without a response

A submission's repeated append took its caller up to 3 s, where a refusal after 0.6 s had sent it to another instance.

Change: a further attempt begins when one has had no response for 0.3 s (two in progress at most, as a store that is slow because it is overloaded must not get more), or has failed. Results and texts are appended in the same way. The outcomes are combined as before.

--- a/entry/services/jujubenode/blob.go
+++ b/entry/services/jujubenode/blob.go
@@ -59,7 +59,7 @@
 	return p.writeBlobsWith(b, func(records []Record) (int64, error) {
 		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
-		return p.node.store.Append(callCtx, topicTexts, p.number, records, NoCondition)
+		return p.settleAppend(callCtx, topicTexts, records, never)
 	})
 }
 
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -341,7 +341,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
-		offset, err := p.node.store.Append(callCtx, topicSubmissions, p.number, pending, NoCondition)
+		offset, err := p.settleAppend(callCtx, topicSubmissions, pending, never)
 		if err == nil {
 			p.recordAppendedEnds(ends, offset+int64(len(pending))-1)
 		}
--- a/entry/services/jujubenode/settle.go
+++ b/entry/services/jujubenode/settle.go
@@ -12,8 +12,17 @@
 	"jujubepier.example/core/services/jujubebatch"
 )
 
-// submitTimeout bounds the appends of a submission, from the first one on. Callers wait longer than that for a response.
-const submitTimeout = 3 * time.Second
+const (
+	// submitTimeout bounds the appends of a submission, from the first one on. Callers wait longer than that for a response.
+	submitTimeout = 3 * time.Second
+	// appendHedgeDelay is how long an attempt may go without a response before another one begins. The store responds in 4 ms, or in 250 ms
+	// when it is slow.
+	appendHedgeDelay = 300 * time.Millisecond
+	// maxSettleAttempts bounds the attempts of one append, and maxAttemptsInFlight those that are in progress at the same time: a store that
+	// is slow as it has too much to do mustn't get several times as much.
+	maxSettleAttempts   = 12
+	maxAttemptsInFlight = 2
+)
 
 // appendSubmission writes a submission: its contents first, then its record. It returns once the record is known to be on the log, also by
 // reading it from there, or once nothing is left to try before the caller's deadline.
@@ -74,7 +83,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = p.settleAppend(ctx, topicSubmissions, records, func(model.Ran) bool { return p.hasRead(s.ID) })
+	if _, err = p.settleAppend(ctx, topicSubmissions, records, func(model.Ran) bool { return p.hasRead(s.ID) }); p.hasRead(s.ID) {
+		return nil
+	}
 	return err
 }
 
@@ -86,30 +97,59 @@
 	return known
 }
 
-// settleAppend appends records to a partition of a topic. While it isn't known whether that has had an effect, it repeats the append, as the
-// first of equal records counts, until stop returns true for the outcome of the last attempt, or the context ends.
+// appendOutcome is the outcome of an attempt of an append.
+type appendOutcome struct {
+	offset int64
+	err    error
+}
+
+// never goes on until the outcome of an append is known.
+func never(model.Ran) bool { return false }
+
+// settleAppend appends records to a partition of a topic. While it isn't known whether that has had an effect, it makes further attempts, as
+// the first of equal records counts: beside one that gets no response, and after one that has failed. It ends when an attempt succeeds, when all
+// are known to have had no effect, or else none is in progress and stop returns true for the last outcome, or with the context.
 func (p *partition) settleAppend(ctx context.Context, topic Topic, records []Record, stop func(last model.Ran) bool) (int64, error) {
 	var tally jujubeattempt.Tally
 	last := ErrStore{Call: methodAppend, Reason: "no time is left"}
-	for retryDelay := minAppendRetryDelay; ctx.Err() == nil; retryDelay = min(2*retryDelay, maxAppendRetryDelay) {
-		tally.Begin()
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		offset, err := p.node.store.Append(callCtx, topic, p.number, records, NoCondition)
-		cancel()
-		if err == nil {
-			return offset, nil
-		}
-		ran := ranOf(err)
-		if tally.End(ran); !tally.MayHaveRun() {
-			return 0, err
-		}
-		if !errors.As(err, &last) {
-			last.Reason = err.Error()
-		}
-		if stop(ran) {
-			break
+	outcomes := make(chan appendOutcome, maxSettleAttempts)
+	inFlight, retryDelay := 0, minAppendRetryDelay
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			if inFlight == maxAttemptsInFlight || tally.Begun == maxSettleAttempts || tally.Begun > 0 && stop(model.RanUnknown) {
+				continue
+			}
+			tally.Begin()
+			inFlight++
+			p.node.tomb.Go(func() error {
+				callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+				defer cancel()
+				offset, err := p.node.store.Append(callCtx, topic, p.number, records, NoCondition)
+				outcomes <- appendOutcome{offset, err}
+				return nil
+			})
+			timer.Reset(appendHedgeDelay)
+		case outcome := <-outcomes:
+			if outcome.err == nil {
+				return outcome.offset, nil
+			}
+			inFlight--
+			ran := ranOf(outcome.err)
+			tally.End(ran)
+			if !errors.As(outcome.err, &last) {
+				last.Reason = outcome.err.Error()
+			}
+			if inFlight == 0 && (!tally.MayHaveRun() || tally.Begun == maxSettleAttempts || stop(ran)) {
+				last.Done = tally.MayHaveRun()
+				return 0, last
+			}
+			timer.Reset(retryDelay)
+			retryDelay = min(2*retryDelay, maxAppendRetryDelay)
 		}
-		p.node.store.sleep(ctx, retryDelay)
 	}
 	last.Done = tally.MayHaveRun()
 	return 0, last
