jujubenode: let appends end that another attempt has made needless

Cause (by reading): with the success of one attempt cancelled the other one. A call through another instance that is cancelled closes the connection, which other calls use, too; these then fail.

Change: an attempt goes on until its own time limit or the node's end.

--- a/entry/services/jujubenode/settle.go
+++ b/entry/services/jujubenode/settle.go
@@ -32,8 +32,6 @@
 		deadline = callerDeadline
 	}
 	writtenCh := make(chan error, 1)
-	// An append through another instance that is cancelled closes the connection, which other calls use too, so it goes on when the caller
-	// has got a response.
 	if !n.tasks.start(func(ctx context.Context) {
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
@@ -103,6 +101,22 @@
 	err    error
 }
 
+// beginAppend begins an attempt of an append, which ends with the context's deadline at the latest. It goes on when another attempt has
+// succeeded: a call through another instance that is cancelled closes the connection, which other calls use, too.
+func (p *partition) beginAppend(ctx context.Context, topic Topic, records []Record, outcomes chan<- appendOutcome) {
+	timeout := appendTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	p.node.tomb.Go(func() error {
+		callCtx, cancel := context.WithTimeout(p.node.tomb.Context(nil), timeout)
+		defer cancel()
+		offset, err := p.node.store.Append(callCtx, topic, p.number, records, NoCondition)
+		outcomes <- appendOutcome{offset, err}
+		return nil
+	})
+}
+
 // never goes on until the outcome of an append is known.
 func never(model.Ran) bool { return false }
 
@@ -125,13 +139,7 @@
 			}
 			tally.Begin()
 			inFlight++
-			p.node.tomb.Go(func() error {
-				callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-				defer cancel()
-				offset, err := p.node.store.Append(callCtx, topic, p.number, records, NoCondition)
-				outcomes <- appendOutcome{offset, err}
-				return nil
-			})
+			p.beginAppend(ctx, topic, records, outcomes)
 			timer.Reset(appendHedgeDelay)
 		case outcome := <-outcomes:
 			if outcome.err == nil {
--- a/entry/services/jujubenode/storeattempt.go
+++ b/entry/services/jujubenode/storeattempt.go
@@ -61,15 +61,18 @@
 	if !isStoreErr && a.tally.MayHaveRun() == (ranOf(last) != model.RanNo) {
 		return last
 	}
+	return ErrStore{Call: storeErr.Call, Status: storeErr.Status, Done: a.tally.MayHaveRun(), Reason: strings.Join(a.texts(), "; ")}
+}
+
+func (a *storeAttempts) texts() []string {
 	texts := make([]string, len(a.list))
 	for i, attempt := range a.list {
 		texts[i] = attempt.String()
 	}
-	return ErrStore{Call: storeErr.Call, Status: storeErr.Status, Done: a.tally.MayHaveRun(), Reason: strings.Join(texts, "; ")}
+	return texts
 }
 
-// ranOf returns what the error of an attempt states of its effect. The store makes a call or fails: it has made one that found the records
-// trimmed.
+// ranOf returns what the error of an attempt states of its effect. A read that found the records trimmed has been made.
 func ranOf(err error) model.Ran {
 	var storeErr ErrStore
 	switch {
@@ -87,13 +90,9 @@
 		return
 	}
 	s.log.Write(jujubeevent.AppendAttempted, func() logrus.Fields {
-		texts := make([]string, len(attempts.list))
-		for i, attempt := range attempts.list {
-			texts[i] = attempt.String()
-		}
 		return logrus.Fields{
 			"Topic": args.Topic.Name, "Partition": args.Part, "Records": len(args.Records), "Position": args.Position,
-			"Attempts": texts, "Ran": attempts.tally.Outcome(),
+			"Attempts": attempts.texts(), "Ran": attempts.tally.Outcome(),
 		}
 	})
 }
