--- a/core/modules/jujubehttp/status.go
+++ b/core/modules/jujubehttp/status.go
@@ -5,7 +5,7 @@
 	"net/http"
 )
 
-// The statuses of final responses. Interim ones never reach a caller of net/http, but for 101, which nobody here asks for.
+// Statuses of final responses. net/http handles interim responses itself, except 101, which is only valid after a request to upgrade.
 const (
 	minStatus = 200
 	maxStatus = 599
--- a/entry/services/jujubenode/relay.go
+++ b/entry/services/jujubenode/relay.go
@@ -157,8 +157,8 @@
 	}
 }
 
-// call makes a call directly or through another instance, depending on the current path. If a direct call fails and may
-// be repeated, it is tried once through another instance. An error states what is known of the effect of all attempts.
+// call makes a call directly or through another instance, depending on the current path. A direct call that fails is retried
+// once through another instance if it is repeatable. The returned error combines the outcomes of both attempts.
 func (s *relayedStore) call(ctx context.Context, method string, args RelayArgs, timeout time.Duration, repeatable bool,
 	direct func(context.Context) (RelayReply, error),
 ) (RelayReply, error) {
