review: show that batches of legal size fill the store and take results along

Cause: neither part_mb nor the store's 400 MB bound what the program keeps there, and contents of ended batches stay as long as others.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(directory, record string, trouble bool) bool{
 	"memory":  memoryCase,
 	"foreign": foreignCase,
+	"full":    fullCase,
 	"encoded": encodedCase,
 }
 
@@ -25,6 +26,7 @@
 	}
 	time.AfterFunc(115*time.Second, func() { fatal("no end after 115 s") })
 	held := cases[os.Args[1]](directory, filepath.Join(os.Args[2], "record.txt"), os.Getenv("TROUBLE") != "0")
+	current.logRuns()
 	current.stop()
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		_ = os.Rename(directory, keep)
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -12,12 +12,14 @@
 	"time"
 )
 
+// eventInterval is the time between two events of a run.
+var eventInterval = 20 * time.Millisecond
+
 const (
-	eventInterval = 20 * time.Millisecond
-	loadTime      = 900 * time.Millisecond
-	heartbeat     = 1200 * time.Millisecond
-	engineSlots   = 12
-	plainSlots    = 6
+	loadTime    = 900 * time.Millisecond
+	heartbeat   = 1200 * time.Millisecond
+	engineSlots = 12
+	plainSlots  = 6
 )
 
 // server is a sound server of a service: a model server if it has versions, else one of a plain service.
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -83,6 +84,28 @@
 	s.lastAt[id] = time.Now()
 }
 
+// maxLoggedRuns bounds the lines about runs in the record.
+const maxLoggedRuns = 1000
+
+// logRuns writes what the servers have run to the record.
+func (s *site) logRuns() {
+	s.mu.Lock()
+	var lines []string
+	for id, servers := range s.runs {
+		state := "not finished"
+		if s.finished[id] {
+			state = "finished"
+		}
+		lines = append(lines, fmt.Sprintf("run %s at %s, %s", id, strings.Join(servers, " "), state))
+	}
+	s.mu.Unlock()
+	slices.Sort(lines)
+	for _, line := range lines[:min(len(lines), maxLoggedRuns)] {
+		s.logf("%s", line)
+	}
+	s.logf("%d requests were run", len(lines))
+}
+
 // left notes that a request is at a server no more, and whether the server has finished it.
 func (s *site) left(id string, finished bool) {
 	s.mu.Lock()
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -11,24 +12,37 @@
 	"time"
 )
 
-// partition is one partition of a topic; nothing expires within the time of a script.
+// The sizes that the pages name: of a partition, above which its oldest records expire, and of all records, from which on appends are
+// refused with 507. Nothing expires by its age within the time of a script.
+const (
+	partitionBytes = 200 << 20
+	storeBytes     = 400 << 20
+)
+
+// partition is one partition of a topic; first is the offset of its oldest record.
 type partition struct {
 	records [][]byte
+	first   int64
+	bytes   int
 }
 
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
 // store is the platform's metadata store as PROTOCOL.md describes it: a log with keyed topics.
 type store struct {
-	mu      sync.Mutex
-	parts   map[string]*partition
-	changed chan struct{}
+	mu    sync.Mutex
+	parts map[string]*partition
+	// bytes is the size of all records, and refused the number of appends that got 507.
+	bytes, refused int
+	changed        chan struct{}
+	// appended counts the bytes that were appended to each partition.
+	appended map[string]int
 	// filter, if it isn't nil, may take over a call: it returns true if it has dealt with it.
 	filter func(w http.ResponseWriter, r *http.Request) bool
-	// onAppend, if it isn't nil, is called after each append, without the lock.
-	onAppend func(topic string, records [][]byte)
 }
 
 func newStore() *store {
-	return &store{parts: map[string]*partition{}, changed: make(chan struct{})}
+	return &store{parts: map[string]*partition{}, appended: map[string]int{}, changed: make(chan struct{})}
 }
 
 func (s *store) part(topic, part string) *partition {
@@ -48,11 +62,24 @@
 func (s *store) put(topic, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.part("keyed."+topic, "0")
-	p.records = append(p.records, append(append([]byte{byte(len(key))}, key...), value...))
+	s.add(s.part("keyed."+topic, "0"), append(append([]byte{byte(len(key))}, key...), value...))
 	s.notify()
 }
 
+// add appends a record; the lock is held.
+func (s *store) add(p *partition, record []byte) {
+	p.records, p.bytes, s.bytes = append(p.records, record), p.bytes+len(record), s.bytes+len(record)
+	for p.bytes > partitionBytes {
+		s.drop(p)
+	}
+}
+
+// drop deletes the oldest record of a partition; the lock is held.
+func (s *store) drop(p *partition) {
+	p.bytes, s.bytes = p.bytes-len(p.records[0]), s.bytes-len(p.records[0])
+	p.records, p.first = p.records[1:], p.first+1
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	filter := s.filter
@@ -70,6 +97,11 @@
 	case "/-/log-newest":
 		s.newest(w, r, topic)
 	case "/-/log-trim":
+		s.mu.Lock()
+		for p, before := s.part(topic, part), query64(r, "before", 0); p.first < before && len(p.records) > 0; {
+			s.drop(p)
+		}
+		s.mu.Unlock()
 		reply(w, http.StatusOK, map[string]any{})
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -106,19 +138,25 @@
 	time.Sleep(2*time.Millisecond + time.Duration(total)*time.Second/(20<<20))
 	s.mu.Lock()
 	p := s.part(topic, part)
-	offset := int64(len(p.records))
+	if s.bytes >= storeBytes {
+		s.refused++
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusInsufficientStorage)
+		return
+	}
+	offset := p.end()
 	if at := query64(r, "at", -1); at >= 0 && at != offset {
 		s.mu.Unlock()
 		reply(w, http.StatusPreconditionFailed, map[string]any{"end": offset})
 		return
 	}
-	p.records = append(p.records, records...)
-	end, onAppend := int64(len(p.records)), s.onAppend
+	for _, record := range records {
+		s.add(p, record)
+	}
+	s.appended[topic+"/"+part] += total
+	end := p.end()
 	s.notify()
 	s.mu.Unlock()
-	if onAppend != nil {
-		onAppend(topic, records)
-	}
 	reply(w, http.StatusOK, map[string]any{"offset": offset, "end": end})
 }
 
@@ -137,15 +175,19 @@
 	for over := false; ; {
 		s.mu.Lock()
 		p, changed := s.part(topic, part), s.changed
-		end := int64(len(p.records))
+		end, first := p.end(), p.first
 		var records [][]byte
-		if from < end {
-			records = p.records[from:]
+		if from >= first && from < end {
+			records = p.records[from-first:]
 		}
 		s.mu.Unlock()
+		if from < first {
+			reply(w, http.StatusGone, map[string]any{"first": first})
+			return
+		}
 		if len(records) > 0 || over {
 			data := binary.BigEndian.AppendUint64(nil, uint64(end))
-			data = binary.BigEndian.AppendUint64(data, 0)
+			data = binary.BigEndian.AppendUint64(data, uint64(first))
 			for i, record := range records {
 				if i > 0 && int64(len(data)+len(record)) > maxBytes {
 					break
@@ -174,14 +216,15 @@
 		Offset int64  `json:"offset"`
 	}
 	newest := map[string]item{}
-	for offset, record := range p.records {
+	for i, record := range p.records {
+		offset := p.first + int64(i)
 		if len(record) < 1 || len(record) < 1+int(record[0]) {
 			continue
 		}
 		size := 1 + int(record[0])
-		newest[string(record[1:size])] = item{string(record[1:size]), record[size:], int64(offset)}
+		newest[string(record[1:size])] = item{string(record[1:size]), record[size:], offset}
 	}
-	end := int64(len(p.records))
+	end := p.end()
 	s.mu.Unlock()
 	items := []item{}
 	after := r.URL.Query().Get("after")
@@ -194,3 +237,10 @@
 	more := len(items) > 500
 	reply(w, http.StatusOK, map[string]any{"items": items[:min(len(items), 500)], "has_more": more, "end": end})
 }
+
+// sizes returns the size of all records, the appends that got 507, and the bytes that were appended to each partition.
+func (s *store) sizes() (size, refused int, appended map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bytes, s.refused, maps.Clone(s.appended)
+}
