--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -4,7 +4,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -24,6 +26,9 @@
 	if err != nil {
 		fatal("folder: %v", err)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { fatal("ended by a signal: %v", <-signals) }()
 	time.AfterFunc(115*time.Second, func() { fatal("no end after 115 s") })
 	held := cases[os.Args[1]](directory, filepath.Join(os.Args[2], "record.txt"), os.Getenv("TROUBLE") != "0")
 	current.logRuns()
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -62,6 +62,7 @@
 	fmt.Fprintf(os.Stderr, format+"\n", values...)
 	if current != nil {
 		current.stop()
+		_ = os.RemoveAll(current.directory)
 	}
 	os.Exit(2)
 }
