--- a/core/modules/jujubeevent/catalogue.go
+++ b/core/modules/jujubeevent/catalogue.go
@@ -48,6 +48,9 @@
 	SendChecked        Number = 2120
 	EndFailed          Number = 2121
 	SubmissionHeld     Number = 2122
+	SubmissionTooLarge Number = 2123
+	SubmissionDeferred Number = 2124
+	SubmissionRestored Number = 2125
 
 	KeyForwarded    Number = 3001
 	KeyUnknown      Number = 3002
@@ -175,6 +178,9 @@
 		{SendChecked, "SendChecked", info, "The check immediately before a run or scoring call is sent. It is sent if Verdict is Current or StoreAway."},
 		{EndFailed, "EndFailed", warn, "A caller's request to end a submission failed. With MayTakeEffect nothing of the submission starts here, and the end is appended until it is on the log."},
 		{SubmissionHeld, "SubmissionHeld", info, "Items of a submission begin to wait, as the instance By waits for the store with its end in hand."},
+		{SubmissionTooLarge, "SubmissionTooLarge", warn, "A submission was refused for lack of memory: it needs Needed bytes while it can be read, the others take Others, and LimitOf, the smallest instance, has Limit for all."},
+		{SubmissionDeferred, "SubmissionDeferred", warn, "A submission is on the log, but its Needed bytes exceed this instance's Limit; other instances run its items, and this one reads it again later."},
+		{SubmissionRestored, "SubmissionRestored", info, "A deferred submission was read again, as there is memory for it."},
 		{StoreUnavailable, "StoreUnavailable", warn, "Reads of a topic fail. The records already read stay in use."},
 		{StoreAvailable, "StoreAvailable", info, "Reads of a topic succeed again."},
 		{RecordsExpired, "RecordsExpired", warn, "Records expired before this instance read them."},
--- a/core/modules/jujubehttp/guard.go
+++ b/core/modules/jujubehttp/guard.go
@@ -44,6 +44,8 @@
 	// MaxHeldBytes bounds what all connections hold together, in memory rather than as received: the connections themselves, heads in
 	// parsed form, the beginnings of bodies, and messages of peers until they are answered. There is no default.
 	MaxHeldBytes int
+	// Available returns how much of it isn't used otherwise at the time; nil for all. It is called with the guard's lock held.
+	Available func() int
 	// MaxConnections and MaxPeerConnections bound the open connections; the defaults are shares of the descriptor limit.
 	MaxConnections, MaxPeerConnections int
 	// MaxMessageBytes bounds a message of a peer.
@@ -136,6 +138,14 @@
 	return g
 }
 
+// maxHeldBytes returns what all connections may hold now.
+func (g *Guard) maxHeldBytes() int {
+	if g.settings.Available == nil {
+		return g.settings.MaxHeldBytes
+	}
+	return min(g.settings.MaxHeldBytes, g.settings.Available())
+}
+
 // sinceStart returns the time since the guard's start in nanoseconds.
 func (g *Guard) sinceStart(now time.Time) int64 { return int64(now.Sub(g.started)) }
 
@@ -262,7 +272,7 @@
 	g.mu.Lock()
 	var victim *guardedConn
 	isFull := g.open[kind] >= limit
-	if isFull || g.held-g.closing+connectionBytes > g.settings.MaxHeldBytes {
+	if isFull || g.held-g.closing+connectionBytes > g.maxHeldBytes() {
 		cause := CauseConnections
 		if !isFull {
 			cause = CauseMemory
@@ -343,7 +353,7 @@
 			return false
 		}
 		var victim *guardedConn
-		if g.held-g.closing+size > g.settings.MaxHeldBytes {
+		if g.held-g.closing+size > g.maxHeldBytes() {
 			if victim = g.chooseHolder(c.held+size, time.Now(), c.kind); victim == nil {
 				g.refused[CauseMemory]++
 				return false
@@ -377,7 +387,7 @@
 
 // hold reserves bytes if there is room; the lock is held.
 func (g *Guard) hold(c *guardedConn, size int) bool {
-	if g.held+size > g.settings.MaxHeldBytes || c.isClosing || c.index < 0 {
+	if g.held+size > g.maxHeldBytes() || c.isClosing || c.index < 0 {
 		return false
 	}
 	c.held += size
--- a/core/modules/jujubememory/budget.go
+++ b/core/modules/jujubememory/budget.go
@@ -50,19 +50,47 @@
 	// the first use.
 	Relieve func()
 
-	size int
+	// size is the limit of the buffers and reservations, total that of these and what is held otherwise.
+	size, total int
 
 	mu sync.Mutex
 	// available is the number of bytes that aren't reserved; never negative.
 	available int
+	// held is the number of bytes that SetHeld has set.
+	held int
 	// releasedCh is closed and replaced when bytes become available.
 	releasedCh  chan struct{}
 	collectedAt time.Time
 }
 
 // NewBudget returns a budget of the given number of bytes.
-func NewBudget(size int) *Budget {
-	return &Budget{size: size, available: size, releasedCh: make(chan struct{})}
+func NewBudget(size int) *Budget { return NewSharedBudget(size, size) }
+
+// NewSharedBudget returns a budget of a number of bytes for buffers and reservations, which together with what is held otherwise take no
+// more than a total; zero for no total.
+func NewSharedBudget(size, total int) *Budget {
+	return &Budget{size: size, total: total, available: size, releasedCh: make(chan struct{})}
+}
+
+// SetHeld sets how many bytes are held beside the buffers and reservations. They may exceed the total; nothing is reserved then.
+func (b *Budget) SetHeld(bytes int) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bytes < b.held {
+		close(b.releasedCh)
+		b.releasedCh = make(chan struct{})
+	}
+	b.held = bytes
+}
+
+// Limits returns how many bytes may be held in total, and how many are.
+func (b *Budget) Limits() (total, used int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total, b.held + b.size - b.available
 }
 
 // Reserve reserves bytes until release is called, for a caller that holds some already. It waits for them until the wait has passed or
@@ -78,16 +106,44 @@
 	return sync.OnceFunc(func() { b.release(size) }), nil
 }
 
+// Await waits until a number of bytes beside the reservations fits into the total.
+func (b *Budget) Await(ctx context.Context, size int, wait time.Duration) error {
+	if b == nil {
+		return nil
+	}
+	return b.await(ctx, size, wait, func() bool { return b.fits(size) })
+}
+
 func (b *Budget) reserve(ctx context.Context, size int, wait time.Duration) error {
+	return b.await(ctx, size, wait, func() bool {
+		if size > b.available || !b.fits(size) {
+			return false
+		}
+		b.available -= size
+		return true
+	})
+}
+
+// fits reports whether a number of bytes beside the reservations fits into the total; the lock is held.
+func (b *Budget) fits(size int) bool {
+	return b.total == 0 || b.size-b.available+size+b.held <= b.total
+}
+
+// await waits for a number of bytes until a function that is called with the lock held returns true. It fails at once if nothing that may
+// be released makes room for them.
+func (b *Budget) await(ctx context.Context, size int, wait time.Duration, isDone func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+collectWait)
 	defer cancel()
 	for {
 		b.mu.Lock()
-		if size <= b.available {
-			b.available -= size
+		if isDone() {
 			b.mu.Unlock()
 			return nil
 		}
+		if b.total > 0 && size > b.total-b.held {
+			b.mu.Unlock()
+			return ErrExhausted{size}
+		}
 		releasedCh, now := b.releasedCh, time.Now()
 		isDue := now.Sub(b.collectedAt) >= collectInterval
 		if isDue {
--- a/core/services/jujubebatch/assign.go
+++ b/core/services/jujubebatch/assign.go
@@ -21,7 +21,8 @@
 	full := map[model.ServiceName]bool{}
 	s.prompts.following = s.listRunTimes(now, submission)
 	defer func() { s.prompts.following = nil }()
-	for _, item := range submission.longestFirst {
+	for _, at := range s.assignable(submission) {
+		item := &submission.items[at]
 		if !s.awaitsEngine(now, item) {
 			continue
 		}
@@ -33,6 +34,14 @@
 	}
 }
 
+// assignable returns the indexes of the items to which this instance may have to assign an engine, the longest first.
+func (s *Scheduler) assignable(submission *submission) []int32 {
+	if submission.By != s.self && submission.isAcceptorLive {
+		return submission.modifiedLongestFirst() // only those that were delegated to this instance
+	}
+	return submission.unresolvedLongestFirst()
+}
+
 // awaitsEngine reports whether this instance has to assign an engine to an item now.
 func (s *Scheduler) awaitsEngine(now time.Time, item *item) bool {
 	return item.assignedEngine == "" && !item.hasResult && !item.resultQueued && item.unscored == nil &&
@@ -65,11 +74,12 @@
 	e := s.selectForItem(now, item, route, serving, full, fleet)
 	if e == nil {
 		if item.serviceBlockedSince.IsZero() {
-			item.serviceBlockedSince = now
+			item.modify().serviceBlockedSince = now
 		}
 		return false
 	}
-	item.textBlockedSince, item.serviceBlockedSince, item.assignedAt = time.Time{}, time.Time{}, now
+	state := item.modify()
+	state.textBlockedSince, state.serviceBlockedSince, state.assignedAt = time.Time{}, time.Time{}, now
 	s.assign(item, e)
 	return true
 }
@@ -141,7 +151,7 @@
 }
 
 func (s *Scheduler) assign(item *item, e *engine) {
-	item.assignedEngine = e.ID
+	item.modify().assignedEngine = e.ID
 	item.submission.unassigned--
 	e.assigned++
 	s.sendPrompt(item, e)
@@ -162,7 +172,7 @@
 // unassignAll unassigns all items without a run from an engine that was removed or has restarted.
 func (s *Scheduler) unassignAll(id model.EndpointID) {
 	for _, submission := range s.submissions.All() {
-		for _, item := range submission.order {
+		for item := range submission.modified() {
 			if item.assignedEngine == id && item.run == nil {
 				s.unassign(item)
 			}
--- a/core/services/jujubebatch/chunk.go
+++ b/core/services/jujubebatch/chunk.go
@@ -1,6 +1,10 @@
 package jujubebatch
 
-import model "jujubepier.example/core/models/jujubemodel"
+import (
+	"iter"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
 
 // Chunk holds the contents of some of a submission's items.
 type Chunk struct {
@@ -8,26 +12,37 @@
 	Contents map[int]Content
 }
 
-// targetChunkBytes is the approximate size of a chunk. It is well below the size of a record, because chunks are read one
-// at a time.
-const targetChunkBytes = 32 << 10
+// TargetChunkBytes is the approximate size of a chunk, before compression. It is well below the size of a record, because chunks are read
+// one at a time.
+const TargetChunkBytes = 64 << 10
+
+// Contents are the contents of a submission's items. They are read one at a time, so that they needn't all be decoded at once.
+type Contents interface {
+	// Bytes returns the approximate total size.
+	Bytes() int
+	// Content returns the content of the item with an index.
+	Content(index int) (Content, error)
+}
 
-// SplitContents distributes a submission's contents over chunks.
-func (s *Submission) SplitContents() []Chunk {
+// SplitContents distributes a submission's contents over chunks and iterates over them.
+func (s *Submission) SplitContents() iter.Seq2[Chunk, error] {
 	size := 0
-	for i := range s.Items {
-		size += len(s.Items[i].Content.Body)
+	if s.Contents != nil {
+		size = s.Contents.Bytes()
 	}
-	count := min(1+size/targetChunkBytes, max(1, len(s.Items)))
-	chunks := make([]Chunk, count)
-	for i := range s.Items {
-		c := &chunks[i%count]
-		if c.Contents == nil {
-			c.Contents = map[int]Content{}
+	count := min(1+size/TargetChunkBytes, max(1, len(s.Items)))
+	return func(yield func(Chunk, error) bool) {
+		for first := range count {
+			chunk := Chunk{Contents: map[int]Content{}}
+			var err error
+			for i := first; i < len(s.Items) && err == nil && s.Contents != nil; i += count {
+				chunk.Contents[i], err = s.Contents.Content(i)
+			}
+			if !yield(chunk, err) || err != nil {
+				return
+			}
 		}
-		c.Contents[i] = s.Items[i].Content
 	}
-	return chunks
 }
 
 // Place locates an item's content.
@@ -43,5 +58,5 @@
 	if len(it.submission.Chunks) == 0 {
 		return Place{}, false
 	}
-	return Place{Chunk: it.submission.Chunks[it.index%len(it.submission.Chunks)], Index: it.index, By: it.submission.By}, true
+	return Place{Chunk: it.submission.Chunks[int(it.index)%len(it.submission.Chunks)], Index: int(it.index), By: it.submission.By}, true
 }
--- a/core/services/jujubebatch/codec.go
+++ b/core/services/jujubebatch/codec.go
@@ -1,7 +1,10 @@
 package jujubebatch
 
 import (
+	"bufio"
 	"encoding/json"
+	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -29,12 +32,13 @@
 
 // EncodeBlob returns the records of a value. They must be written in a single append.
 func (c *Codec) EncodeBlob(value any, maxRecord int) ([][]byte, error) {
-	data, err := json.Marshal(value)
-	if err != nil {
+	compressor := compressor{codec: c}
+	if err := encodeValue(&compressor, value); err != nil {
 		return nil, errors.Wrap(err, "encode record")
 	}
-	if data, err = c.compress(data); err != nil {
-		return nil, err
+	data, err := compressor.finish()
+	if err != nil {
+		return nil, errors.Wrap(err, "compress record")
 	}
 	if len(data) < maxRecord {
 		return [][]byte{append([]byte{recordWhole}, data...)}, nil
@@ -51,11 +55,23 @@
 	return records, nil
 }
 
+func encodeValue(w io.Writer, value any) error {
+	if entry, ok := value.(Entry); ok && entry.Submission != nil {
+		return encodeSubmission(w, entry.Submission)
+	}
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(data)
+	return err
+}
+
 // DecodeBlob decodes a value from all of its records.
 func (c *Codec) DecodeBlob(records [][]byte, value any) error {
 	var decoder Decoder
 	for i, record := range records {
-		data, err := decoder.addRecord(record)
+		data, err := decoder.Join(record)
 		if err != nil {
 			return err
 		}
@@ -65,20 +81,38 @@
 		if i != len(records)-1 {
 			return ErrRecord{"more records than one value has"}
 		}
-		return c.decode(data, value)
+		err = c.decompress(data, func(plain io.Reader) error { return decodeAll(plain, value) })
+		if err != nil {
+			return ErrRecord{err.Error()}
+		}
+		return nil
 	}
 	return ErrRecord{"its last part is missing"}
 }
 
-func (c *Codec) decode(data []byte, value any) error {
-	data, err := c.decompress(data)
-	if err == nil {
-		err = json.Unmarshal(data, value)
+// decodeAll decodes a value that isn't a submission.
+func decodeAll(plain io.Reader, value any) error {
+	data, err := io.ReadAll(plain)
+	if err != nil {
+		return err
 	}
+	return json.Unmarshal(data, value)
+}
+
+// DecodeEntry decodes the joined data of an entry's records. It may be called by several goroutines.
+func (c *Codec) DecodeEntry(data []byte) (*Entry, error) {
+	entry := &Entry{}
+	err := c.decompress(data, func(plain io.Reader) error {
+		reader := bufio.NewReader(plain)
+		if start, _ := reader.Peek(len(submissionStart)); string(start) == submissionStart {
+			return decodeSubmission(reader, entry)
+		}
+		return decodeAll(reader, entry)
+	})
 	if err != nil {
-		return ErrRecord{err.Error()}
+		return nil, ErrRecord{err.Error()}
 	}
-	return nil
+	return entry, nil
 }
 
 // Decoder reassembles the entries of one partition from its records.
@@ -89,19 +123,21 @@
 
 // Add adds the next record and returns an entry if the record completes one.
 func (d *Decoder) Add(codec *Codec, record []byte) (*Entry, error) {
-	data, err := d.addRecord(record)
+	data, err := d.Join(record)
 	if err != nil || data == nil {
 		return nil, err
 	}
-	entry := &Entry{}
-	if err := codec.decode(data, entry); err != nil {
-		return nil, err
-	}
-	return entry, nil
+	return codec.DecodeEntry(data)
+}
+
+// BeginsEntry reports whether a record is the first one of an entry.
+func BeginsEntry(record []byte) bool {
+	return len(record) > 0 && (record[0] == recordWhole || record[0] == recordFirst)
 }
 
-// addRecord adds the next record and returns the joined data if the record completes it.
-func (d *Decoder) addRecord(record []byte) ([]byte, error) {
+// Join adds the next record and returns the joined data of an entry if the record completes one. A copy of the decoder can be used to look
+// ahead.
+func (d *Decoder) Join(record []byte) ([]byte, error) {
 	if len(record) == 0 {
 		return nil, ErrRecord{"empty"}
 	}
@@ -117,7 +153,7 @@
 		if d.partial == nil {
 			return nil, ErrRecord{"its first part has expired"}
 		}
-		d.partial = append(d.partial, data...)
+		d.partial = append(slices.Clip(d.partial), data...)
 		if kind == recordMiddle {
 			return nil, nil
 		}
--- a/core/services/jujubebatch/compress.go
+++ b/core/services/jujubebatch/compress.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"compress/flate"
 	"io"
-
-	"github.com/pkg/errors"
 )
 
 // minCompressBytes is the size from which on an entry is compressed. Bodies and texts shrink by a third or more, which
@@ -52,48 +50,67 @@
 	}
 }
 
-// compress compresses data of at least minCompressBytes. Plain JSON begins with a brace, compressed data with
+// compressor compresses what is written to it if that is at least minCompressBytes. Plain JSON begins with a brace, compressed data with
 // compressedMarker.
-func (c *Codec) compress(data []byte) ([]byte, error) {
-	if len(data) < minCompressBytes {
-		return data, nil
+type compressor struct {
+	codec  *Codec
+	buffer bytes.Buffer
+	// writer is nil while less than minCompressBytes have been written.
+	writer *flate.Writer
+}
+
+// Write implements io.Writer.
+func (c *compressor) Write(data []byte) (int, error) {
+	if c.writer == nil && c.buffer.Len()+len(data) < minCompressBytes {
+		return c.buffer.Write(data)
 	}
-	var buffer bytes.Buffer
-	buffer.WriteByte(compressedMarker)
-	writer, ok := c.writers.take()
-	if ok {
-		writer.Reset(&buffer)
-	} else {
-		var err error
-		if writer, err = flate.NewWriter(&buffer, flate.BestSpeed); err != nil {
-			return nil, errors.Wrap(err, "compress entry")
+	if c.writer == nil {
+		plain := bytes.Clone(c.buffer.Bytes())
+		c.buffer.Reset()
+		c.buffer.WriteByte(compressedMarker)
+		var ok bool
+		if c.writer, ok = c.codec.writers.take(); ok {
+			c.writer.Reset(&c.buffer)
+		} else {
+			var err error
+			if c.writer, err = flate.NewWriter(&c.buffer, flate.BestSpeed); err != nil {
+				return 0, err
+			}
+		}
+		if _, err := c.writer.Write(plain); err != nil {
+			return 0, err
 		}
 	}
-	if _, err := writer.Write(data); err != nil {
-		return nil, errors.Wrap(err, "compress entry")
+	return c.writer.Write(data)
+}
+
+// finish returns the data.
+func (c *compressor) finish() ([]byte, error) {
+	if c.writer == nil {
+		return c.buffer.Bytes(), nil
 	}
-	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress entry")
+	if err := c.writer.Close(); err != nil {
+		return nil, err
 	}
-	writer.Reset(nil)
-	c.writers.put(writer)
-	return buffer.Bytes(), nil
+	c.writer.Reset(nil)
+	c.codec.writers.put(c.writer)
+	return c.buffer.Bytes(), nil
 }
 
 const compressedMarker byte = 'Z'
 
-func (c *Codec) decompress(data []byte) ([]byte, error) {
+// decompress calls decode with the plain data.
+func (c *Codec) decompress(data []byte, decode func(plain io.Reader) error) error {
 	if len(data) == 0 || data[0] != compressedMarker {
-		return data, nil
+		return decode(bytes.NewReader(data))
 	}
 	source := bytes.NewReader(data[1:])
 	reader, ok := c.readers.take()
 	if !ok {
 		reader = flate.NewReader(source)
 	} else if err := reader.(flate.Resetter).Reset(source, nil); err != nil {
-		return nil, errors.Wrap(err, "decompress entry")
+		return err
 	}
-	plain, err := io.ReadAll(io.LimitReader(reader, maxEntryBytes))
-	c.readers.put(reader)
-	return plain, errors.Wrap(err, "decompress entry")
+	defer c.readers.put(reader)
+	return decode(io.LimitReader(reader, maxEntryBytes))
 }
--- a/core/services/jujubebatch/delegation.go
+++ b/core/services/jujubebatch/delegation.go
@@ -38,6 +38,8 @@
 	DataCentre model.DataCentre
 	// Ready members may be gateways; leaving ones only finish their items.
 	Ready bool
+	// Deferred are the submissions that the instance doesn't keep.
+	Deferred []SubmissionID
 }
 
 // Offer asks an engine's gateway to run an item.
@@ -98,7 +100,7 @@
 		s.liveIDs[m.ID] = true
 	}
 	for _, submission := range s.submissions.All() {
-		submission.isAcceptorLive = s.isLive(submission.By)
+		submission.isAcceptorLive = s.isKeptBy(submission.By, submission.ID)
 	}
 	for _, e := range s.engines.All() {
 		s.selectGateway(e)
@@ -155,14 +157,14 @@
 	case item.progress != nil && item.progress.By != s.self && s.isLive(item.progress.By) && now.Sub(item.progressAt) < remoteRunTTL:
 		return false
 	}
-	return len(s.live) > 0 && s.live[item.index%len(s.live)].ID == s.self
+	return s.substitute(item) == s.self
 }
 
 // delegate adds an item to the offers for its engine's gateway.
 func (s *Scheduler) delegate(now time.Time, item *item, e *engine) {
-	item.delegation = &delegation{to: e.gateway, confirmedAt: now, askedAt: now}
+	item.modify().delegation = &delegation{to: e.gateway, confirmedAt: now, askedAt: now}
 	offer := Offer{
-		Submission: item.submission.ID, Item: item.ID, Engine: e.ID, Given: item.Content, Events: item.events, Versions: item.versions,
+		Submission: item.submission.ID, Item: item.ID, Engine: e.ID, Given: item.given, Events: item.events, Versions: item.versions,
 		SoftwareVersion: item.softwareVersion, Failures: item.failures, Crashes: item.earlyBreaks, DiscardedTexts: item.discardedTexts,
 	}
 	if item.run != nil && !s.isConfirmed(item.run) {
@@ -180,7 +182,7 @@
 // AcceptOffer decides on an offer from another instance and reports whether it is accepted. An item that this instance already
 // has stays here.
 func (s *Scheduler) AcceptOffer(now time.Time, offer Offer) bool {
-	if s.draining {
+	if s.draining || s.IsDeferred(offer.Submission) {
 		return false
 	}
 	s.prompts.now = now
@@ -188,7 +190,7 @@
 	if !ok || !s.hasDesired(submission) {
 		return s.addPendingOffer(now, offer)
 	}
-	item, ok := submission.items[offer.Item]
+	item, ok := submission.find(offer.Item)
 	switch {
 	case !ok || s.isWithheld(submission):
 		return false
@@ -217,7 +219,9 @@
 	if !item.delegatedHere {
 		item.submission.delegatedHere++
 	}
-	item.delegatedHere, item.delegation, item.notBefore, item.offeredEngine, item.Content = true, nil, now, offer.Engine, offer.Given
+	item.delegatedHere = true
+	state := item.modify()
+	state.delegation, state.notBefore, state.offeredEngine, state.given = nil, now, offer.Engine, offer.Given
 	item.failures, item.earlyBreaks = max(item.failures, offer.Failures), max(item.earlyBreaks, offer.Crashes)
 	item.discardedTexts = max(item.discardedTexts, offer.DiscardedTexts)
 	s.mergeOfferedText(item, offer)
@@ -248,7 +252,7 @@
 	if !ok {
 		return false
 	}
-	item, ok := submission.items[ref.Item]
+	item, ok := submission.find(ref.Item)
 	return ok && (item.delegatedHere || item.run != nil || item.resultQueued || item.hasResult || submission.ended)
 }
 
@@ -324,7 +328,7 @@
 	if !ok {
 		return nil, false
 	}
-	item, ok := submission.items[itemID]
+	item, ok := submission.find(itemID)
 	return item, ok && item.delegation != nil && item.delegation.to == to
 }
 
@@ -366,7 +370,7 @@
 // checkDelegations reclaims items whose confirmation is overdue and requests confirmation of the others.
 func (s *Scheduler) checkDelegations(now time.Time, submission *submission) {
 	due := map[model.InstanceID][]ItemRef{}
-	for _, item := range submission.order {
+	for item := range submission.modified() {
 		if item.delegation == nil || item.hasResult {
 			continue
 		}
@@ -385,15 +389,3 @@
 		}
 	}
 }
-
-// estimateLoad returns how many items of all instances the engine has or is about to get.
-func (s *Scheduler) estimateLoad(now time.Time, e *engine) int {
-	remoteLoad := e.remoteLoad
-	switch age := now.Sub(e.remoteLoadAt); {
-	case age > time.Second:
-		remoteLoad = 0
-	case age > remoteLoadTTL:
-		remoteLoad = max(0, min(remoteLoad, s.maxAssigned(e)-probeItems-e.assigned))
-	}
-	return e.assigned + remoteLoad + s.countPendingOffers(e.ID)
-}
--- a/core/services/jujubebatch/discard.go
+++ b/core/services/jujubebatch/discard.go
@@ -23,14 +23,15 @@
 	if !ok {
 		return
 	}
-	item, ok := submission.items[text.Item]
+	item, ok := submission.find(text.Item)
 	if !ok || item.hasResult {
 		return
 	}
 	s.cancelScoring(item, "the text can't be stored")
 	item.dropText()
-	item.unscored = nil
-	item.resultQueued, item.unscoredLogged = false, false
-	item.notBefore = now.Add(discardedTextDelay << min(item.discardedTexts, maxDiscardedTextDoublings))
-	item.discardedTexts++
+	item.resultQueued = false
+	state := item.modify()
+	state.unscored, state.unscoredLogged = nil, false
+	state.notBefore = now.Add(discardedTextDelay << min(state.discardedTexts, maxDiscardedTextDoublings))
+	state.discardedTexts++
 }
--- a/core/services/jujubebatch/engine.go
+++ b/core/services/jujubebatch/engine.go
@@ -145,7 +145,7 @@
 		e.avoidUntil, e.stalls = time.Time{}, 0
 	}
 	for _, submission := range s.openSubmissions() {
-		for _, item := range submission.order {
+		for item := range submission.modified() {
 			item.earlyBreaks = 0
 		}
 	}
--- a/core/services/jujubebatch/entry.go
+++ b/core/services/jujubebatch/entry.go
@@ -49,6 +49,10 @@
 	// DesiredVersion is the version of the desired state under which the submission was accepted; zero in the records of earlier
 	// builds. Instances with an older desired state leave the submission alone.
 	DesiredVersion int64 `json:",omitempty"`
+	// Contents are the items' contents. They aren't part of the record; they are stored in chunks.
+	Contents Contents `json:"-"`
+	// memoryBytes is the result of MemoryBytes; zero before the first call.
+	memoryBytes int
 }
 
 // Pointer locates data in the text partition, which has the same number as the submission's partition.
@@ -79,8 +83,6 @@
 type Item struct {
 	ID   ItemID
 	Path string
-	// Content isn't part of the record; it is stored in a chunk.
-	Content Content `json:"-"`
 	// ExpectedTokens is the caller's estimate of the generated length, often far off; 0 for none.
 	ExpectedTokens int `json:",omitempty"`
 	// Prompt lists the parts of the prompt; empty if the caller names none. The last one is the item's own.
--- a/core/services/jujubebatch/gap.go
+++ b/core/services/jujubebatch/gap.go
@@ -68,7 +68,7 @@
 
 // cancelUnsentRuns cancels the runs and scoring calls that may not have been sent yet.
 func (s *Scheduler) cancelUnsentRuns(submission *submission, reason string) {
-	for _, item := range submission.order {
+	for item := range submission.modified() {
 		s.cancelScoring(item, reason)
 		if item.run != nil && item.run.awaitsFirstEvent {
 			s.cancelRun(item.run, reason)
@@ -85,7 +85,7 @@
 		}
 		question := Question{Submission: id, Results: submission.doubt.results}
 		if question.Results > 0 {
-			question.Last = submission.results[question.Results-1].Item
+			question.Last = submission.result(question.Results - 1).Item
 		}
 		questions = append(questions, question)
 	}
@@ -96,16 +96,21 @@
 func (s *Scheduler) Answer(question Question) Status {
 	submission, ok := s.submissions.Get(question.Submission)
 	if !ok {
+		if s.IsDeferred(question.Submission) {
+			return Status{Submission: question.Submission, Known: true, Ended: s.deferred[question.Submission].ended, InDoubt: true}
+		}
 		isBuried := s.buriedIDs[question.Submission]
 		return Status{Submission: question.Submission, Known: isBuried, Ended: isBuried}
 	}
 	status := Status{Submission: question.Submission, Known: true, Ended: submission.ended}
 	first := question.Results
 	switch {
-	case submission.doubt != nil || first > len(submission.results) || first > 0 && submission.results[first-1].Item != question.Last:
+	case submission.doubt != nil || first > len(submission.results) || first > 0 && submission.result(first-1).Item != question.Last:
 		status.InDoubt = true
 	default:
-		status.Results = slices.Clone(submission.results[first:])
+		for i := first; i < len(submission.results); i++ {
+			status.Results = append(status.Results, submission.result(i))
+		}
 	}
 	return status
 }
@@ -151,20 +156,20 @@
 	inserted := make(map[ItemID]bool, len(results))
 	for i := range results {
 		result := &results[i]
-		item, ok := submission.items[result.Item]
+		item, ok := submission.find(result.Item)
 		if !ok || inserted[result.Item] {
 			continue
 		}
 		inserted[result.Item] = true
 		if item.hasResult {
 			item.isErrored = result.State == Errored
-			submission.results = append(submission.results, *result)
+			submission.results = append(submission.results, s.listResult(item, result))
 			continue
 		}
 		s.addResult(result)
 	}
 	for _, result := range later {
-		if !inserted[result.Item] {
+		if !inserted[submission.items[result.at].ID] {
 			submission.results = append(submission.results, result)
 		}
 	}
--- a/core/services/jujubebatch/giveup.go
+++ b/core/services/jujubebatch/giveup.go
@@ -1,6 +1,7 @@
 package jujubebatch
 
 import (
+	"iter"
 	"time"
 
 	"jujubepier.example/core/services/jujubedesired"
@@ -65,3 +66,16 @@
 	limit := max(1, route.MaxAttempts)
 	return it.failures >= limit || it.failures+it.repeatedFailures >= 2*limit
 }
+
+// maxGivenUpPerTick bounds the results of items of a submission that are given up in one tick, as the queue of results is bounded.
+const maxGivenUpPerTick = 1024
+
+// startable iterates over the items that may have to be started or given up. An item without a state of its own has no engine yet, so it
+// can only be given up.
+func (s *Scheduler) startable(now time.Time, submission *submission) iter.Seq[*item] {
+	if now.Sub(submission.idleCheckedAt) < submission.scanInterval() {
+		return submission.modified()
+	}
+	submission.idleCheckedAt = now
+	return submission.all()
+}
--- a/core/services/jujubebatch/handover.go
+++ b/core/services/jujubebatch/handover.go
@@ -16,9 +16,9 @@
 	if !ok {
 		return
 	}
-	if item, ok := submission.items[entry.Result.Item]; ok {
+	if item, ok := submission.find(entry.Result.Item); ok && !item.hasResult {
 		item.resultQueued = item.resultQueued || toSelf
-		item.notBefore = now.Add(handedOverRetryDelay)
+		item.modify().notBefore = now.Add(handedOverRetryDelay)
 	}
 }
 
@@ -28,7 +28,7 @@
 		return
 	}
 	if submission, ok := s.submissions.Get(entry.Result.Submission); ok {
-		if item, ok := submission.items[entry.Result.Item]; ok {
+		if item, ok := submission.find(entry.Result.Item); ok {
 			item.resultQueued = false
 		}
 	}
--- a/core/services/jujubebatch/hold.go
+++ b/core/services/jujubebatch/hold.go
@@ -25,7 +25,7 @@
 	}
 	const reason = "the submission is being ended"
 	s.cancelUnsentRuns(submission, reason)
-	for _, item := range submission.order {
+	for item := range submission.modified() {
 		if by == s.self && item.run != nil {
 			s.cancelRun(item.run, reason)
 		}
--- a/core/services/jujubebatch/organisation.go
+++ b/core/services/jujubebatch/organisation.go
@@ -1,6 +1,10 @@
 package jujubebatch
 
-import model "jujubepier.example/core/models/jujubemodel"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	model "jujubepier.example/core/models/jujubemodel"
+)
 
 // Origin is where a submission came from.
 type Origin struct {
@@ -12,7 +16,11 @@
 func (s *Scheduler) Origin(id SubmissionID) (origin Origin, ok bool) {
 	submission, ok := s.submissions.Get(id)
 	if !ok {
-		return Origin{}, false
+		d := s.deferred[id]
+		if d == nil {
+			return Origin{}, false
+		}
+		return Origin{Host: d.head.Host, Path: d.head.Path, Organisation: d.head.Organisation}, true
 	}
 	return Origin{Host: submission.Host, Path: submission.Path, Organisation: submission.Organisation}, true
 }
@@ -27,3 +35,27 @@
 func (it *item) reuseKey() reuseKey {
 	return reuseKey{organisation: it.submission.Organisation, item: it.ID}
 }
+
+func (k reuseKey) hash() uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(string(k.organisation)) // a digest's writes can't fail
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(string(k.item))
+	return digest.Sum64()
+}
+
+// findReusable returns the state of an item without a result in the latest submission that has it; nil for none.
+func (s *Scheduler) findReusable(key reuseKey) *item {
+	item := s.latestItems[key.hash()]
+	if item == nil || item.reuseKey() != key {
+		return nil
+	}
+	return item
+}
+
+// forgetReusable makes later submissions not reuse the text of an item.
+func (s *Scheduler) forgetReusable(item *item) {
+	if hash := item.reuseKey().hash(); s.latestItems[hash] == item {
+		delete(s.latestItems, hash)
+	}
+}
--- a/core/services/jujubebatch/pending.go
+++ b/core/services/jujubebatch/pending.go
@@ -52,7 +52,7 @@
 		if !ok || !s.mayDecide(submission) {
 			return false
 		}
-		if item, ok := submission.items[offer.Item]; ok && !item.delegatedHere && !item.isSettled() {
+		if item, ok := submission.find(offer.Item); ok && !item.delegatedHere && !item.isSettled() {
 			s.acceptDelegation(now, item, offer.Offer)
 			s.unassign(item)
 			if e, known := s.engines.Get(offer.Engine); known && item.unscored == nil {
--- a/core/services/jujubebatch/placement.go
+++ b/core/services/jujubebatch/placement.go
@@ -53,7 +53,7 @@
 	if !ok {
 		return nil
 	}
-	item.choice = choice
+	item.modify().choice = choice
 	equals := s.prompts.candidates[:0]
 	for i, candidate := range s.candidates {
 		if i == choice.Index || jujubeplacement.IsEqual(s.candidates[choice.Index], candidate) {
@@ -167,3 +167,15 @@
 	}
 	return to, FasterEngine
 }
+
+// estimateLoad returns how many items of all instances the engine has or is about to get.
+func (s *Scheduler) estimateLoad(now time.Time, e *engine) int {
+	remoteLoad := e.remoteLoad
+	switch age := now.Sub(e.remoteLoadAt); {
+	case age > time.Second:
+		remoteLoad = 0
+	case age > remoteLoadTTL:
+		remoteLoad = max(0, min(remoteLoad, s.maxAssigned(e)-probeItems-e.assigned))
+	}
+	return e.assigned + remoteLoad + s.countPendingOffers(e.ID)
+}
--- a/core/services/jujubebatch/prompt.go
+++ b/core/services/jujubebatch/prompt.go
@@ -57,12 +57,19 @@
 // listRunTimes returns the expected run times of a submission's items that await an engine, in the order in which they are assigned;
 // nil if their prompts aren't known or don't matter.
 func (s *Scheduler) listRunTimes(now time.Time, submission *submission) []time.Duration {
-	if len(submission.order) == 0 || !s.weighsPrompt(submission.order[0]) {
+	if len(submission.items) == 0 || !s.weighsPrompt(&submission.items[0]) {
 		return nil
 	}
+	limit := 0
+	for _, e := range s.engines.All() {
+		limit += s.maxAssigned(e)
+	}
 	var times []time.Duration
-	for _, item := range submission.longestFirst {
-		if s.awaitsEngine(now, item) {
+	for _, at := range s.assignable(submission) {
+		if len(times) > 2*limit {
+			break
+		}
+		if item := &submission.items[at]; s.awaitsEngine(now, item) {
 			times = append(times, s.prompts.rates.RunTime(item.ExpectedTokens))
 		}
 	}
@@ -111,7 +118,7 @@
 func (s *Scheduler) sendPrompt(item *item, e *engine) {
 	others := s.estimateLoad(s.prompts.now, e) - e.assigned
 	e.memory.SetOthers(others * s.prompts.rates.RequestTokens)
-	item.promptUse = e.memory.Send(s.prompts.now, item.submission.Model, item.Prompt, s.prompts.rates.ExpectTokens(item.ExpectedTokens))
+	item.modify().promptUse = e.memory.Send(s.prompts.now, item.submission.Model, item.Prompt, s.prompts.rates.ExpectTokens(item.ExpectedTokens))
 	s.prompts.estimator.ObserveRequest(s.requestTokens(item))
 }
 
--- a/core/services/jujubebatch/retention.go
+++ b/core/services/jujubebatch/retention.go
@@ -8,6 +8,7 @@
 // expireSubmissions deletes submissions that ended more than EndedRetention ago and those that nobody ended within OpenRetention.
 func (s *Scheduler) expireSubmissions(now time.Time) {
 	s.expireStreams(now)
+	s.expireDeferred(now)
 	for len(s.buried) > 0 && now.Sub(s.buried[0].at) > s.settings.OpenRetention {
 		delete(s.buriedIDs, s.buried[0].id)
 		s.buried = s.buried[1:]
@@ -38,12 +39,11 @@
 	if !ok {
 		return
 	}
-	for _, item := range submission.order {
-		if s.latestItems[item.reuseKey()] == item {
-			delete(s.latestItems, item.reuseKey())
-		}
+	for i := range submission.items {
+		s.forgetReusable(&submission.items[i])
 	}
 	s.submissions.Delete(id)
+	s.heldBytes -= submission.MemoryBytes()
 	s.buried = append(s.buried, submissionTime{id, now})
 	s.buriedIDs[id] = true
 }
--- a/core/services/jujubebatch/schedule.go
+++ b/core/services/jujubebatch/schedule.go
@@ -19,6 +19,11 @@
 	// liveIDs has the ids of live.
 	liveIDs     map[model.InstanceID]bool
 	submissions *jujubetable.Table[SubmissionID, *submission]
+	// heldBytes is the memory of all submissions, and memoryLimit that above which further ones are deferred; zero for none.
+	heldBytes, memoryLimit int
+	// deferred are the submissions that aren't kept for lack of memory, and deferredIDs has their ids, the earliest first.
+	deferred    map[SubmissionID]*deferred
+	deferredIDs []SubmissionID
 	engines     *jujubetable.Table[model.EndpointID, *engine]
 	runs        *jujubetable.Table[RunID, *run]
 	// registryReadAt is a time up to which all entries of engines have been observed.
@@ -30,9 +35,9 @@
 	scorings  *jujubetable.Table[RunID, *scoring]
 	// scoringBudgets is how many more scoring calls may begin in the current tick, by service.
 	scoringBudgets map[model.ServiceName]int
-	// latestItems maps each item without a result to its state in the latest submission, since groups may be submitted
+	// latestItems maps the hash of each item without a result to its state in the latest submission, since groups may be submitted
 	// again.
-	latestItems map[reuseKey]*item
+	latestItems map[uint64]*item
 	// latestMinVersions holds the minimum version of each model's latest step. The next step will require a newer one.
 	latestMinVersions map[model.ModelName]model.WeightVersion
 	// byReadTime is in the order of the submissions' records, byEndTime in the order of their end records.
@@ -84,7 +89,8 @@
 		engines:           jujubetable.New[model.EndpointID, *engine](),
 		runs:              jujubetable.New[RunID, *run](),
 		scorings:          jujubetable.New[RunID, *scoring](),
-		latestItems:       make(map[reuseKey]*item),
+		latestItems:       make(map[uint64]*item),
+		deferred:          make(map[SubmissionID]*deferred),
 		latestMinVersions: make(map[model.ModelName]model.WeightVersion),
 		unreachableUntil:  make(map[model.InstanceID]time.Time),
 		streams:           make(map[model.RequestID]StreamOrigin),
@@ -159,14 +165,17 @@
 	if !s.mayDecide(submission) {
 		return
 	}
-	for _, item := range submission.order {
+	givenUp := 0
+	for item := range s.startable(now, submission) {
 		if item.hasResult || item.resultQueued || item.run != nil || now.Before(item.notBefore) || !s.isResponsible(now, item) {
 			continue
 		}
 		route, ok := s.matchRoute(item)
 		if s.mayGiveUp(now, item, route) {
-			s.cancelScoring(item, "the item is given up")
-			s.queueResult(item, Errored)
+			if givenUp++; givenUp <= maxGivenUpPerTick {
+				s.cancelScoring(item, "the item is given up")
+				s.queueResult(item, Errored)
+			}
 			continue
 		}
 		if item.unscored != nil {
@@ -206,7 +215,7 @@
 	s.runs.Put(r.id, r)
 	start := StartRun{
 		Run: r.id, Engine: e.ID, Incarnation: e.Incarnation, Address: e.Address, Submission: item.submission.ID, By: item.submission.By, Item: item.ID,
-		Host: item.submission.Host, Path: item.Path, Organisation: item.submission.Organisation, IsEnforced: s.desired.Organisations != nil, InlineContent: item.Content, Progress: item.progress, After: len(item.events),
+		Host: item.submission.Host, Path: item.Path, Organisation: item.submission.Organisation, IsEnforced: s.desired.Organisations != nil, InlineContent: item.given, Progress: item.progress, After: len(item.events),
 		KnownVersion: e.Versions[item.submission.Model], InFlight: e.inFlight, Assigned: e.assigned, EventInterval: e.intervals.recent,
 		SoftwareVersion: e.SoftwareVersion, PromptTokens: item.Prompt.Tokens(),
 	}
--- a/core/services/jujubebatch/score.go
+++ b/core/services/jujubebatch/score.go
@@ -88,7 +88,8 @@
 func (it *item) reuseText(earlier *Result) {
 	text := *earlier
 	text.Submission, text.Score = it.submission.ID, ""
-	it.unscored, it.unscoredAt = &text, it.submission.readAt
+	state := it.modify()
+	state.unscored, state.unscoredAt = &text, it.submission.readAt
 }
 
 // addUnscored applies the log's record of a complete text. A text that this instance already has is kept, because its
@@ -98,11 +99,12 @@
 	if !ok {
 		return false
 	}
-	item, ok := submission.items[text.Item]
+	item, ok := submission.find(text.Item)
 	if !ok || item.hasResult || item.unscored != nil || item.Scoring == nil || !item.allowsVersions(text.Versions) {
 		return false
 	}
-	item.unscored, item.unscoredAt, item.unscoredLogged = text, now, true
+	state := item.modify()
+	state.unscored, state.unscoredAt, state.unscoredLogged = text, now, true
 	if item.run != nil {
 		s.cancelRun(item.run, "the text is complete")
 	}
@@ -133,7 +135,7 @@
 	s.lastRunID++
 	item.scoring = &scoring{id: s.lastRunID, item: item, service: service}
 	s.scorings.Put(item.scoring.id, item.scoring)
-	start := StartScoring{Run: item.scoring.id, Submission: item.submission.ID, Item: item.ID, Call: *item.Scoring, InlineContent: item.Content}
+	start := StartScoring{Run: item.scoring.id, Submission: item.submission.ID, Item: item.ID, Call: *item.Scoring, InlineContent: item.given}
 	start.Content, _ = item.contentPlace()
 	s.actions = append(s.actions, start)
 }
--- a/core/services/jujubebatch/share.go
+++ b/core/services/jujubebatch/share.go
@@ -32,8 +32,8 @@
 	submission *submission
 	// serving and full are nil if no item waits for an engine.
 	serving, full map[model.ServiceName]bool
-	// next is the index in longestFirst at which the search for a waiting item continues.
-	next int
+	// candidates are the indexes of the items among which the search for a waiting item continues, the longest first.
+	candidates []int32
 	// item is the next waiting item, nil for none.
 	item  *item
 	route *jujubedesired.Route
@@ -49,11 +49,12 @@
 	slots := 0
 	for _, submission := range open {
 		if submission.unassigned == 0 || !s.mayDecide(submission) {
-			turns = append(turns, &turn{submission: submission, held: submission.unresolved - submission.unassigned, next: len(submission.order)})
+			turns = append(turns, &turn{submission: submission, held: submission.unresolved - submission.unassigned})
 			continue
 		}
 		turns = append(turns, &turn{
 			submission: submission, due: s.dueTime(submission), held: submission.unresolved - submission.unassigned,
+			candidates: s.assignable(submission),
 		})
 	}
 	for _, e := range s.engines.All() {
@@ -98,11 +99,11 @@
 // version only some engines can run them.
 func (s *Scheduler) advanceTurn(now time.Time, t *turn) {
 	t.item = nil
-	for ; t.next < len(t.submission.longestFirst); t.next++ {
-		item := t.submission.longestFirst[t.next]
+	for len(t.candidates) > 0 {
+		item := &t.submission.items[t.candidates[0]]
+		t.candidates = t.candidates[1:]
 		if route, ok := s.matchWaiting(now, item); ok {
 			t.item, t.route = item, route
-			t.next++
 			return
 		}
 	}
--- a/core/services/jujubebatch/software.go
+++ b/core/services/jujubebatch/software.go
@@ -93,6 +93,9 @@
 
 // dropText makes the item start anew.
 func (it *item) dropText() {
+	if !it.isModified() {
+		return
+	}
 	it.events, it.versions, it.softwareVersion, it.loggedEvents = nil, nil, "", 0
 	it.progress, it.textBlockedSince = nil, time.Time{}
 }
--- a/core/services/jujubebatch/startgate.go
+++ b/core/services/jujubebatch/startgate.go
@@ -45,7 +45,7 @@
 	if !ok {
 		return
 	}
-	item, ok := submission.items[ref.Item]
+	item, ok := submission.find(ref.Item)
 	if !ok || !item.delegatedHere || item.delegation != nil || item.scoring != nil || item.isSettled() {
 		return
 	}
--- a/core/services/jujubebatch/steplength.go
+++ b/core/services/jujubebatch/steplength.go
@@ -20,24 +20,35 @@
 
 // itemGroup is a group of a submission.
 type itemGroup struct {
-	items []*item
+	// items are indexes into the submission's items.
+	items []int32
 	// isCarried is true if an earlier submission had one of the items without a result.
 	isCarried bool
 }
 
 // groupItems returns the groups of a new submission. An item without a group is one of its own.
 func (s *Scheduler) groupItems(submission *submission) []itemGroup {
-	var groups []itemGroup
-	indexes := map[GroupID]int{}
-	for _, item := range submission.order {
-		at, ok := indexes[item.Group]
-		if !ok || item.Group == "" {
-			at = len(groups)
-			indexes[item.Group] = at
-			groups = append(groups, itemGroup{})
+	var sizes []int32
+	indexes := map[GroupID]int32{}
+	groupOf := make([]int32, len(submission.items))
+	for i := range submission.items {
+		group := submission.items[i].Group
+		at, ok := indexes[group]
+		if !ok || group == "" {
+			at = int32(len(sizes))
+			indexes[group] = at
+			sizes = append(sizes, 0)
 		}
-		groups[at].items = append(groups[at].items, item)
-		earlier := s.latestItems[item.reuseKey()]
+		sizes[at]++
+		groupOf[i] = at
+	}
+	groups, members := make([]itemGroup, len(sizes)), make([]int32, len(submission.items))
+	for i, size := range sizes {
+		groups[i].items, members = members[:0:size], members[size:]
+	}
+	for i, at := range groupOf {
+		earlier := s.findReusable(submission.items[i].reuseKey())
+		groups[at].items = append(groups[at].items, int32(i))
 		groups[at].isCarried = groups[at].isCarried || earlier != nil && earlier.submission != submission
 	}
 	return groups
@@ -56,7 +67,7 @@
 // measureSteps estimates what is left of the submissions for which this instance may have work.
 func (s *Scheduler) measureSteps(now time.Time, open []*submission, fleet fleetIntervals) {
 	for _, submission := range open {
-		if submission.measuredAt.IsZero() || now.Sub(submission.measuredAt) >= measureInterval {
+		if submission.measuredAt.IsZero() || now.Sub(submission.measuredAt) >= max(measureInterval, submission.scanInterval()) {
 			submission.measuredAt = now
 			s.measureStep(now, submission, fleet)
 		}
@@ -69,7 +80,8 @@
 	longest := make([]float64, len(submission.groups))
 	for i, group := range submission.groups {
 		groups[i].IsWhole, groups[i].IsCarried = true, group.isCarried
-		for _, item := range group.items {
+		for _, at := range group.items {
+			item := &submission.items[at]
 			groups[i].HasFailed = groups[i].HasFailed || item.isErrored
 			groups[i].IsWhole = groups[i].IsWhole && item.hasResult && !item.isErrored
 			events, remaining := s.estimateRemaining(now, item, fleet)
--- a/core/services/jujubebatch/submission.go
+++ b/core/services/jujubebatch/submission.go
@@ -1,16 +1,12 @@
 package jujubebatch
 
 import (
-	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
 	"time"
 
 	model "jujubepier.example/core/models/jujubemodel"
-	"jujubepier.example/core/services/jujubedesired"
-	"jujubepier.example/core/services/jujubeplacement"
-	"jujubepier.example/core/services/jujubeprompt"
 )
 
 // submission is a Submission together with its items' state and its results.
@@ -19,17 +15,16 @@
 	// readAt is the local time at which this instance read the submission's record.
 	readAt time.Time
 	// results are in log order, which defines their positions; the slice only grows.
-	results []Result
-	items   map[ItemID]*item
-	// order holds the items in the order of the submission.
-	order []*item
-	// longestFirst holds the items in descending order of expected tokens.
-	longestFirst []*item
-	ended        bool
+	results []listedResult
+	// itemStore holds the items.
+	itemStore
+	ended bool
 	// doubt is set while records that may concern the submission are missing; otherwise nil.
 	doubt *doubt
 	// groups holds the items by group, in the order of the groups' first items.
 	groups []itemGroup
+	// idleCheckedAt is when the items without state were last checked for whether they are given up.
+	idleCheckedAt time.Time
 	// acceptedAt is the local time at which the submission was accepted, as far as the clocks agree.
 	acceptedAt time.Time
 	// stepEvents is the expected number of events that the longest needed item still has, as of measuredAt.
@@ -45,81 +40,6 @@
 	isAcceptorLive bool
 }
 
-// routeMatch is the route of an item under a desired state; route is nil if it has none.
-type routeMatch struct {
-	desired *jujubedesired.State
-	route   *jujubedesired.Route
-}
-
-// item is an item of a submission together with its scheduling state.
-type item struct {
-	Item
-	submission *submission
-	index      int
-	// match is the item's route as of its latest use.
-	match routeMatch
-	// hasResult is true once the log has a result of the item, isErrored if that is an error.
-	hasResult, isErrored bool
-	// choice is why the item's engine was selected; assignedAt is when.
-	choice     jujubeplacement.Choice
-	assignedAt time.Time
-	// events and versions are the part of the text that this instance holds in memory.
-	events   []string
-	versions []model.WeightVersion
-	// softwareVersion is that of the engines that generated events; empty if it is unknown.
-	softwareVersion model.SoftwareVersion
-	// textBlockedSince is since when only engines that may not continue the text have had room; zero if that isn't the case.
-	textBlockedSince time.Time
-	// serviceBlockedSince is since when the item has found no engine; zero if it has one.
-	serviceBlockedSince time.Time
-	// progress is the longest checkpoint in the log, if it is longer than events and the submission allows its versions;
-	// otherwise nil.
-	progress   *Progress
-	progressAt time.Time
-	// delegation is set while another instance is responsible for the item. delegatedHere is true while this instance is
-	// responsible for it on behalf of another one.
-	delegation    *delegation
-	delegatedHere bool
-	// offeredEngine is the engine that the delegator chose. For this engine the item isn't delegated again.
-	offeredEngine model.EndpointID
-	// movedAt is when the run was last asked to move to another engine.
-	movedAt time.Time
-	// loggedEvents is how many events the log has.
-	loggedEvents int
-	loggedAt     time.Time
-	run          *run
-	// assignedEngine is the engine that the item will run or runs on; empty for none.
-	assignedEngine model.EndpointID
-	// promptUse is what the item occupies on assignedEngine; nil if it has none.
-	promptUse *jujubeprompt.Use
-	notBefore time.Time
-	// unscored is the complete text while its score is missing. It comes from a run here, or from a record of the log,
-	// which has only a pointer to the text. A score belongs to the text that was held when the scoring call began, so
-	// unscored is never replaced.
-	unscored   *Result
-	unscoredAt time.Time
-	// unscoredLogged is true once a record of unscored is in the log or has been requested.
-	unscoredLogged bool
-	scoring        *scoring
-	// scoreFailures holds the signatures of the scoring servers' internal errors. scoreRetries counts the calls without a
-	// score.
-	scoreFailures map[string]bool
-	scoreRetries  int
-	// failures counts the engines' internal errors for the item, earlyBreaks the runs on end that broke off before their first
-	// event, and discardedTexts the texts that couldn't be stored.
-	failures int
-	// failureSignatures are the engines' signatures of the internal errors that this instance received, and repeatedFailures counts
-	// those that it received before.
-	failureSignatures []string
-	repeatedFailures  int
-	earlyBreaks       int
-	discardedTexts    int
-	// hasEmptyEnd is true once a run that continued the text has ended without an event.
-	hasEmptyEnd bool
-	// resultQueued is true once the result has been handed over for appending.
-	resultQueued bool
-}
-
 // Page is a part of a submission's results.
 type Page struct {
 	Total   int
@@ -152,20 +72,10 @@
 	if _, ok := s.submissions.Get(record.ID); ok {
 		return false
 	}
-	submission := &submission{
-		Submission: *record, readAt: now, items: make(map[ItemID]*item, len(record.Items)), isAcceptorLive: s.isLive(record.By),
-	}
-	for i := range record.Items {
-		item := &item{Item: record.Items[i], submission: submission, index: i}
-		if _, duplicate := submission.items[item.ID]; duplicate {
-			continue
-		}
-		submission.items[item.ID] = item
-		submission.order = append(submission.order, item)
-	}
-	submission.unresolved, submission.unassigned = len(submission.order), len(submission.order)
-	submission.longestFirst = slices.Clone(submission.order)
-	slices.SortStableFunc(submission.longestFirst, func(x, y *item) int { return cmp.Compare(y.ExpectedTokens, x.ExpectedTokens) })
+	submission := &submission{Submission: *record, readAt: now, isAcceptorLive: s.isKeptBy(record.By, record.ID)}
+	submission.itemStore = newItemStore(submission)
+	submission.unresolved, submission.unassigned = len(submission.items), len(submission.items)
+	s.heldBytes += submission.MemoryBytes()
 	s.submissions.Put(record.ID, submission)
 	s.byReadTime = append(s.byReadTime, submissionTime{id: record.ID, at: now})
 	s.latestMinVersions[record.Model] = max(s.latestMinVersions[record.Model], record.MinVersion)
@@ -178,22 +88,26 @@
 // reuseTexts copies the texts that earlier submissions of the same model have for the same items, if this submission allows
 // their versions.
 func (s *Scheduler) reuseTexts(submission *submission) {
-	for _, item := range submission.order {
-		if earlier := s.latestItems[item.reuseKey()]; earlier != nil &&
-			earlier.submission.Model == submission.Model && earlier.submission != submission {
-			switch text := earlier.unscored; {
-			case text != nil && text.Text != "" && item.Scoring != nil:
-				if item.allowsVersions(text.Versions) {
-					item.reuseText(text)
-				}
-			case item.allowsVersions(earlier.versions):
-				item.events, item.versions = slices.Clone(earlier.events), slices.Clone(earlier.versions)
-				item.softwareVersion = earlier.softwareVersion
+	for i := range submission.items {
+		item := &submission.items[i]
+		key := item.reuseKey()
+		earlier := s.findReusable(key)
+		s.latestItems[key.hash()] = item
+		if earlier == nil || earlier.submission.Model != submission.Model || earlier.submission == submission {
+			continue
+		}
+		switch text := earlier.unscored; {
+		case text != nil && text.Text != "" && item.Scoring != nil:
+			if item.allowsVersions(text.Versions) {
+				item.reuseText(text)
 			}
-			// A checkpoint in the log isn't copied: it belongs to the partition of the earlier submission and can be read
-			// only there.
+		case len(earlier.events) > 0 && item.allowsVersions(earlier.versions):
+			state := item.modify()
+			state.events, state.versions = slices.Clone(earlier.events), slices.Clone(earlier.versions)
+			state.softwareVersion = earlier.softwareVersion
 		}
-		s.latestItems[item.reuseKey()] = item
+		// A checkpoint in the log isn't copied: it belongs to the partition of the earlier submission and can be read
+		// only there.
 	}
 }
 
@@ -212,29 +126,26 @@
 	if !ok {
 		return false
 	}
-	item, ok := submission.items[result.Item]
+	item, ok := submission.find(result.Item)
 	if !ok || item.hasResult {
 		return false
 	}
 	item.hasResult, item.isErrored = true, result.State == Errored
 	s.lengthsOf(submission.Model).Observe(item.ExpectedTokens, result.Events)
 	item.dropText()
-	item.Content = Content{}
 	s.cancelScoring(item, "the item has a result")
-	item.unscored = nil
 	submission.unresolved--
 	if item.delegatedHere {
 		submission.delegatedHere--
 	}
-	submission.results = append(submission.results, *result)
+	submission.results = append(submission.results, s.listResult(item, result))
 	if item.run != nil {
 		s.cancelRun(item.run, "the item has a result")
 	}
 	s.unassign(item)
 	submission.unassigned--
-	if s.latestItems[item.reuseKey()] == item {
-		delete(s.latestItems, item.reuseKey())
-	}
+	item.reset()
+	s.forgetReusable(item)
 	return true
 }
 
@@ -243,7 +154,7 @@
 	if !ok {
 		return false
 	}
-	item, ok := submission.items[progress.Item]
+	item, ok := submission.find(progress.Item)
 	if !ok || item.hasResult {
 		return false
 	}
@@ -261,24 +172,29 @@
 	if item.progress != nil && progress.Count <= item.progress.Count && progress.SoftwareVersion == item.progress.SoftwareVersion {
 		return false
 	}
-	item.progress, item.progressAt = progress, now
+	state := item.modify()
+	state.progress, state.progressAt = progress, now
 	return true
 }
 
 func (s *Scheduler) endSubmission(now time.Time, id SubmissionID) bool {
+	if d := s.deferred[id]; d != nil {
+		d.ended = true
+	}
 	submission, ok := s.submissions.Get(id)
 	if !ok || submission.ended {
 		return false
 	}
 	submission.ended = true
 	s.byEndTime = append(s.byEndTime, submissionTime{id: id, at: now})
-	for _, item := range submission.order {
+	for item := range submission.modified() {
 		if item.run != nil {
 			s.cancelRun(item.run, "the submission has ended")
 		}
 		s.cancelScoring(item, "the submission has ended")
 		s.unassign(item)
 	}
+	submission.groups, submission.longestFirst = nil, nil
 	return true
 }
 
@@ -294,14 +210,15 @@
 	if !ok {
 		return Page{}, false
 	}
-	page := Page{Total: len(submission.order), Ended: submission.ended, InDoubt: submission.doubt != nil}
+	page := Page{Total: len(submission.items), Ended: submission.ended, InDoubt: submission.doubt != nil}
 	size := 0
 	for i := max(after, 0); i < len(submission.results); i++ {
-		size += submission.results[i].responseBytes()
+		result := submission.result(i)
+		size += result.responseBytes()
 		if size > maxBytes && len(page.Results) > 0 {
 			break
 		}
-		page.Results = append(page.Results, submission.results[i])
+		page.Results = append(page.Results, result)
 	}
 	return page, true
 }
@@ -327,7 +244,7 @@
 	if !ok {
 		return Place{}, false
 	}
-	item, ok := submission.items[itemID]
+	item, ok := submission.find(itemID)
 	if !ok {
 		return Place{}, false
 	}
--- a/core/services/jujubeprompt/prompt.go
+++ b/core/services/jujubeprompt/prompt.go
@@ -7,6 +7,7 @@
 package jujubeprompt
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 
@@ -68,12 +69,15 @@
 	if len(text) == 0 {
 		return nil
 	}
-	fields := strings.SplitN(string(text), ",", maxParts+1)
-	if len(fields) > maxParts {
+	parts := bytes.Count(text, []byte{','}) + 1
+	if parts > maxParts {
 		return ErrPrompt{"too many parts"}
 	}
-	prompt := make(Prompt, len(fields))
-	for i, field := range fields {
+	prompt := make(Prompt, parts)
+	rest := string(text)
+	for i := range prompt {
+		var field string
+		field, rest, _ = strings.Cut(rest, ",")
 		id, count, _ := strings.Cut(strings.TrimSpace(field), ":")
 		number, err := parseID(id)
 		if err != nil {
--- a/core/services/jujuberegistry/registry.go
+++ b/core/services/jujuberegistry/registry.go
@@ -38,6 +38,10 @@
 	Engines []model.EngineNote `json:",omitempty"`
 	// Limits holds the rates of the endpoints whose gateway the instance is.
 	Limits []jujubethrottle.Notice `json:",omitempty"`
+	// BatchMemory is the memory in bytes that the instance has for accepted submissions; zero for no limit. Deferred are the ids of those
+	// that are on the log and that it doesn't keep for lack of memory.
+	BatchMemory int      `json:",omitempty"`
+	Deferred    []string `json:",omitempty"`
 	// Number increases with each heartbeat of an incarnation.
 	Number int64
 	// Usage holds the instance's counts of requests, and TimeOfDay its time of day when it wrote the heartbeat. Both are absent where
--- /dev/null
+++ b/entry/services/jujubenode/batchmemory.go
@@ -0,0 +1,163 @@
+package jujubenode
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	model "jujubepier.example/core/models/jujubemodel"
+	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/modules/jujubememory"
+	"jujubepier.example/core/services/jujubebatch"
+)
+
+const (
+	// minMemoryRetryAfter and maxMemoryRetryAfter bound the retry delay of a submission that finds no memory.
+	minMemoryRetryAfter = 500 * time.Millisecond
+	maxMemoryRetryAfter = 30 * time.Second
+)
+
+// MemorySettings are the limits of the memory for submissions; zero for no limit.
+type MemorySettings struct {
+	// Accept is the memory of all submissions above which none is accepted. Each instance keeps all submissions, so the lowest
+	// limit among the live ones applies.
+	Accept int
+	// Keep is the memory of all submissions above which the record of a further one is read later. It is higher than Accept, because
+	// several instances accept at the same time.
+	Keep int
+}
+
+// batchMemory accounts for the memory of submissions at this instance, from the decoding of a request to the deletion of the submission.
+// Its fields are guarded by the node's lock.
+type batchMemory struct {
+	node     *Node
+	settings MemorySettings
+	// bodies is the budget of the bodies of requests, which share the memory with the submissions; may be nil.
+	bodies *jujubememory.Budget
+	// reservations are those of submissions that are being accepted, and reserved is their sum.
+	reservations map[jujubebatch.SubmissionID]*reservation
+	reserved     int
+}
+
+// reservation is the memory of a submission that is being accepted by one or several requests.
+type reservation struct {
+	bytes, holders int
+}
+
+// BatchReservation is a request's share of the memory of its submission.
+type BatchReservation struct {
+	memory *batchMemory
+	id     jujubebatch.SubmissionID
+	// route is the name of the route, for the log.
+	route string
+	bytes int
+}
+
+func newBatchMemory(n *Node, settings MemorySettings, bodies *jujubememory.Budget) *batchMemory {
+	return &batchMemory{node: n, settings: settings, bodies: bodies, reservations: make(map[jujubebatch.SubmissionID]*reservation)}
+}
+
+// ReserveBatch begins the reservation of memory for a submission. It ends with release, or when the submission has been written if that
+// is later.
+func (n *Node) ReserveBatch(id jujubebatch.SubmissionID, route string) (r *BatchReservation, release func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.memory.retain(id)
+	r = &BatchReservation{memory: n.memory, id: id, route: route}
+	return r, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.memory.release(id)
+	}
+}
+
+// Check refuses a submission that needs more memory than there is, without a reservation.
+func (r *BatchReservation) Check(bytes int) error {
+	r.memory.node.mu.Lock()
+	defer r.memory.node.mu.Unlock()
+	return r.check(bytes)
+}
+
+// Grow reserves further bytes, or refuses the submission.
+func (r *BatchReservation) Grow(bytes int) error {
+	m := r.memory
+	m.node.mu.Lock()
+	defer m.node.mu.Unlock()
+	if err := r.check(bytes); err != nil {
+		return err
+	}
+	r.bytes += bytes
+	reservation := m.reservations[r.id]
+	m.reserved += max(0, r.bytes-reservation.bytes)
+	reservation.bytes = max(reservation.bytes, r.bytes)
+	m.publish()
+	return nil
+}
+
+// check refuses a submission for which further bytes aren't available; the node's lock is held.
+func (r *BatchReservation) check(bytes int) error {
+	m := r.memory
+	others := m.node.scheduler.HeldBytes() + m.reserved - m.reservations[r.id].bytes
+	limit, smallest := m.acceptLimit()
+	if limit == 0 || others+r.bytes+bytes <= limit {
+		return nil
+	}
+	retryAfter := minMemoryRetryAfter
+	if missing := m.node.scheduler.HeldBytes() + r.bytes + bytes - limit; missing > 0 {
+		retryAfter = m.node.scheduler.FreesWithin(time.Now(), missing)
+	}
+	retryAfter = min(max(retryAfter, minMemoryRetryAfter), maxMemoryRetryAfter)
+	m.node.metrics.countMemoryRefusal()
+	m.node.log.Write(jujubeevent.SubmissionTooLarge, func() logrus.Fields {
+		return logrus.Fields{
+			"Submission": r.id, "Route": r.route, "Needed": r.bytes + bytes, "Others": others, "Limit": limit, "LimitOf": smallest, "RetryAfter": retryAfter.String(),
+		}
+	})
+	return jujubeerror.ErrRefused{
+		Code: jujubeerror.CodeOverloaded, Ran: model.RanNo, RetryAfter: retryAfter, Message: "no memory for the submission",
+	}
+}
+
+// acceptLimit returns the lowest limit among the live instances, and whose it is; zero for none. The node's lock is held.
+func (m *batchMemory) acceptLimit() (limit int, of model.InstanceID) {
+	limit, of = m.settings.Accept, m.node.identity.Instance
+	for _, heartbeat := range m.node.liveInstances {
+		if other := heartbeat.BatchMemory; other > 0 && (limit == 0 || other < limit) {
+			limit, of = other, heartbeat.Instance
+		}
+	}
+	return limit, of
+}
+
+// recheck refuses a submission whose record isn't on the log yet if others have used up the memory meanwhile.
+func (m *batchMemory) recheck(s *jujubebatch.Submission) error {
+	m.node.mu.Lock()
+	defer m.node.mu.Unlock()
+	limit, _ := m.acceptLimit()
+	if held := m.node.scheduler.HeldBytes(); limit > 0 && held+s.MemoryBytes() > limit {
+		return jujubememory.ErrExhausted{Size: s.MemoryBytes()}
+	}
+	return nil
+}
+
+// retain adds a holder to a submission's reservation; the node's lock is held.
+func (m *batchMemory) retain(id jujubebatch.SubmissionID) {
+	if m.reservations[id] == nil {
+		m.reservations[id] = &reservation{}
+	}
+	m.reservations[id].holders++
+}
+
+// release removes a holder; the reservation ends with the last one. The node's lock is held.
+func (m *batchMemory) release(id jujubebatch.SubmissionID) {
+	reservation := m.reservations[id]
+	if reservation.holders--; reservation.holders == 0 {
+		m.reserved -= reservation.bytes
+		delete(m.reservations, id)
+	}
+	m.publish()
+}
+
+// publish tells the budget of the bodies what the submissions take; the node's lock is held.
+func (m *batchMemory) publish() { m.bodies.SetHeld(m.node.scheduler.HeldBytes() + m.reserved) }
--- a/entry/services/jujubenode/blob.go
+++ b/entry/services/jujubenode/blob.go
@@ -96,7 +96,7 @@
 	for i, record := range records {
 		values[i] = record.Value
 	}
-	n.blobCache.put(blobKey{part, pointer}, values)
+	n.blobCache.put(blobKey{part, pointer}, values, pointer.Size)
 }
 
 // blobRef refers to a blob and the instance that wrote it.
@@ -240,7 +240,7 @@
 				return false
 			}
 			found[pointer] = reply.Blobs[i]
-			p.node.blobCache.put(blobKey{p.number, pointer}, reply.Blobs[i])
+			p.node.blobCache.put(blobKey{p.number, pointer}, reply.Blobs[i], pointer.Size)
 		}
 	}
 	return true
@@ -296,10 +296,11 @@
 		err = p.node.codec.DecodeBlob(found[location.Chunk], &chunk)
 		return chunk, err
 	})
-	if location.Chunk.Size > maxDecodedBytes {
+	size := max(location.Chunk.Size, jujubebatch.TargetChunkBytes)
+	if size > maxDecodedBytes {
 		return decode()
 	}
-	return p.node.chunkCache.put(blobKey{p.number, location.Chunk}, decode)()
+	return p.node.chunkCache.put(blobKey{p.number, location.Chunk}, decode, size)()
 }
 
 // fetchContent reads the part of an item's request that is sent to the engine.
--- a/entry/services/jujubenode/blobcache.go
+++ b/entry/services/jujubenode/blobcache.go
@@ -10,9 +10,9 @@
 	// maxCacheBytes bounds the records cached in memory. Trainers read results soon after they are listed, and the
 	// largest site lists 1 MB a second.
 	maxCacheBytes = 8 << 20
-	// maxDecodedBytes bounds the records of the chunks that are kept decoded: those of the latest submissions. Each gateway to
+	// maxDecodedBytes bounds the plain text of the chunks that are kept decoded: those of the latest submissions. Each gateway to
 	// which items are offered needs a part of each chunk.
-	maxDecodedBytes = 512 << 10
+	maxDecodedBytes = 3 << 20
 )
 
 // blobKey identifies a blob by its partition of the texts topic and its position there.
@@ -21,15 +21,21 @@
 	pointer jujubebatch.Pointer
 }
 
+// cachedBlob is the key of a cached value and the size that it counts with.
+type cachedBlob struct {
+	key  blobKey
+	size int
+}
+
 // blobCache caches the values of the blobs that were written or read last.
 type blobCache[V any] struct {
-	// limit bounds the total size of the blobs' records, except for a single one.
+	// limit bounds the total size of the values, except for a single one.
 	limit int
 
 	mu     sync.Mutex
 	values map[blobKey]V
 	// order holds the keys, oldest first; bytes is the total size.
-	order []blobKey
+	order []cachedBlob
 	bytes int
 }
 
@@ -45,18 +51,18 @@
 }
 
 // put adds a value unless the key has one, and returns the key's value.
-func (c *blobCache[V]) put(key blobKey, value V) V {
+func (c *blobCache[V]) put(key blobKey, value V, size int) V {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if known, ok := c.values[key]; ok {
 		return known
 	}
 	c.values[key] = value
-	c.order = append(c.order, key)
-	c.bytes += key.pointer.Size
+	c.order = append(c.order, cachedBlob{key, size})
+	c.bytes += size
 	for c.bytes > c.limit && len(c.order) > 1 {
-		c.bytes -= c.order[0].pointer.Size
-		delete(c.values, c.order[0])
+		c.bytes -= c.order[0].size
+		delete(c.values, c.order[0].key)
 		c.order = c.order[1:]
 	}
 	return value
--- a/entry/services/jujubenode/cluster_test.go
+++ b/entry/services/jujubenode/cluster_test.go
@@ -282,11 +282,21 @@
 func newSubmission(id string, items int) *jujubebatch.Submission {
 	s := &jujubebatch.Submission{ID: jujubebatch.SubmissionID(id), Host: "h", Path: "/p/" + id, Model: "m", MinVersion: 1}
 	for i := range items {
-		s.Items = append(s.Items, jujubebatch.Item{ID: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, i)), Path: "/p/i", Content: jujubebatch.Content{Body: []byte{byte(i)}}})
+		s.Items = append(s.Items, jujubebatch.Item{ID: jujubebatch.ItemID(fmt.Sprintf("%s-%d", id, i)), Path: "/p/i"})
 	}
+	s.Contents = indexContents(items)
 	return s
 }
 
+// indexContents are contents whose bodies are the indexes of the items, of which there are as many.
+type indexContents int
+
+func (c indexContents) Bytes() int { return int(c) }
+
+func (indexContents) Content(index int) (jujubebatch.Content, error) {
+	return jujubebatch.Content{Body: []byte{byte(index)}, ScoringBody: []byte{byte(100 + index)}}, nil
+}
+
 // readAll returns the results once all are listed.
 func readAll(t *testing.T, node *jujubenode.Node, id jujubebatch.SubmissionID) []jujubebatch.Result {
 	t.Helper()
--- a/entry/services/jujubenode/follow.go
+++ b/entry/services/jujubenode/follow.go
@@ -40,6 +40,8 @@
 	part  int
 	// apply applies a record; it is called in order of the offsets, with the node's lock held.
 	apply func(now time.Time, offset int64, record Record)
+	// prepare is called with records that are about to be applied, without the node's lock; may be nil.
+	prepare func(from int64, records []Record)
 	// reset, for keyed topics, applies a complete snapshot; the node's lock is held.
 	reset func(now time.Time, records []Record)
 	// onCaughtUp is called after each read up to the end of the partition; the node's lock is held.
@@ -202,6 +204,9 @@
 // applyBatch applies records. readAt is a time at which batch.End was the end of the partition.
 func (f *follower) applyBatch(from int64, batch LogBatch, readAt readTime) {
 	respondedAt := time.Now()
+	if f.prepare != nil {
+		f.prepare(from, batch.Records)
+	}
 	f.node.mu.Lock()
 	defer f.node.mu.Unlock()
 	now := time.Now()
--- a/entry/services/jujubenode/heartbeat.go
+++ b/entry/services/jujubenode/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,6 +39,7 @@
 				Instance: n.identity.Instance, Incarnation: n.incarnation, DataCentre: n.identity.DataCentre,
 				CallerAddress: n.identity.CallerAddress, PeerAddress: n.identity.PeerAddress, State: n.state, CutOff: n.isCutOff(), Number: n.heartbeatNumber,
 				Engines: n.scheduler.EngineNotes(), Limits: n.limitNotices(now),
+				BatchMemory: n.memory.settings.Accept, Deferred: deferredIDs(n.scheduler.Deferred()),
 			}
 			n.addUsage(now, &heartbeat)
 		}
@@ -151,9 +153,11 @@
 	for i, heartbeat := range live {
 		members = append(members, jujubebatch.Member{
 			ID: heartbeat.Instance, DataCentre: heartbeat.DataCentre, Ready: heartbeat.State == jujuberegistry.Ready,
+			Deferred: submissionIDs(heartbeat.Deferred),
 		})
 		membershipChanged = membershipChanged || n.liveInstances[i].Instance != heartbeat.Instance ||
-			n.liveInstances[i].State != heartbeat.State || n.liveInstances[i].CutOff != heartbeat.CutOff || n.liveInstances[i].Incarnation != heartbeat.Incarnation
+			n.liveInstances[i].State != heartbeat.State || n.liveInstances[i].CutOff != heartbeat.CutOff || n.liveInstances[i].Incarnation != heartbeat.Incarnation ||
+			!slices.Equal(n.liveInstances[i].Deferred, heartbeat.Deferred)
 	}
 	n.liveInstances = live
 	if !membershipChanged {
@@ -177,6 +181,22 @@
 	})
 }
 
+func deferredIDs(ids []jujubebatch.SubmissionID) []string {
+	var texts []string
+	for _, id := range ids {
+		texts = append(texts, string(id))
+	}
+	return texts
+}
+
+func submissionIDs(texts []string) []jujubebatch.SubmissionID {
+	var ids []jujubebatch.SubmissionID
+	for _, text := range texts {
+		ids = append(ids, jujubebatch.SubmissionID(text))
+	}
+	return ids
+}
+
 // maxAddresses bounds the addresses of one response, because the platform's clients accept no more.
 const maxAddresses = 64
 
--- a/entry/services/jujubenode/metrics.go
+++ b/entry/services/jujubenode/metrics.go
@@ -74,6 +74,20 @@
 			return float64(n.crashes.quarantine.Count(time.Now(), state))
 		})
 	}
+	for kind, read := range map[string]func() int{
+		"held": n.scheduler.HeldBytes, "reserved": func() int { return n.memory.reserved }, "limit": func() int { return n.memory.settings.Accept },
+	} {
+		set.NewGauge(fmt.Sprintf("jujube_node_submission_memory_bytes{kind=%q}", kind), func() float64 {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return float64(read())
+		})
+	}
+	set.NewGauge("jujube_node_deferred_submissions", func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(len(n.scheduler.Deferred()))
+	})
 	addDutyMetrics(set, n)
 	return &nodeMetrics{
 		set:      set,
@@ -137,6 +151,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("jujube_node_store_failures_total{topic=%q}", topic)).Inc()
 }
 
+// countMemoryRefusal counts submissions that were refused for lack of memory.
+func (m *nodeMetrics) countMemoryRefusal() {
+	m.set.GetOrCreateCounter("jujube_node_memory_refusals_total").Inc()
+}
+
 // countMalformedRate counts responses in which an endpoint names a rate that can't be decoded.
 func (m *nodeMetrics) countMalformedRate() {
 	m.set.GetOrCreateCounter("jujube_node_malformed_rates_total").Inc()
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -17,6 +17,7 @@
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeclock"
 	"jujubepier.example/core/modules/jujubeevent"
+	"jujubepier.example/core/modules/jujubememory"
 	"jujubepier.example/core/services/jujubebatch"
 	"jujubepier.example/core/services/jujubedesired"
 	"jujubepier.example/core/services/jujubefleet"
@@ -97,6 +98,9 @@
 	// CloseIdleConnections closes the idle connections to endpoints; may be nil.
 	CloseIdleConnections func()
 	Started              time.Time
+	// Memory bounds the memory of submissions, and Bodies is the budget that shares it; it may be nil.
+	Memory MemorySettings
+	Bodies *jujubememory.Budget
 	// BootClock returns the time since the machine was booted, including suspensions; nil for jujubeclock.Now.
 	BootClock func() jujubeclock.Instant
 	// StopServing stops accepting requests and waits for those in progress until the context ends. A leaving node calls
@@ -174,6 +178,8 @@
 	stopServing   func(ctx context.Context)
 	pauses        pauseDetector
 
+	// memory accounts for the memory of submissions.
+	memory            *batchMemory
 	followers         []*follower
 	partitions        []*partition
 	instancesFollower *follower
@@ -253,6 +259,8 @@
 	n.store = newRelayedStore(id, options.Store, n.log, n.peerAddresses, options.CloseIdleStoreConnections, options.DialPeer)
 	n.store.bootClock = n.bootClock
 	n.scheduler.SetStartGate(n.allowsStart)
+	n.memory = newBatchMemory(n, options.Memory, options.Bodies)
+	n.scheduler.SetMemoryLimit(options.Memory.Keep)
 	n.survey = newSurvey(n)
 	n.metrics = newNodeMetrics(n)
 	n.loads = newBatchWriter(loadQueueSize, loadBatchDelay, n.appendLoads)
@@ -289,6 +297,7 @@
 	n.tomb.Go(func() error { return n.store.probe(background) })
 	n.tomb.Go(func() error { return n.copyDesired(background) })
 	n.tomb.Go(func() error { return n.resolveDoubts(background) })
+	n.tomb.Go(func() error { return n.restoreDeferred(background) })
 	n.tomb.Go(func() error { return n.survey.run(background) })
 	n.tomb.Go(func() error { return n.tasks.run(background) })
 	n.tomb.Go(func() error { return n.announceEnds(background) })
@@ -360,39 +369,11 @@
 		unread = unread || p.follower.hasUnread || !p.follower.caughtUpAt.After(n.pauses.resumedAt)
 	}
 	n.scheduler.SetLagging(unread)
+	held := n.scheduler.HeldBytes()
 	n.executeActions(n.scheduler.Tick(now))
+	if n.scheduler.HeldBytes() != held {
+		n.memory.publish()
+	}
 	n.refreshOldViews()
 	n.updateReady(now)
 }
-
-// updateReady marks the instance as ready once all topics have been read up to their ends and a desired state has been
-// read.
-func (n *Node) updateReady(now time.Time) {
-	if n.ready || n.desired == nil || n.state != jujuberegistry.Starting {
-		return
-	}
-	for _, f := range n.followers {
-		if f.caughtUpAt.IsZero() {
-			return
-		}
-	}
-	n.ready, n.state = true, jujuberegistry.Ready
-	n.requestHeartbeat()
-	n.log.Write(jujubeevent.InstanceReady, func() logrus.Fields {
-		reads, records, bytes := 0, 0, 0
-		for _, f := range n.followers {
-			reads, records, bytes = reads+f.reads, records+f.records, bytes+f.bytes
-		}
-		return logrus.Fields{
-			"Instance": n.identity.Instance, "Revision": n.desired.Version, "Reads": reads, "Records": records, "Bytes": bytes,
-			"After": now.Sub(n.started).String(),
-		}
-	})
-}
-
-// IsReady reports whether callers may be sent to this instance.
-func (n *Node) IsReady() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.ready && n.state == jujuberegistry.Ready
-}
--- a/entry/services/jujubenode/partition.go
+++ b/entry/services/jujubenode/partition.go
@@ -42,7 +42,11 @@
 	number   int
 	follower *follower
 	decoder  jujubebatch.Decoder
-	queue    chan jujubebatch.Entry
+	// entryOffset is the offset of the first record of the latest entry.
+	entryOffset int64
+	// decoded holds the entries that were decoded before the node's lock was taken.
+	decoded decodedEntries
+	queue   chan jujubebatch.Entry
 	// unwritten is the batch that is being appended; guarded by the node's lock.
 	unwritten []jujubebatch.Entry
 	// unreadEnds are the ends that are on the log after the last record that this instance has read; guarded by the node's lock.
@@ -64,7 +68,7 @@
 		unscoredPointers: make(map[jujubebatch.ItemRef]jujubebatch.Pointer),
 	}
 	p.follower = n.addFollower(topicSubmissions, number, p.apply)
-	p.follower.onGap = p.recordGap
+	p.follower.onGap, p.follower.prepare = p.recordGap, p.decodeAhead
 	p.follower.gate = jujubeview.Gate{Bound: n.settings.CancelTime}
 	return p
 }
@@ -79,18 +83,24 @@
 	if len(p.checkpoints) == 0 || now.Sub(p.checkpoints[len(p.checkpoints)-1].readAt) >= trimInterval {
 		p.checkpoints = append(p.checkpoints, trimCheckpoint{now, offset, p.maxTextOffset})
 	}
-	entry, err := p.decoder.Add(n.codec, record.Value)
+	if jujubebatch.BeginsEntry(record.Value) {
+		p.entryOffset = offset
+	}
+	entry, err := p.decode(offset, record)
 	if err != nil {
 		n.log.Write(jujubeevent.RecordUnusable, func() logrus.Fields {
 			return logrus.Fields{"Topic": topicSubmissions.Name, "Partition": p.number, "Offset": offset, "Error": err.Error()}
 		})
 		return
 	}
-	if entry == nil || !n.scheduler.Apply(now, entry) {
+	if entry == nil || p.deferSubmission(now, entry) || !n.scheduler.Apply(now, entry) {
 		return
 	}
-	if s := entry.Submission; s != nil && len(s.Chunks) > 0 {
-		p.maxTextOffset = max(p.maxTextOffset, s.Chunks[0].Offset)
+	if s := entry.Submission; s != nil {
+		n.memory.publish()
+		if len(s.Chunks) > 0 {
+			p.maxTextOffset = max(p.maxTextOffset, s.Chunks[0].Offset)
+		}
 	}
 	n.logEntry(p.number, offset, entry)
 }
--- a/entry/services/jujubenode/score_test.go
+++ b/entry/services/jujubenode/score_test.go
@@ -17,7 +17,6 @@
 	s := newSubmission(id, items)
 	for i := range s.Items {
 		s.Items[i].Scoring = &jujubebatch.ScoringCall{ID: model.RequestID("call-" + s.Items[i].ID), Host: "h", Path: "/score/x"}
-		s.Items[i].Content.ScoringBody = []byte{byte(100 + i)}
 	}
 	return s
 }
--- a/entry/services/jujubenode/settle.go
+++ b/entry/services/jujubenode/settle.go
@@ -32,16 +32,20 @@
 		deadline = callerDeadline
 	}
 	writtenCh := make(chan error, 1)
+	_, release := n.ReserveBatch(s.ID, "")
 	if !n.tasks.start(func(ctx context.Context) {
+		defer release()
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		writtenCh <- n.partitionOf(s.ID).writeSubmission(ctx, s)
 	}) {
+		release()
 		return refusal(jujubeerror.CodeStoreFailed, "the instance is stopping")
 	}
 	for {
 		n.mu.Lock()
 		isRead, _ := n.scheduler.SubmissionStatus(s.ID)
+		isRead = isRead || n.scheduler.IsDeferred(s.ID)
 		origin, _ := n.scheduler.Origin(s.ID)
 		changedCh := n.stateChangedCh
 		n.mu.Unlock()
@@ -63,20 +67,14 @@
 
 // writeSubmission writes the contents and the record of a submission.
 func (p *partition) writeSubmission(ctx context.Context, s *jujubebatch.Submission) error {
-	contents := blobBatch{codec: p.node.codec}
-	for _, chunk := range s.SplitContents() {
-		if err := contents.add(chunk, p.node.settings.MaxRecordBytes); err != nil {
-			return ErrContentsNotWritten{Cause: err}
-		}
+	var err error
+	if s.Chunks, err = p.writeContents(ctx, s); err == nil {
+		err = p.node.memory.recheck(s)
 	}
-	err := p.writeBlobsWith(&contents, func(records []Record) (int64, error) {
-		// Contents without a record have no effect, so the submission can be refused.
-		return p.settleAppend(ctx, topicTexts, records, func(last model.Ran) bool { return last == model.RanNo })
-	})
 	if err != nil {
 		return ErrContentsNotWritten{Cause: err}
 	}
-	s.Chunks, s.By = contents.pointers, p.node.identity.Instance
+	s.By = p.node.identity.Instance
 	records, err := p.encodeRecord(jujubebatch.Entry{Submission: s})
 	if err != nil {
 		return err
@@ -87,12 +85,42 @@
 	return err
 }
 
+// writeContents writes the contents of a submission and returns where they are. They are encoded one append at a time.
+func (p *partition) writeContents(ctx context.Context, s *jujubebatch.Submission) ([]jujubebatch.Pointer, error) {
+	var written []jujubebatch.Pointer
+	contents := &blobBatch{codec: p.node.codec}
+	write := func() error {
+		err := p.writeBlobsWith(contents, func(records []Record) (int64, error) {
+			// Contents without a record have no effect, so the submission can be refused.
+			return p.settleAppend(ctx, topicTexts, records, func(last model.Ran) bool { return last == model.RanNo })
+		})
+		written, contents = append(written, contents.pointers...), &blobBatch{codec: p.node.codec}
+		return err
+	}
+	for chunk, err := range s.SplitContents() {
+		if err != nil {
+			return nil, err
+		}
+		if err := contents.add(chunk, p.node.settings.MaxRecordBytes); err != nil {
+			return nil, err
+		}
+		if contents.size < p.node.settings.MaxAppendBytes {
+			continue
+		}
+		if err := write(); err != nil {
+			return nil, err
+		}
+	}
+	err := write()
+	return written, err
+}
+
 // hasRead reports whether this instance has read the record of a submission.
 func (p *partition) hasRead(id jujubebatch.SubmissionID) bool {
 	p.node.mu.Lock()
 	defer p.node.mu.Unlock()
 	known, _ := p.node.scheduler.SubmissionStatus(id)
-	return known
+	return known || p.node.scheduler.IsDeferred(id)
 }
 
 // appendOutcome is the outcome of an attempt of an append.
--- a/entry/services/jujubenode/submit.go
+++ b/entry/services/jujubenode/submit.go
@@ -39,6 +39,7 @@
 	n.mu.Lock()
 	ready, state := n.ready, n.state
 	known, _ := n.scheduler.SubmissionStatus(submission.ID)
+	known = known || n.scheduler.IsDeferred(submission.ID)
 	origin, _ := n.scheduler.Origin(submission.ID)
 	p := n.partitionOf(submission.ID)
 	logUnavailable, mayBeOld := !p.follower.failingSince.IsZero(), p.mayHaveMissed(time.Now())
@@ -158,12 +159,16 @@
 func (n *Node) ensureKnown(ctx context.Context, id jujubebatch.SubmissionID) error {
 	n.mu.Lock()
 	known, _ := n.scheduler.SubmissionStatus(id)
+	isDeferred := n.scheduler.IsDeferred(id)
 	f := n.partitionOf(id).follower
 	hasCaughtUp := !f.caughtUpAt.IsZero()
 	n.mu.Unlock()
 	if known {
 		return nil
 	}
+	if isDeferred {
+		return refuseDeferred()
+	}
 	if !hasCaughtUp {
 		return refusal(jujubeerror.CodeStoreFailed, "the log hasn't been read yet")
 	}
@@ -173,6 +178,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if known, _ = n.scheduler.SubmissionStatus(id); !known {
+		if n.scheduler.IsDeferred(id) {
+			return refuseDeferred()
+		}
 		if time.Since(f.caughtUpAt) > maxReadAge {
 			return refusal(jujubeerror.CodeStoreFailed, "the log is read behind its end")
 		}
