jujubenode: refuse no batch that is on the log already

Cause: a batch that its caller sends again after a lost answer was checked like a new one, so that it got 503 while the memory was full; and a second record of a deferred batch was applied as if there were memory for it.

Change: neither needs further memory; the first is answered as accepted, the second is passed over until the batch is restored. A deferred batch whose head can't be kept counts as one that others know (503, not 404).

--- a/core/services/jujubebatch/deferred.go
+++ b/core/services/jujubebatch/deferred.go
@@ -32,7 +32,8 @@
 	return s.memoryLimit == 0 || s.heldBytes+submission.MemoryBytes() <= s.memoryLimit
 }
 
-// Defer keeps the head of a submission whose record is at an offset; it returns false if the submission is known.
+// Defer keeps the head of a submission whose record is at an offset; it returns false if the submission is known, or if too many are
+// deferred.
 func (s *Scheduler) Defer(now time.Time, submission *Submission, offset int64) bool {
 	if _, known := s.submissions.Get(submission.ID); known || s.IsDeferred(submission.ID) || len(s.deferredIDs) >= maxDeferred {
 		return false
--- a/entry/services/jujubenode/batchmemory.go
+++ b/entry/services/jujubenode/batchmemory.go
@@ -51,6 +51,7 @@
 	id     jujubebatch.SubmissionID
 	// route is the name of the route, for the log.
 	route string
+	// bytes is what this request has reserved. Requests with the same id share the memory, so only the largest of them counts.
 	bytes int
 }
 
@@ -72,11 +73,21 @@
 	}
 }
 
-// Check refuses a submission that needs more memory than there is, without a reservation.
-func (r *BatchReservation) Check(bytes int) error {
+// Check refuses a submission that needs more memory than there is, without a reservation. It returns how much of it has to be found: nothing
+// for one that is sent again.
+func (r *BatchReservation) Check(bytes int) (needed int, err error) {
 	r.memory.node.mu.Lock()
 	defer r.memory.node.mu.Unlock()
-	return r.check(bytes)
+	if r.isOnLog() {
+		return 0, nil
+	}
+	return bytes, r.check(bytes)
+}
+
+// isOnLog reports whether this instance has read the submission's record; the node's lock is held.
+func (r *BatchReservation) isOnLog() bool {
+	known, _ := r.memory.node.scheduler.SubmissionStatus(r.id)
+	return known || r.memory.node.scheduler.IsDeferred(r.id)
 }
 
 // Grow reserves further bytes, or refuses the submission.
@@ -98,6 +109,9 @@
 // check refuses a submission for which further bytes aren't available; the node's lock is held.
 func (r *BatchReservation) check(bytes int) error {
 	m := r.memory
+	if r.isOnLog() {
+		return nil
+	}
 	others := m.node.scheduler.HeldBytes() + m.reserved - m.reservations[r.id].bytes
 	limit, smallest := m.acceptLimit()
 	if limit == 0 || others+r.bytes+bytes <= limit {
--- a/entry/services/jujubenode/deferred.go
+++ b/entry/services/jujubenode/deferred.go
@@ -20,9 +20,18 @@
 func (p *partition) deferSubmission(now time.Time, entry *jujubebatch.Entry) bool {
 	n := p.node
 	s := entry.Submission
-	if s == nil || n.scheduler.HasMemory(s) || !n.scheduler.Defer(now, s, p.entryOffset) {
+	if s == nil {
 		return false
 	}
+	if n.scheduler.IsDeferred(s.ID) {
+		return true // a later record of it
+	}
+	if known, _ := n.scheduler.SubmissionStatus(s.ID); known || n.scheduler.HasMemory(s) {
+		return false
+	}
+	if !n.scheduler.Defer(now, s, p.entryOffset) {
+		p.gap.missedAt = now // too many are deferred, so others only know it
+	}
 	n.requestHeartbeat()
 	n.log.Write(jujubeevent.SubmissionDeferred, func() logrus.Fields {
 		return logrus.Fields{
