jujubenode, jujuberegistry: let no foreign entry decide a start for good

What callers saw: after one whole entry for each model server, from another writer and with a service that nobody names, no item of an accepted step reached a server any more.

Cause: the service was the one sign of a foreign entry that wasn't checked; its start counted as a restart, and every later entry and report of the server as one of an earlier process. Ruled out: the entry's fields, which are whole.

Change: an entry of a service that the desired state doesn't name waits for one that does. A start is undone by the server's own words: two consecutive entries or one response if a single entry has brought it, else three.

--- a/core/services/jujubedesired/desired.go
+++ b/core/services/jujubedesired/desired.go
@@ -40,6 +40,16 @@
 	Organisations *jujubeorganisation.Directory
 }
 
+// Names reports whether the state names a service.
+func (s *State) Names(service model.ServiceName) bool {
+	if _, ok := s.Services[service]; ok {
+		return true
+	}
+	return slices.ContainsFunc(s.Routes, func(route Route) bool {
+		return slices.ContainsFunc(route.Targets, func(target Target) bool { return target.Service == service })
+	})
+}
+
 // Route describes where the requests of a host and path prefix are sent.
 type Route struct {
 	Name string
--- a/core/services/jujuberegistry/incarnation.go
+++ b/core/services/jujuberegistry/incarnation.go
@@ -23,8 +23,12 @@
 	pastStartTimes []model.Incarnation
 	// incarnation never decreases.
 	incarnation model.Incarnation
-	// unconfirmedStartTime is a start time before startTime that only one entry has contained so far; zero for none.
+	// confirmations counts the entries and responses of the current process.
+	confirmations int
+	// unconfirmedStartTime is a start time, before startTime or of an earlier process, that only the last unconfirmedEntries entries have
+	// contained so far; zero for none.
 	unconfirmedStartTime model.Incarnation
+	unconfirmedEntries   int
 	// lastSeen is when the endpoint's last entry or response was received.
 	lastSeen time.Time
 }
@@ -42,9 +46,17 @@
 	return &IncarnationTracker{histories: jujubetable.New[model.EndpointID, *startHistory]()}
 }
 
+// A start that one entry brings may be that of another writer, so the endpoint's own entries and responses have to be able to undo it.
+const (
+	// entriesOfStart is the number of consecutive entries with which a start is accepted whose time is before the current one, since a late
+	// entry is a single one, or that was replaced by one that nothing else confirms.
+	entriesOfStart = 2
+	// entriesOfEarlierStart is that for a start that was replaced by one that more than an entry confirms.
+	entriesOfEarlierStart = 3
+)
+
 // ObserveEntry records the start time in an entry and returns the incarnation. Entries have to be passed in the order of the
-// log. It returns false for an entry of an earlier process. A start time before the current one is accepted once two
-// consecutive entries have it, because a late entry is a single one.
+// log. It returns false for an entry of an earlier process, unless consecutive entries show that the endpoint goes on with it.
 func (t *IncarnationTracker) ObserveEntry(now time.Time, id model.EndpointID, startTime model.Incarnation) (model.Incarnation, bool) {
 	history, ok := t.histories.Get(id)
 	switch {
@@ -52,18 +64,32 @@
 		history = &startHistory{startTime: startTime, incarnation: startTime}
 		t.histories.Put(id, history)
 	case startTime == history.startTime:
-	case slices.Contains(history.pastStartTimes, startTime):
-		return 0, false
-	case startTime < history.startTime && startTime != history.unconfirmedStartTime:
-		history.unconfirmedStartTime = startTime
-		return 0, false
+	case startTime < history.startTime || slices.Contains(history.pastStartTimes, startTime):
+		if !history.hasEntries(startTime) {
+			return 0, false
+		}
+		history.appendStart(startTime)
 	default:
 		history.appendStart(startTime)
 	}
+	history.confirmations++
 	history.unconfirmedStartTime, history.lastSeen = 0, now
 	return history.incarnation, true
 }
 
+// hasEntries counts an entry with an earlier start time, and reports whether there have been enough of them on end.
+func (h *startHistory) hasEntries(startTime model.Incarnation) bool {
+	if startTime != h.unconfirmedStartTime {
+		h.unconfirmedStartTime, h.unconfirmedEntries = startTime, 0
+	}
+	h.unconfirmedEntries++
+	required := entriesOfStart
+	if slices.Contains(h.pastStartTimes, startTime) && h.confirmations > 1 {
+		required = entriesOfEarlierStart
+	}
+	return h.unconfirmedEntries >= required
+}
+
 // registrationTime is how long after an endpoint's process accepts connections its entry may be missing from the store.
 const registrationTime = 50 * time.Millisecond
 
@@ -86,23 +112,27 @@
 }
 
 // ObserveResponse records the start time in an endpoint's response, which can't be from an earlier process, and returns the
-// incarnation. It returns false if the endpoint is unknown or the time is that of an earlier start.
+// incarnation. It returns false if the endpoint is unknown or the time is that of an earlier start, unless only one entry has brought the
+// current one.
 func (t *IncarnationTracker) ObserveResponse(now time.Time, id model.EndpointID, startTime model.Incarnation) (model.Incarnation, bool) {
 	history, ok := t.histories.Get(id)
 	switch {
-	case !ok || slices.Contains(history.pastStartTimes, startTime):
+	case !ok || slices.Contains(history.pastStartTimes, startTime) && history.confirmations > 1:
 		return 0, false
 	case startTime != history.startTime:
 		history.appendStart(startTime)
 		history.unconfirmedStartTime = 0
 	}
+	history.confirmations++
 	history.lastSeen = now
 	return history.incarnation, true
 }
 
 // appendStart makes startTime the current start, with a higher incarnation.
 func (h *startHistory) appendStart(startTime model.Incarnation) {
+	h.pastStartTimes = slices.DeleteFunc(h.pastStartTimes, func(past model.Incarnation) bool { return past == startTime })
 	h.pastStartTimes = append(h.pastStartTimes, h.startTime)
+	h.confirmations = 0
 	h.pastStartTimes = h.pastStartTimes[max(0, len(h.pastStartTimes)-maxPastStarts):]
 	h.startTime, h.incarnation = startTime, max(startTime, h.incarnation+1)
 }
--- a/core/services/jujuberegistry/incarnation_test.go
+++ b/core/services/jujuberegistry/incarnation_test.go
@@ -74,3 +74,38 @@
 		}
 	})
 }
+
+// TestOwnEntriesUndoForeignStarts guards against a start that another writer's entries bring for good: the endpoint's own entries, or one
+// response if a single entry has brought the start, make its own start the current one again.
+func TestOwnEntriesUndoForeignStarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		b := jujuberegistry.NewIncarnationTracker()
+		own := model.Incarnation(rapid.Int64Range(1, 1000).Draw(t, "own"))
+		var latest model.Incarnation
+		for range rapid.IntRange(1, 3).Draw(t, "own entries") {
+			latest, _ = b.ObserveEntry(now, "e", own)
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "attempts") {
+			entries := rapid.IntRange(1, 3).Draw(t, "foreign entries")
+			foreign := model.Incarnation(rapid.Int64Range(1001, 2000).Draw(t, "foreign"))
+			for range entries {
+				b.ObserveEntry(now, "e", foreign)
+			}
+			if entries == 1 && rapid.Bool().Draw(t, "response") {
+				if _, ok := b.ObserveResponse(now, "e", own); !ok {
+					t.Fatal("a response doesn't undo a start that one entry has brought")
+				}
+			}
+			ok := false
+			var incarnation model.Incarnation
+			for range 3 {
+				incarnation, ok = b.ObserveEntry(now, "e", own)
+			}
+			if !ok || incarnation < latest || !b.IsCertain("e") {
+				t.Fatalf("incarnation %d, %t after %d entries of another writer", incarnation, ok, entries)
+			}
+			latest = incarnation
+		}
+	})
+}
--- a/entry/services/jujubenode/desired.go
+++ b/entry/services/jujubenode/desired.go
@@ -11,7 +11,7 @@
 )
 
 // SetDesired applies a newer desired state, and reports whether it is one. It is called from a feed, with the node's lock held.
-func (n *Node) SetDesired(_ time.Time, state *jujubedesired.State) (isNewer bool) {
+func (n *Node) SetDesired(now time.Time, state *jujubedesired.State) (isNewer bool) {
 	if n.desired != nil && state.Version <= n.desired.Version {
 		n.desiredDoubt.isConfirmed = n.desiredDoubt.isConfirmed || state.Version == n.desired.Version
 		return false
@@ -28,6 +28,7 @@
 	}
 	n.fleet.SetSingleVersion(singleVersion)
 	n.fleet.SetRoutedServices(routed)
+	n.putWaitingEntries(now)
 	n.log.Write(jujubeevent.ConfigApplied, func() logrus.Fields {
 		return logrus.Fields{"Revision": state.Version, "Routes": len(state.Routes), "Services": len(state.Services)}
 	})
--- a/entry/services/jujubenode/endpoints.go
+++ b/entry/services/jujubenode/endpoints.go
@@ -17,8 +17,14 @@
 )
 
 // PutEndpoint applies an endpoint's registry entry; the incarnation in it is the endpoint's start time by its own clock.
-// It is called from a feed, with the node's lock held.
+// It is called from a feed, with the node's lock held. An entry of a service that the desired state doesn't name may be another writer's: it
+// says nothing of the endpoint until a desired state names the service.
 func (n *Node) PutEndpoint(now time.Time, s jujubebatch.Engine) {
+	if n.desired == nil || !n.desired.Names(s.Service) {
+		n.waitingEntries[s.ID] = s
+		return
+	}
+	delete(n.waitingEntries, s.ID)
 	n.endpoints.Put(s.ID)
 	incarnation, ok := n.incarnations.ObserveEntry(now, s.ID, s.Incarnation)
 	if !ok {
@@ -34,6 +40,13 @@
 	n.applyEndpoint(now, s)
 }
 
+// putWaitingEntries applies the entries whose services the desired state names by now; the lock is held.
+func (n *Node) putWaitingEntries(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(n.waitingEntries)) {
+		n.PutEndpoint(now, n.waitingEntries[id])
+	}
+}
+
 // applyEndpoint updates the router, the scheduler and the fleet with an endpoint's state. The lock is held.
 func (n *Node) applyEndpoint(now time.Time, s jujubebatch.Engine) {
 	s.Leaving = s.Leaving || n.endpoints.IsLeaving(s.ID, s.Incarnation)
@@ -133,11 +146,15 @@
 
 // RemoveEndpoint records that an endpoint's registry entry was removed. It is called from a feed, with the node's lock
 // held.
-func (n *Node) RemoveEndpoint(now time.Time, id model.EndpointID) { n.endpoints.Remove(now, id) }
+func (n *Node) RemoveEndpoint(now time.Time, id model.EndpointID) {
+	delete(n.waitingEntries, id)
+	n.endpoints.Remove(now, id)
+}
 
 // RetainEndpoints removes the endpoints that aren't in a complete list. It is called from a feed, with the node's lock
 // held.
 func (n *Node) RetainEndpoints(now time.Time, ids map[model.EndpointID]bool) {
+	maps.DeleteFunc(n.waitingEntries, func(id model.EndpointID, _ jujubebatch.Engine) bool { return !ids[id] })
 	n.endpoints.RetainOnly(now, ids)
 }
 
--- a/entry/services/jujubenode/node.go
+++ b/entry/services/jujubenode/node.go
@@ -188,6 +188,8 @@
 	desiredFollower *follower
 	// desiredRecord is the record of the desired state in force.
 	desiredRecord Record
+	// waitingEntries are the latest entries of endpoints whose services the desired state doesn't name.
+	waitingEntries map[model.EndpointID]jujubebatch.Engine
 	// desiredDoubt tells whether a later version may have been missed.
 	desiredDoubt desiredDoubt
 	// desiredRefreshedAt is when it was last read because of a request.
@@ -236,6 +238,7 @@
 		registry:       jujuberegistry.New(jujuberegistry.DefaultSettings()),
 		endpoints:      jujuberegistry.NewEndpointTracker(jujuberegistry.DefaultSettings()),
 		incarnations:   jujuberegistry.NewIncarnationTracker(),
+		waitingEntries: make(map[model.EndpointID]jujubebatch.Engine),
 		router: jujuberouter.New(jujuberouter.LeastExpectedWait{},
 			jujuberouter.Settings{Instance: id, ServiceTime: initialServiceTime, PrefixRetention: batchSettings.PromptRetention}, random),
 		throttle:       jujubethrottle.New(),
