jujubebatch: keep the log's records of deferred batches

Cause: trimming went by the oldest batch that this instance keeps, so one that had deferred an earlier batch dropped its records and contents from the log, although other instances run its items.

Change: OldestRetained includes deferred batches.

Measured: TestDeferredSubmission fails without the change ("the log must keep its records and contents for the others"). No effect where nothing is deferred.

--- a/core/services/jujubebatch/retention.go
+++ b/core/services/jujubebatch/retention.go
@@ -48,8 +48,8 @@
 	s.buriedIDs[id] = true
 }
 
-// OldestRetained returns when the oldest retained submission or stream was read; ok is false if there is none. Older records
-// are no longer needed.
+// OldestRetained returns when the oldest retained submission or stream was read, also one that is deferred here, as other instances keep it;
+// ok is false if there is none. Older records are no longer needed.
 func (s *Scheduler) OldestRetained() (at time.Time, ok bool) {
 	if len(s.byReadTime) > 0 {
 		at, ok = s.byReadTime[0].at, true
@@ -57,6 +57,11 @@
 	if len(s.streamsByTime) > 0 && (!ok || s.streamsByTime[0].readAt.Before(at)) {
 		at, ok = s.streamsByTime[0].readAt, true
 	}
+	if len(s.deferredIDs) > 0 {
+		if readAt := s.deferred[s.deferredIDs[0]].readAt; !ok || readAt.Before(at) {
+			at, ok = readAt, true
+		}
+	}
 	return at, ok
 }
 
