jujubenode: reach engines directly past a gateway that defers a batch

Cause: the gateway of an engine refused the items of a batch that it has deferred, and the delegator took the engine for full, again and again. Change: the reply says that the gateway starts none, as for an outdated view, so that the delegator reaches its engines directly for a while. No effect where nothing is deferred.

--- a/entry/services/jujubenode/delegation.go
+++ b/entry/services/jujubenode/delegation.go
@@ -29,7 +29,8 @@
 	Loads map[model.EndpointID]int
 	// Throttled is how long the rate of an engine allows no further request; engines that it allows one aren't listed.
 	Throttled map[model.EndpointID]time.Duration
-	// IsOutdated is true if the instance starts no items because of the age of its view of the log.
+	// IsOutdated is true if the instance starts no items because of the age of its view of the log, or as it has deferred their submission.
+	// Their engines are then reached directly.
 	IsOutdated bool
 }
 
@@ -52,7 +53,7 @@
 	reply.Loads, reply.Throttled = make(map[model.EndpointID]int), make(map[model.EndpointID]time.Duration)
 	acceptedCount := 0
 	for _, offer := range args.Offers {
-		isOutdated := !n.mayStart(offer.Submission)
+		isOutdated := !n.mayStart(offer.Submission) || n.scheduler.IsDeferred(offer.Submission)
 		accepted := n.ready && n.state == jujuberegistry.Ready && !isOutdated && n.scheduler.AcceptOffer(now, offer)
 		reply.IsOutdated = reply.IsOutdated || isOutdated
 		reply.Taken = append(reply.Taken, accepted)
