jujubenode: keep a batch at the instance that has accepted it

Cause: instances that accept batches at the same time, each within the limit, read them in the same order, so that all of them deferred the same ones: accepted, and kept by nobody.

Change: the memory of a batch stays reserved until its record has been read, and the instance keeps it then; what others have accepted has to fit beside that. Also: maxHeldBytes moves to the file of the holders.

No effect on batches that fit.

--- a/core/modules/jujubehttp/guard.go
+++ b/core/modules/jujubehttp/guard.go
@@ -138,14 +138,6 @@
 	return g
 }
 
-// maxHeldBytes returns what all connections may hold now.
-func (g *Guard) maxHeldBytes() int {
-	if g.settings.Available == nil {
-		return g.settings.MaxHeldBytes
-	}
-	return min(g.settings.MaxHeldBytes, g.settings.Available())
-}
-
 // sinceStart returns the time since the guard's start in nanoseconds.
 func (g *Guard) sinceStart(now time.Time) int64 { return int64(now.Sub(g.started)) }
 
--- a/core/modules/jujubehttp/holder.go
+++ b/core/modules/jujubehttp/holder.go
@@ -110,3 +110,11 @@
 func (g *Guard) chooseSlow(now time.Time) *guardedConn {
 	return g.choose(now, kindClient, Holder.BetterForBody)
 }
+
+// maxHeldBytes returns what all connections may hold now.
+func (g *Guard) maxHeldBytes() int {
+	if g.settings.Available == nil {
+		return g.settings.MaxHeldBytes
+	}
+	return min(g.settings.MaxHeldBytes, g.settings.Available())
+}
--- a/core/services/jujubebatch/deferred.go
+++ b/core/services/jujubebatch/deferred.go
@@ -27,9 +27,9 @@
 // SetMemoryLimit sets the memory of all submissions above which further ones are deferred; zero for no limit.
 func (s *Scheduler) SetMemoryLimit(bytes int) { s.memoryLimit = bytes }
 
-// HasMemory reports whether a submission can be kept.
-func (s *Scheduler) HasMemory(submission *Submission) bool {
-	return s.memoryLimit == 0 || s.heldBytes+submission.MemoryBytes() <= s.memoryLimit
+// HasMemory reports whether a submission can be kept beside what is reserved for others.
+func (s *Scheduler) HasMemory(submission *Submission, reserved int) bool {
+	return s.memoryLimit == 0 || s.heldBytes+reserved+submission.MemoryBytes() <= s.memoryLimit
 }
 
 // Defer keeps the head of a submission whose record is at an offset; it returns false if the submission is known, or if too many are
@@ -51,10 +51,10 @@
 // Deferred returns the deferred submissions, the earliest first.
 func (s *Scheduler) Deferred() []SubmissionID { return slices.Clone(s.deferredIDs) }
 
-// NextDeferred returns the earliest deferred submission for which there is memory, and the offset of its record.
-func (s *Scheduler) NextDeferred() (id SubmissionID, offset int64, ok bool) {
+// NextDeferred returns the earliest deferred submission for which there is memory beside what is reserved, and the offset of its record.
+func (s *Scheduler) NextDeferred(reserved int) (id SubmissionID, offset int64, ok bool) {
 	for _, id := range s.deferredIDs {
-		if d := s.deferred[id]; !d.ended && s.heldBytes+d.bytes <= s.memoryLimit {
+		if d := s.deferred[id]; !d.ended && s.heldBytes+reserved+d.bytes <= s.memoryLimit {
 			return id, d.offset, true
 		}
 	}
--- a/core/services/jujubebatch/deferred_test.go
+++ b/core/services/jujubebatch/deferred_test.go
@@ -20,7 +20,7 @@
 		other.putEngine(i, 1, 1)
 	}
 	acceptor.SetMemoryLimit(submission.MemoryBytes() - 1)
-	assert.Assert(t, !acceptor.HasMemory(submission))
+	assert.Assert(t, !acceptor.HasMemory(submission, 0))
 	assert.Assert(t, acceptor.Defer(acceptor.now, submission, 7))
 	assert.Assert(t, acceptor.IsDeferred("s") && !acceptor.Defer(acceptor.now, submission, 9), "a second record has no effect")
 	known, _ := acceptor.SubmissionStatus("s")
@@ -45,10 +45,10 @@
 	assert.Equal(t, len(tick[jujubebatch.StartRun](other)), 6)
 
 	acceptor.SetMemoryLimit(submission.MemoryBytes())
-	_, _, ok = acceptor.NextDeferred()
+	_, _, ok = acceptor.NextDeferred(0)
 	assert.Assert(t, !ok)
 	acceptor.SetMemoryLimit(submission.MemoryBytes() + acceptor.HeldBytes())
-	id, offset, ok := acceptor.NextDeferred()
+	id, offset, ok := acceptor.NextDeferred(0)
 	assert.Assert(t, ok && id == "s" && offset == 7)
 	acceptor.Undefer(id)
 	acceptor.accept(submission)
--- a/entry/services/jujubenode/batchmemory.go
+++ b/entry/services/jujubenode/batchmemory.go
@@ -43,6 +43,9 @@
 // reservation is the memory of a submission that is being accepted by one or several requests.
 type reservation struct {
 	bytes, holders int
+	// isWritten is true from when the record is on the log until it has been read: the instance that accepted a submission keeps it, also
+	// if the records of others that were accepted at the same time come first.
+	isWritten bool
 }
 
 // BatchReservation is a request's share of the memory of its submission.
@@ -163,10 +166,42 @@
 	m.reservations[id].holders++
 }
 
-// release removes a holder; the reservation ends with the last one. The node's lock is held.
+// release removes a holder. The node's lock is held.
 func (m *batchMemory) release(id jujubebatch.SubmissionID) {
+	m.reservations[id].holders--
+	m.drop(id)
+}
+
+// markWritten records that a submission's record is on the log.
+func (m *batchMemory) markWritten(id jujubebatch.SubmissionID) {
+	m.node.mu.Lock()
+	defer m.node.mu.Unlock()
+	if known, _ := m.node.scheduler.SubmissionStatus(id); !known && !m.node.scheduler.IsDeferred(id) {
+		m.reservations[id].isWritten = true
+	}
+}
+
+// settle records that a submission's record has been read, and reports whether memory was reserved for it here; the node's lock is held.
+func (m *batchMemory) settle(id jujubebatch.SubmissionID) (isReserved bool) {
 	reservation := m.reservations[id]
-	if reservation.holders--; reservation.holders == 0 {
+	if reservation == nil {
+		return false
+	}
+	reservation.isWritten = false
+	m.drop(id)
+	return true
+}
+
+// settleAll ends the reservations for records that have expired unread; the node's lock is held.
+func (m *batchMemory) settleAll() {
+	for id := range m.reservations {
+		m.settle(id)
+	}
+}
+
+// drop ends a reservation that nobody needs any more; the node's lock is held.
+func (m *batchMemory) drop(id jujubebatch.SubmissionID) {
+	if reservation := m.reservations[id]; reservation.holders == 0 && !reservation.isWritten {
 		m.reserved -= reservation.bytes
 		delete(m.reservations, id)
 	}
--- a/entry/services/jujubenode/deferred.go
+++ b/entry/services/jujubenode/deferred.go
@@ -23,10 +23,11 @@
 	if s == nil {
 		return false
 	}
+	isReserved := n.memory.settle(s.ID)
 	if n.scheduler.IsDeferred(s.ID) {
 		return true // a later record of it
 	}
-	if known, _ := n.scheduler.SubmissionStatus(s.ID); known || n.scheduler.HasMemory(s) {
+	if known, _ := n.scheduler.SubmissionStatus(s.ID); known || isReserved || n.scheduler.HasMemory(s, n.memory.reserved) {
 		return false
 	}
 	if !n.scheduler.Defer(now, s, p.entryOffset) {
@@ -46,7 +47,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, deferredInterval)
 		n.mu.Lock()
-		id, offset, ok := n.scheduler.NextDeferred()
+		id, offset, ok := n.scheduler.NextDeferred(n.memory.reserved)
 		n.mu.Unlock()
 		if ok {
 			n.partitionOf(id).restore(ctx, id, offset)
@@ -91,8 +92,8 @@
 // applyRestored applies the entries of a submission that was deferred; the node's lock is held.
 func (p *partition) applyRestored(id jujubebatch.SubmissionID, entries []*jujubebatch.Entry) {
 	n := p.node
-	if len(entries) == 0 || entries[0].Submission == nil || !n.scheduler.HasMemory(entries[0].Submission) {
-		return // tried again when there is memory
+	if len(entries) == 0 || entries[0].Submission == nil || !n.scheduler.HasMemory(entries[0].Submission, n.memory.reserved) {
+		return // it stays deferred
 	}
 	n.scheduler.Undefer(id)
 	for _, entry := range entries {
--- a/entry/services/jujubenode/gap.go
+++ b/entry/services/jujubenode/gap.go
@@ -48,6 +48,7 @@
 	p.decoder = jujubebatch.Decoder{}
 	p.gap.missing = missing
 	p.gap.number++
+	p.node.memory.settleAll()
 	p.node.executeActions(p.node.scheduler.RecordGap(read, missing, p.holds))
 	if !p.follower.caughtUpAt.IsZero() { // what had expired before this instance started is no longer readable
 		p.gap.missedAt = time.Now()
--- a/entry/services/jujubenode/settle.go
+++ b/entry/services/jujubenode/settle.go
@@ -37,7 +37,11 @@
 		defer release()
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
-		writtenCh <- n.partitionOf(s.ID).writeSubmission(ctx, s)
+		err := n.partitionOf(s.ID).writeSubmission(ctx, s)
+		if err == nil {
+			n.memory.markWritten(s.ID)
+		}
+		writtenCh <- err
 	}) {
 		release()
 		return refusal(jujubeerror.CodeStoreFailed, "the instance is stopping")
