--- a/core/modules/jujubehttp/guard.go
+++ b/core/modules/jujubehttp/guard.go
@@ -7,8 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -147,17 +145,6 @@
 	}
 }
 
-// fallbackDescriptors is the descriptor limit where the system doesn't tell.
-const fallbackDescriptors = 1024
-
-func descriptorLimit() float64 {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
-		return fallbackDescriptors
-	}
-	return float64(min(limit.Cur, math.MaxInt32))
-}
-
 // Listen wraps a listener for HTTP.
 func (g *Guard) Listen(listener net.Listener) net.Listener {
 	return &guardedListener{Listener: listener, guard: g, kind: kindClient}
--- a/core/services/jujubebatch/deferred_test.go
+++ b/core/services/jujubebatch/deferred_test.go
@@ -9,8 +9,8 @@
 	"jujubepier.example/core/services/jujubebatch"
 )
 
-// TestDeferredSubmission guards against a submission whose items nobody runs because the instance that accepted it has no memory for it any
-// more, and against one that isn't kept once there is memory.
+// TestDeferredSubmission guards against a submission whose items don't run because the instance that accepted it has run out of memory for it,
+// and against one that isn't kept once there is memory.
 func TestDeferredSubmission(t *testing.T) {
 	submission := newSubmission("s", 6, "a")
 	acceptor, other := newTestScheduler(t, 2), newTestScheduler(t, 2)
--- a/entry/services/jujubenode/batchmemory.go
+++ b/entry/services/jujubenode/batchmemory.go
@@ -199,7 +199,7 @@
 	}
 }
 
-// drop ends a reservation that nobody needs any more; the node's lock is held.
+// drop ends a reservation without holders whose record needn't be read any more; the node's lock is held.
 func (m *batchMemory) drop(id jujubebatch.SubmissionID) {
 	if reservation := m.reservations[id]; reservation.holders == 0 && !reservation.isWritten {
 		m.reserved -= reservation.bytes
