jujubehttp, jujubepeer: end no response in order after a reset

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still written. The part came as a complete response.

Cause: the system reports a reset once, to the first read or write that asks. When the write of the upload gets it, the read after it returns io.EOF, and a body without a length is whole when its connection ends. The same happens at an instance that carries a connection for another one, where write and read are calls of their own.

Ruled out: refusing early responses, or those without a length, which sound servers send; a check at one reader; waiting for the write of the upload, which may last as long as the server reads on.

Change: KeepReset wraps a TCP connection and records the error that ended it, whichever call got it. A read that gets io.EOF while a write is in progress asks for the state of the socket: on a closed one no write blocks, so it waits for the write's error. EPIPE isn't recorded: the system reports it when the server had ended its side in order before the reset. The clients of the log and of the operators' interface had connections of their own.

--- a/core/modules/jujubeclient/exchange.go
+++ b/core/modules/jujubeclient/exchange.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -40,7 +41,8 @@
 
 // newJSONClient returns a client for host:port and a function that closes its idle connections.
 func newJSONClient(address string, timeout time.Duration) (jsonClient, func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: jujubehttp.MaxResponseHeaderBytes}
+	transport := jujubehttp.NewTransport(new(net.Dialer).DialContext)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = 4, time.Minute
 	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
 		return errors.New("redirects are not followed")
 	}}
--- a/core/modules/jujubehttp/sendonce.go
+++ b/core/modules/jujubehttp/sendonce.go
@@ -50,6 +50,7 @@
 
 // TrackConn wraps a connection that has just been opened.
 func TrackConn(conn net.Conn) *TrackedConn {
+	conn = KeepReset(conn)
 	return &TrackedConn{Conn: conn, OpenedAt: time.Now(), guard: NewSendGuard(conn)}
 }
 
--- a/core/modules/jujubehttp/sendonce_test.go
+++ b/core/modules/jujubehttp/sendonce_test.go
@@ -89,13 +89,14 @@
 
 // newTrackedClient returns a client whose connections are wrapped by wrap.
 func newTrackedClient(t *testing.T, wrap func(net.Conn) net.Conn) *http.Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+	transport := jujubehttp.NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return jujubehttp.TrackConn(wrap(conn)), nil
-	}}
+		return wrap(conn), nil
+	})
+	transport.MaxIdleConnsPerHost = 8
 	t.Cleanup(transport.CloseIdleConnections)
 	return &http.Client{Transport: transport}
 }
--- a/entry/modules/jujubepeer/tunnel.go
+++ b/entry/modules/jujubepeer/tunnel.go
@@ -112,6 +112,7 @@
 		reply.Refused = err.Error()
 		return nil
 	}
+	conn = jujubehttp.KeepReset(conn)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed || t.conn != nil {
--- a/entry/modules/jujubepeer/tunnel_test.go
+++ b/entry/modules/jujubepeer/tunnel_test.go
@@ -160,6 +160,42 @@
 	assert.Assert(t, err != nil)
 }
 
+// TestResetReportedToAWrite guards against a response that is reset at the server and looks complete behind the peer, because the peer's
+// system has reported the reset to a write of the upload. A response that has ended in order before stays complete.
+func TestResetReportedToAWrite(t *testing.T) {
+	for name, isOrderly := range map[string]bool{"reset": false, "reset after an end in order": true} {
+		t.Run(name, func(t *testing.T) {
+			listener := listen(t)
+			received := make(chan struct{})
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "part")
+				<-received
+				if isOrderly {
+					_ = conn.(*net.TCPConn).CloseWrite()
+				}
+				_ = conn.(*net.TCPConn).SetLinger(0) // closing resets the connection
+				_ = conn.Close()
+			}()
+			args := jujubepeer.OpenArgs{Address: listener.Addr().String(), Timeout: time.Second}
+			conn, err := jujubepeer.NewPool(nil).OpenTunnel(t.Context(), startPeer(t, dialDirect), args)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.ReadFull(conn, make([]byte, 4))
+			assert.NilError(t, err)
+			close(received)
+			for err == nil {
+				_, err = conn.Write(make([]byte, 64<<10))
+			}
+			_, err = conn.Read(make([]byte, 1))
+			assert.Equal(t, errors.Is(err, io.EOF), isOrderly, "%v", err)
+		})
+	}
+}
+
 // TestTunnelRefusals checks that a caller can distinguish a peer that couldn't connect to the endpoint from one that opens no
 // connections for others, which says nothing about the endpoint.
 func TestTunnelRefusals(t *testing.T) {
--- a/entry/services/jujubeentry/service.go
+++ b/entry/services/jujubeentry/service.go
@@ -22,6 +22,11 @@
 	"jujubepier.example/entry/modules/jujubepeer"
 )
 
+const (
+	// dialTimeout bounds the time to open a connection to an endpoint, and keepAliveInterval is the time between probes of an idle one.
+	dialTimeout, keepAliveInterval = 30 * time.Second, 30 * time.Second
+)
+
 // Service is one entry instance. The routers call its exported methods.
 type Service struct {
 	settings Settings
@@ -104,22 +109,9 @@
 
 // newTransport returns the transport for calls to endpoints.
 func newTransport() *http.Transport {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	dial := transport.DialContext
-	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return jujubehttp.TrackConn(conn), nil
-	}
-	transport.Proxy = nil
-	transport.MaxResponseHeaderBytes = jujubehttp.MaxResponseHeaderBytes
-	transport.MaxIdleConnsPerHost = 64
-	transport.MaxIdleConns = 4096
-	transport.IdleConnTimeout = 30 * time.Second
-	transport.DisableCompression = true
-	transport.ForceAttemptHTTP2 = false
+	transport := jujubehttp.NewTransport((&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}).DialContext)
+	transport.MaxIdleConnsPerHost, transport.MaxIdleConns, transport.IdleConnTimeout = 64, 4096, 30*time.Second
+	transport.ExpectContinueTimeout, transport.DisableCompression = time.Second, true
 	return transport
 }
 
--- a/entry/services/jujubenode/links_test.go
+++ b/entry/services/jujubenode/links_test.go
@@ -153,13 +153,13 @@
 }
 
 func newHTTPCaller(t *testing.T, connect jujubenode.DialFunc) httpCaller {
-	transport := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+	transport := jujubehttp.NewTransport(func(ctx context.Context, _, address string) (net.Conn, error) {
 		conn, err := connect(ctx, address)
 		if err != nil {
 			return nil, errDial{err}
 		}
-		return jujubehttp.TrackConn(conn), nil
-	}}
+		return conn, nil
+	})
 	t.Cleanup(transport.CloseIdleConnections)
 	return httpCaller{&http.Client{Transport: transport}}
 }
--- a/entry/services/jujubenode/wire_test.go
+++ b/entry/services/jujubenode/wire_test.go
@@ -154,13 +154,11 @@
 		e.mu.Lock()
 		connect := e.connect
 		e.mu.Unlock()
-		conn, err := connect(ctx, from)
-		if err != nil {
-			return nil, err
-		}
-		return jujubehttp.TrackConn(conn), nil
+		return connect(ctx, from)
 	}
-	return wiredClient{orders, &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}, from}
+	transport := jujubehttp.NewTransport(dial)
+	transport.DisableKeepAlives = true
+	return wiredClient{orders, &http.Client{Transport: transport}, from}
 }
 
 // Run sends an item.
