jujubehttp: refuse a response whose head has an invalid field name

What callers saw: a server in trouble sent a response in whose head the name of a field held a blank. The response passed, and the line with it; "Content-Length : 9" or a "Content-Length" after a blank left the body without its end.

Cause: net/http accepts blanks in the names of a response's fields, doesn't count such a field as the one it resembles, and takes a line that begins with a blank for the continuation of the one before. Control bytes, empty names and other bytes that aren't part of a token were refused before.

Ruled out: a check of the names after net/http has parsed the head. It doesn't see continuations nor interim responses, and the end of the body is decided by then.

Change: TrackedConn follows the bytes of each head, those of interim responses too, and returns ErrInvalidHead in place of a line whose name isn't a token. RFC 9112 lets a gateway refuse continuations. Do returns that error, and also refuses a response whose head was read before its request was sent, so was checked for none. The outcome is unknown, as for ErrInvalidStatus. Statuses that are none were refused before; their cases are now in the same tables.

TestResponseBeforeRequest fails without the second check.

--- a/core/modules/jujubehttp/sendonce.go
+++ b/core/modules/jujubehttp/sendonce.go
@@ -29,7 +29,7 @@
 // errConnAbandoned is returned for a write to a connection that mustn't be used any more.
 var errConnAbandoned = errors.New("the connection is abandoned")
 
-// TrackedConn is a connection for SendOnce.
+// TrackedConn is a connection for Do and SendOnce, on which responses are checked.
 type TrackedConn struct {
 	net.Conn
 	// OpenedAt is when the connection was opened.
@@ -46,6 +46,9 @@
 	denied bool
 	// expiresAt is when the permit of the current request expires; zero if it doesn't.
 	expiresAt jujubeclock.Instant
+	// head is that of the response to the current request, which is the first one until wasUsed is true.
+	head    responseHead
+	wasUsed bool
 }
 
 // TrackConn wraps a connection that has just been opened.
@@ -57,6 +60,45 @@
 // Close closes the connection. A request with a limited permit that the server hasn't got yet doesn't reach it any more.
 func (c *TrackedConn) Close() error { return c.guard.Close() }
 
+// Read reads from the connection. It returns ErrInvalidHead in place of an invalid line in a response's head, before net/http has decided by
+// the head where the body ends.
+func (c *TrackedConn) Read(p []byte) (int, error) {
+	// net/http may read on after an error, and must not wait for more then.
+	if err := c.headError(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if accepted, headErr := c.head.follow(p[:n]); headErr != nil {
+		return accepted, headErr
+	}
+	return n, err
+}
+
+func (c *TrackedConn) headError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.err
+}
+
+// expectResponse prepares the connection for the response to a request that is going to be sent. A server may respond to the first one before.
+func (c *TrackedConn) expectResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wasUsed {
+		c.head = responseHead{}
+	}
+	c.wasUsed = true
+}
+
+// hasResponse reports whether the whole head of the response to the current request has arrived since the request before.
+func (c *TrackedConn) hasResponse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.state == headEnded
+}
+
 // Write writes to the connection unless it is abandoned.
 func (c *TrackedConn) Write(p []byte) (int, error) {
 	expiresAt, ok := c.beginWrite()
@@ -205,8 +247,7 @@
 	for {
 		attempt := new(sendAttempt)
 		attempt.check, _ = request.Context().Value(sendCheckKey{}).(func() SendPermit)
-		ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: attempt.gotConn})
-		sent := request.Clone(ctx)
+		sent := request.Clone(request.Context())
 		canRepeatBody := isBodyless(request)
 		if request.GetBody != nil {
 			body, err := request.GetBody()
@@ -216,7 +257,7 @@
 			sent.Body, canRepeatBody = body, true
 		}
 		preventReplay(sent)
-		response, err := Do(client, sent)
+		response, err := do(client, sent, attempt.gotConn)
 		if err == nil {
 			return response, nil
 		}
@@ -224,7 +265,7 @@
 		switch {
 		case !unsent:
 			return nil, err
-		case !mayRepeat || !canRepeatBody || ctx.Err() != nil:
+		case !mayRepeat || !canRepeatBody || request.Context().Err() != nil:
 			return nil, ErrUnsent{err}
 		}
 		// The connection isn't kept any longer, so the next one is another or a new one.
