jujubehttp, jujubeclient: take nothing from a JSON body that breaks off

What callers saw: none was observed; found while looking for readers of broken responses. On the service's own interface a refusal of an endpoint whose body broke off counted by its status alone: an engine's Overloaded became a BadRequest, or a refusal that says "not run" was taken although more was announced. A value that ended before its body did counted as whole.

Cause: the readers of refusals dropped the error of the read, and CallJSONLimited and SendOrder stopped at the end of the value.

Change: decodeWhole, which DecodeBody already did for callers' requests, reads responses too; a refusal that can't be read is a broken stream, a lost order or a plain error.

Measured: TestCutResponses fails for 19 of its 20 responses without the change (the twentieth has a value of another type), for none with it.

--- a/core/modules/jujubeclient/engine.go
+++ b/core/modules/jujubeclient/engine.go
@@ -91,10 +91,12 @@
 		return model.EngineDone{}, errors.WithStack(ErrStreamBroken{Sent: sent.Load(), Cause: err})
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return model.EngineDone{}, newErrEngine(response)
+	var done model.EngineDone
+	if response.StatusCode == http.StatusOK {
+		done, err = readStream(io.LimitReader(response.Body, maxStreamBytes), onChunk)
+	} else {
+		err = newErrEngine(response)
 	}
-	done, err := readStream(io.LimitReader(response.Body, maxStreamBytes), onChunk)
 	var engineError ErrEngine
 	if err != nil && !errors.As(err, &engineError) {
 		err = ErrStreamBroken{Sent: true, Cause: err}
@@ -135,10 +137,13 @@
 	}
 }
 
-// newErrEngine decodes an error response. A body without an error code becomes the message of a
-// BadRequest.
+// newErrEngine decodes an error response to an ErrEngine. A body without an error code becomes the message of a BadRequest; one that breaks off
+// is another error, as the engine may have sent any code.
 func newErrEngine(response *http.Response) error {
-	data, _ := io.ReadAll(io.LimitReader(response.Body, 64<<10))
+	data, err := io.ReadAll(io.LimitReader(response.Body, 64<<10))
+	if err != nil {
+		return errors.Wrapf(err, "read refusal of status %d", response.StatusCode)
+	}
 	var failure model.EngineError
 	if err := json.Unmarshal(data, &failure); err != nil || failure.Code == "" {
 		failure = model.EngineError{Code: model.EngineCodeBadRequest, Message: string(data)}
@@ -184,8 +189,8 @@
 		return model.OrderResult{}, newErrEngine(response)
 	}
 	var result model.OrderResult
-	err = json.NewDecoder(io.LimitReader(response.Body, maxEngineResponseBytes)).Decode(&result)
-	return result, errors.Wrap(err, "decode order result")
+	err = jujubehttp.DecodeResponse(response.Body, maxEngineResponseBytes, &result)
+	return result, err
 }
 
 // Score returns a scorer's score for a sample.
--- a/core/modules/jujubeclient/engine_test.go
+++ b/core/modules/jujubeclient/engine_test.go
@@ -15,6 +15,8 @@
 
 	model "jujubepier.example/core/models/jujubemodel"
 	"jujubepier.example/core/modules/jujubeclient"
+	"jujubepier.example/core/modules/jujubeerror"
+	"jujubepier.example/core/modules/jujubehttp"
 )
 
 // TestGenerateEnds guards against a request that reached an engine but is reported as not sent, so that callers
@@ -86,10 +88,9 @@
 	assert.Assert(t, sent.Load())
 }
 
-// TestEndlessResponses guards against an endpoint or a list whose response has no end and is kept until the memory is used up.
-func TestEndlessResponses(t *testing.T) {
-	const maxRead = 64 << 20
-	for name, call := range map[string]func(client *jujubeclient.EngineClient, address string) error{
+// engineCalls holds each kind of call to an endpoint or the instance list.
+func engineCalls(t *testing.T) map[string]func(client *jujubeclient.EngineClient, address string) error {
+	return map[string]func(client *jujubeclient.EngineClient, address string) error{
 		"load": func(client *jujubeclient.EngineClient, address string) error {
 			_, err := client.ReadLoad(t.Context(), address)
 			return err
@@ -119,7 +120,33 @@
 			_, err := list.Instances(t.Context())
 			return err
 		},
-	} {
+	}
+}
+
+// TestCutResponses guards against a response that counts although its body breaks off: after a value that looks complete, or within a refusal whose
+// code isn't known then.
+func TestCutResponses(t *testing.T) {
+	for name, call := range engineCalls(t) {
+		for status, body := range map[int]string{200: "{}", 503: `{"Code":"Overloaded","Ran":"NotRun"}`, 502: "<html>"} {
+			if name == "generate" && status == http.StatusOK {
+				continue // the last event of a stream tells that it is complete
+			}
+			address := newTestServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", "100")
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, body)
+			})
+			err := call(&jujubeclient.EngineClient{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}, address)
+			isRefusal := errors.As(err, new(jujubeclient.ErrEngine)) || errors.As(err, new(jujubeerror.ErrRefused)) || errors.As(err, new(jujubehttp.ErrStatus))
+			assert.Check(t, err != nil && !isRefusal, "%s, status %d: %v", name, status, err)
+		}
+	}
+}
+
+// TestEndlessResponses guards against an endpoint or a list whose response has no end and is kept until the memory is used up.
+func TestEndlessResponses(t *testing.T) {
+	const maxRead = 64 << 20
+	for name, call := range engineCalls(t) {
 		for kind, text := range map[string]string{"one string": "x", "one list": "[1,", "one event": "data: x\n", "chunks": "event: chunk\ndata: {}\n\n"} {
 			t.Run(name+"/"+kind, func(t *testing.T) {
 				var sent atomic.Int64
--- a/core/modules/jujubehttp/json.go
+++ b/core/modules/jujubehttp/json.go
@@ -43,16 +43,9 @@
 func DecodeBody(w http.ResponseWriter, r *http.Request, limit int64, value any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(value)
+	err := decodeWhole(decoder, value)
 	if err == nil {
-		// Not decoder.More: it also returns false for errors, such as a body that exceeds the limit.
-		_, err = decoder.Token()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err == nil {
-			err = errors.New("data after the JSON value")
-		}
+		return nil
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -64,6 +57,27 @@
 	return jujubeerror.ErrRefused{Code: jujubeerror.CodeBadRequest, Ran: model.RanNo, Message: "body: " + err.Error()}
 }
 
+// decodeWhole decodes a value that has to be followed by the end of the body. A body that breaks off isn't complete, although its value may be.
+func decodeWhole(decoder *json.Decoder, value any) error {
+	if err := decoder.Decode(value); err != nil {
+		return err
+	}
+	// Not decoder.More: it also returns false for errors, such as a body that exceeds the limit.
+	_, err := decoder.Token()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return errors.New("data after the JSON value")
+	}
+	return err
+}
+
+// DecodeResponse decodes a response's body that holds one JSON value of at most limit bytes.
+func DecodeResponse(body io.Reader, limit int64, value any) error {
+	return errors.Wrap(decodeWhole(json.NewDecoder(io.LimitReader(body, limit)), value), "decode answer")
+}
+
 // WriteJSON writes a status and a JSON value. Connection errors are left to the HTTP server.
 func WriteJSON(w http.ResponseWriter, status int, value any) {
 	body, err := json.Marshal(value)
@@ -154,8 +168,7 @@
 	if result == nil {
 		return nil
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, limit)).Decode(result)
-	return errors.Wrap(err, "decode answer")
+	return DecodeResponse(response.Body, limit, result)
 }
 
 // drainAndClose reads up to 64 KiB of the remaining body, so that the connection can be reused, and closes it.
@@ -164,9 +177,12 @@
 	_ = response.Body.Close()
 }
 
-// ResponseError converts a response other than 2xx to an ErrRefused or an ErrStatus.
+// ResponseError converts a response other than 2xx to an ErrRefused or an ErrStatus. One that breaks off is neither.
 func ResponseError(response *http.Response) error {
-	data, _ := io.ReadAll(io.LimitReader(response.Body, 64<<10))
+	data, err := io.ReadAll(io.LimitReader(response.Body, 64<<10))
+	if err != nil {
+		return errors.Wrapf(err, "read answer of status %d", response.StatusCode)
+	}
 	var refusal model.Refusal
 	if json.Unmarshal(data, &refusal) == nil && refusal.Code != "" && refusal.Ran != "" {
 		return errors.WithStack(jujubeerror.ErrRefused{
