--- a/core/modules/jujubehttp/responsehead.go
+++ b/core/modules/jujubehttp/responsehead.go
@@ -1,6 +1,7 @@
 package jujubehttp
 
 import (
+	"bytes"
 	"fmt"
 
 	"golang.org/x/net/http/httpguts"
@@ -57,7 +58,8 @@
 		}
 		if h.state == headInvalid {
 			if h.err == nil {
-				h.err = ErrInvalidHead{fmt.Sprintf("line %q", data[line:min(len(data), line+maxShownLine)])}
+				shown, _, _ := bytes.Cut(data[line:min(len(data), line+maxShownLine)], []byte("\n"))
+				h.err = ErrInvalidHead{fmt.Sprintf("line %q", shown)}
 			}
 			return i, h.err
 		}
--- a/core/modules/jujubehttp/sendonce.go
+++ b/core/modules/jujubehttp/sendonce.go
@@ -46,7 +46,7 @@
 	denied bool
 	// expiresAt is when the permit of the current request expires; zero if it doesn't.
 	expiresAt jujubeclock.Instant
-	// head is that of the response to the current request, which is the first one until wasUsed is true.
+	// head follows the head of the response to the current request. wasUsed is true from the first request on.
 	head    responseHead
 	wasUsed bool
 }
--- a/core/modules/jujubehttp/status_test.go
+++ b/core/modules/jujubehttp/status_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"testing"
 	"time"
 
@@ -78,6 +79,7 @@
 					got = status
 				case errors.As(err, new(jujubehttp.ErrInvalidHead)):
 					got = head
+					assert.Check(t, !strings.Contains(err.Error(), "ok"), "the body is logged: %v", err)
 				}
 				assert.Check(t, got == want && (err == nil) == (want == sound), "%q sent %s, arrives %s: %v", text, name, arrives, err)
 				if err == nil {
