--- a/core/modules/jujubehttp/response_test.go
+++ b/core/modules/jujubehttp/response_test.go
@@ -70,6 +70,8 @@
 	for name, c := range map[string]struct {
 		head string
 		end  func(conn net.Conn)
+		// chunked is true for a body in chunks, with the last one.
+		chunked bool
 		// isRead is true if the server reads the whole upload.
 		isRead, isWhole bool
 	}{
@@ -81,6 +83,7 @@
 		"short of its last chunk, reset":       {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n", end: reset},
 		"length, reset":                        {head: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", end: reset, isWhole: true},
 		"interim response, length, reset":      {head: "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", end: reset, isWhole: true},
+		"chunks, reset":                        {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunked: true, end: reset, isWhole: true},
 		"no length, end in order":              {head: "HTTP/1.1 200 OK\r\n\r\n", end: endAndRead, isRead: true, isWhole: true},
 		"Connection: close, end in order":      {head: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", end: endAndRead, isRead: true, isWhole: true},
 		"HTTP/1.0, end in order":               {head: "HTTP/1.0 200 OK\r\n\r\n", end: endAndRead, isRead: true, isWhole: true},
@@ -90,7 +93,7 @@
 			t.Run(name+", sent "+sent, func(t *testing.T) {
 				t.Parallel()
 				server := newRawServer(t, func(_ string, conn net.Conn) bool {
-					_, _ = io.WriteString(conn, c.head+"part")
+					_, _ = io.WriteString(conn, c.head+map[bool]string{false: "part", true: "4\r\npart\r\n0\r\n\r\n"}[c.chunked])
 					c.end(conn)
 					return false
 				})
